--- /dev/null
+++ b/clock.go
@@ -0,0 +1,38 @@
+package gypsumtide
+
+import "time"
+
+// Millis is a duration or a point in time in milliseconds.
+type Millis int64
+
+// Duration converts m for use with the standard library.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// FromDuration converts d to whole milliseconds, rounded down.
+func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+// Clock tells the time. Leases and credits use Now only, since the wall clock
+// may be set back.
+type Clock interface {
+	// Now returns monotonic time since an arbitrary start of the process.
+	Now() Millis
+	// Wall returns Unix time.
+	Wall() Millis
+}
+
+// SystemClock reads the clocks of the operating system.
+type SystemClock struct {
+	start time.Time
+}
+
+// NewSystemClock returns a Clock whose monotonic time starts at 1, so that 0
+// can mean "never".
+func NewSystemClock() *SystemClock {
+	return &SystemClock{start: time.Now().Add(-time.Millisecond)}
+}
+
+// Now implements Clock.
+func (c *SystemClock) Now() Millis { return FromDuration(time.Since(c.start)) }
+
+// Wall implements Clock.
+func (c *SystemClock) Wall() Millis { return Millis(time.Now().UnixMilli()) }
--- /dev/null
+++ b/cmd/gypsumctl/main.go
@@ -0,0 +1,4 @@
+// Command gypsumctl is the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,3 @@
+// Package gypsumtide holds the interfaces and shared value types of the
+// dispatcher. The implementations live below internal/.
+package gypsumtide
--- /dev/null
+++ b/error.go
@@ -0,0 +1,33 @@
+package gypsumtide
+
+import "fmt"
+
+// Error carries the step and the peer at which a failure arose.
+type Error struct {
+	step string
+	peer string
+	err  error
+}
+
+// NewError wraps err with the step that failed and the peer it involved. The
+// peer is empty for a local failure.
+func NewError(step, peer string, err error) *Error {
+	return &Error{step: step, peer: peer, err: err}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.peer == "" {
+		return fmt.Sprintf("%s: %v", e.step, e.err)
+	}
+	return fmt.Sprintf("%s at %s: %v", e.step, e.peer, e.err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Step returns the action that failed.
+func (e *Error) Step() string { return e.step }
+
+// Peer returns the process or host that the failed action involved.
+func (e *Error) Peer() string { return e.peer }
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,53 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxFrameBytes bounds a frame, so that a faulty peer cannot exhaust memory.
+const MaxFrameBytes = 64 << 20
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("wire: encoding options: %v", err))
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 20,
+		MaxMapPairs:      1 << 16,
+		MaxNestedLevels:  16,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("wire: decoding options: %v", err))
+	}
+	return m
+}
+
+// Marshal encodes a frame or any other message of this package.
+func Marshal(v any) ([]byte, error) {
+	data, err := encMode.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("wire: encode: %w", err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes into v. Unknown fields are ignored so that versions can differ during an upgrade.
+func Unmarshal(data []byte, v any) error {
+	if err := decMode.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("wire: decode: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,234 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+)
+
+// ErrSilent means that the peer sent nothing for longer than the silence bound.
+var ErrSilent = errors.New("peer is silent")
+
+// Timing holds the intervals of a session.
+type Timing struct {
+	// Heartbeat is the longest time between two frames sent.
+	Heartbeat gypsumtide.Millis
+	// Silence is the longest time between two frames received.
+	Silence gypsumtide.Millis
+}
+
+// Counters count the traffic of all sessions that share them.
+type Counters struct {
+	framesSent, framesReceived, bytesSent, bytesReceived atomic.Uint64
+}
+
+// FramesSent returns the number of frames written.
+func (c *Counters) FramesSent() uint64 { return c.framesSent.Load() }
+
+// FramesReceived returns the number of frames read.
+func (c *Counters) FramesReceived() uint64 { return c.framesReceived.Load() }
+
+// BytesSent returns the encoded bytes written.
+func (c *Counters) BytesSent() uint64 { return c.bytesSent.Load() }
+
+// BytesReceived returns the encoded bytes read.
+func (c *Counters) BytesReceived() uint64 { return c.bytesReceived.Load() }
+
+// Session is one long-lived WebSocket connection between two processes.
+// Messages added while a frame is being written share the next frame.
+type Session struct {
+	conn     *websocket.Conn
+	peer     string
+	clock    gypsumtide.Clock
+	timing   Timing
+	counters *Counters
+
+	mu      sync.Mutex
+	pending *Frame
+	closed  bool
+	wake    chan struct{}
+
+	peerClock atomic.Int64
+	heardAt   atomic.Int64
+}
+
+// Dial connects to the WebSocket at url.
+func Dial(ctx context.Context, client *http.Client, url, key string, clock gypsumtide.Clock, timing Timing, counters *Counters) (*Session, error) {
+	header := http.Header{}
+	if key != "" {
+		header.Set("Authorization", "Bearer "+key)
+	}
+	conn, resp, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: client, HTTPHeader: header})
+	if err != nil {
+		if resp != nil {
+			err = fmt.Errorf("status %d: %w", resp.StatusCode, err)
+		}
+		return nil, gypsumtide.NewError("dial session", url, err)
+	}
+	return newSession(conn, url, clock, timing, counters), nil
+}
+
+// Accept upgrades the request to a session. The caller has checked the key.
+func Accept(w http.ResponseWriter, r *http.Request, clock gypsumtide.Clock, timing Timing, counters *Counters) (*Session, error) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, gypsumtide.NewError("accept session", r.RemoteAddr, err)
+	}
+	return newSession(conn, r.RemoteAddr, clock, timing, counters), nil
+}
+
+func newSession(conn *websocket.Conn, peer string, clock gypsumtide.Clock, timing Timing, counters *Counters) *Session {
+	conn.SetReadLimit(MaxFrameBytes)
+	s := &Session{conn: conn, peer: peer, clock: clock, timing: timing, counters: counters, wake: make(chan struct{}, 1)}
+	s.heardAt.Store(int64(clock.Now()))
+	return s
+}
+
+// Peer returns the address of the other side.
+func (s *Session) Peer() string { return s.peer }
+
+// PeerClock returns the newest monotonic time received from the peer.
+func (s *Session) PeerClock() gypsumtide.Millis { return gypsumtide.Millis(s.peerClock.Load()) }
+
+// HeardAt returns the local monotonic time of the last frame received.
+func (s *Session) HeardAt() gypsumtide.Millis { return gypsumtide.Millis(s.heardAt.Load()) }
+
+// Update adds messages to the next frame. It reports false if the session has
+// ended, in which case nothing will be sent.
+//
+// The frame's Echo is read before the first message is added. A process that
+// is paused after that point sends an old Echo, which an agent rejects.
+func (s *Session) Update(add func(f *Frame)) bool {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return false
+	}
+	if s.pending == nil {
+		s.pending = &Frame{Echo: s.PeerClock()}
+	}
+	add(s.pending)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Run reads and writes until the session breaks or ctx is done. It calls
+// handle for each frame in order, from one goroutine.
+func (s *Session) Run(ctx context.Context, handle func(f *Frame) error) error {
+	g := group.New(ctx)
+	g.Add("read session", func(ctx context.Context) error { return s.read(ctx, handle) })
+	g.Add("write session", s.write)
+	err := g.Wait()
+	s.mu.Lock()
+	s.closed = true
+	s.pending = nil
+	s.mu.Unlock()
+	_ = s.conn.CloseNow()
+	if err == nil {
+		return ctx.Err()
+	}
+	return gypsumtide.NewError("session", s.peer, err)
+}
+
+// Close ends the session at once.
+func (s *Session) Close() {
+	_ = s.conn.CloseNow()
+}
+
+func (s *Session) read(ctx context.Context, handle func(f *Frame) error) error {
+	for {
+		f, err := s.ReadFrame(ctx)
+		if err != nil {
+			return err
+		}
+		if err := handle(f); err != nil {
+			return fmt.Errorf("handle frame: %w", err)
+		}
+	}
+}
+
+// ReadFrame reads one frame. It is for the handshake, before Run.
+func (s *Session) ReadFrame(ctx context.Context) (*Frame, error) {
+	rctx, cancel := context.WithTimeoutCause(ctx, s.timing.Silence.Duration(), ErrSilent)
+	defer cancel()
+	kind, data, err := s.conn.Read(rctx)
+	if err != nil {
+		if errors.Is(context.Cause(rctx), ErrSilent) {
+			return nil, ErrSilent
+		}
+		return nil, fmt.Errorf("read: %w", err)
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errors.New("read: not a binary message")
+	}
+	var f Frame
+	if err := Unmarshal(data, &f); err != nil {
+		return nil, err
+	}
+	s.counters.framesReceived.Add(1)
+	s.counters.bytesReceived.Add(uint64(len(data)))
+	s.heardAt.Store(int64(s.clock.Now()))
+	if int64(f.Clock) > s.peerClock.Load() {
+		s.peerClock.Store(int64(f.Clock))
+	}
+	return &f, nil
+}
+
+func (s *Session) write(ctx context.Context) error {
+	heartbeat := time.NewTicker(s.timing.Heartbeat.Duration())
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.wake:
+		case <-heartbeat.C:
+		}
+		if err := s.WriteFrame(ctx, s.take()); err != nil {
+			return err
+		}
+		heartbeat.Reset(s.timing.Heartbeat.Duration())
+	}
+}
+
+func (s *Session) take() *Frame {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.pending
+	s.pending = nil
+	if f == nil {
+		f = &Frame{Echo: s.PeerClock()}
+	}
+	return f
+}
+
+// WriteFrame writes one frame. It is for the handshake, before Run.
+func (s *Session) WriteFrame(ctx context.Context, f *Frame) error {
+	f.Clock = s.clock.Now()
+	data, err := Marshal(f)
+	if err != nil {
+		return err
+	}
+	// A peer that reads nothing for the silence bound is as good as gone.
+	wctx, cancel := context.WithTimeout(ctx, s.timing.Silence.Duration())
+	defer cancel()
+	if err := s.conn.Write(wctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	s.counters.framesSent.Add(1)
+	s.counters.bytesSent.Add(uint64(len(data)))
+	return nil
+}
--- /dev/null
+++ b/log.go
@@ -0,0 +1,39 @@
+package gypsumtide
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// ErrAppendUnsettled means that an append may or may not have taken effect.
+// Only reading the stream tells.
+var ErrAppendUnsettled = errors.New("append unsettled")
+
+// TrimmedError says that a read asked for an offset that the log no longer has.
+type TrimmedError struct {
+	// First is the lowest offset still available.
+	First uint64
+}
+
+// Error implements error.
+func (e *TrimmedError) Error() string {
+	return fmt.Sprintf("offset trimmed, first available is %d", e.First)
+}
+
+// Record is one entry of a log stream.
+type Record struct {
+	Offset uint64
+	Data   []byte
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds data to the stream. An error that wraps ErrAppendUnsettled
+	// may hide an append that took effect.
+	Append(ctx context.Context, stream string, data []byte) (offset uint64, err error)
+	// Read returns records from the offset on and the next offset to read. It
+	// waits up to wait for the first record, and returns a *TrimmedError when
+	// the offset is below the first available one.
+	Read(ctx context.Context, stream string, from uint64, wait Millis) (records []Record, next uint64, err error)
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,57 @@
+package gypsumtide
+
+// Outcome is the final state of a submission as told to its caller.
+type Outcome string
+
+// The outcomes of a submission.
+const (
+	// OutcomeComplete means that every task has a result.
+	OutcomeComplete Outcome = "complete"
+	// OutcomeFailed means that at least one task ran and the job has no answer.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeNotRun means that no task of this request has started or will start.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that a task may have started and its result is lost.
+	OutcomeUnknown Outcome = "outcome-unknown"
+	// OutcomeExpired means that the id is older than the retention period.
+	OutcomeExpired Outcome = "expired"
+)
+
+// Class separates short work from long work.
+type Class uint8
+
+// The classes of tasks.
+const (
+	ClassShort Class = iota
+	ClassLong
+)
+
+// String returns the name used in logs and metrics.
+func (c Class) String() string {
+	if c == ClassLong {
+		return "long"
+	}
+	return "short"
+}
+
+// Size is a declared demand or a capacity.
+type Size struct {
+	// Processors is in thousandths of a core.
+	Processors int64 `cbor:"1,keyasint,omitempty" json:"processors-milli,omitempty" yaml:"processors-milli"`
+	// Memory is in MiB.
+	Memory int64 `cbor:"2,keyasint,omitempty" json:"memory-mib,omitempty" yaml:"memory-mib"`
+	// Accelerators is in whole devices.
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty" yaml:"accelerators"`
+}
+
+// Fits reports whether a demand of s fits into c. A zero field of c is unlimited
+// for processors and memory, and means none for accelerators.
+func (s Size) Fits(c Size) bool {
+	if c.Processors > 0 && s.Processors > c.Processors {
+		return false
+	}
+	if c.Memory > 0 && s.Memory > c.Memory {
+		return false
+	}
+	return s.Accelerators <= c.Accelerators
+}
--- /dev/null
+++ b/submission_id.go
@@ -0,0 +1,52 @@
+package gypsumtide
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// ShardCount is the number of shards that submission ids are spread over.
+const ShardCount = 64
+
+// ShardID names a shard, from 0 to ShardCount-1.
+type ShardID uint16
+
+// SubmissionID is a UUIDv7. Its time stamp decides admission, its hash the shard.
+type SubmissionID [16]byte
+
+// NewSubmissionID returns an id stamped with the wall clock of this host.
+func NewSubmissionID() (SubmissionID, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return SubmissionID{}, fmt.Errorf("submission id: %w", err)
+	}
+	return SubmissionID(id), nil
+}
+
+// ParseSubmissionID accepts the canonical text form of a UUIDv7 only.
+func ParseSubmissionID(s string) (SubmissionID, error) {
+	id, err := uuid.Parse(s)
+	if err != nil {
+		return SubmissionID{}, fmt.Errorf("submission id: %w", err)
+	}
+	if id.Version() != 7 || id.Variant() != uuid.RFC4122 || id.String() != s {
+		return SubmissionID{}, fmt.Errorf("submission id: %q is not a UUIDv7 in canonical form", s)
+	}
+	return SubmissionID(id), nil
+}
+
+// String returns the canonical text form.
+func (id SubmissionID) String() string { return uuid.UUID(id).String() }
+
+// Stamp returns the Unix time in the id.
+func (id SubmissionID) Stamp() Millis {
+	return Millis(binary.BigEndian.Uint64(id[:8]) >> 16)
+}
+
+// Shard returns the shard that the id belongs to.
+func (id SubmissionID) Shard() ShardID {
+	return ShardID(xxhash.Sum64(id[:]) % ShardCount)
+}
