--- /dev/null
+++ b/internal/entry/decision.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+)
+
+// decisionLog writes one line for every n-th routing or placement decision.
+type decisionLog struct {
+	logger logr.Logger
+	every  uint64
+	number atomic.Uint64
+}
+
+func newDecisionLog(log logr.Logger, every int) *decisionLog {
+	return &decisionLog{logger: log.V(1).WithName("decision"), every: uint64(every)}
+}
+
+// log writes the decision if it falls into the sample.
+func (d *decisionLog) log(kind string, keysAndValues ...any) {
+	if d.every == 0 || d.number.Add(1)%d.every != 0 {
+		return
+	}
+	d.logger.Info(kind, keysAndValues...)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,140 @@
+// Package entry is the daemon on an entry host: it serves callers and
+// operators, is home for shards, and forwards requests to other homes.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/settings"
+	"gypsumtide/internal/submission"
+	"gypsumtide/internal/wire"
+)
+
+// tickInterval is the resolution of deadlines and requeues at the home.
+const tickInterval = 10 * time.Millisecond
+
+// Entry is the daemon.
+type Entry struct {
+	cfg         *settings.Entry
+	clock       gypsumtide.Clock
+	log         logr.Logger
+	incarnation string
+	key         string
+	client      *http.Client
+	counters    wire.Counters
+	metrics     *meters
+	owner       owner
+	home        *home
+	links       *links
+	sessionCtx  context.Context
+	background  *group.Group
+	draining    atomic.Bool
+}
+
+// New returns an entry that is ready to run.
+func New(cfg *settings.Entry, clock gypsumtide.Clock, log logr.Logger) (*Entry, error) {
+	e := &Entry{
+		cfg: cfg, clock: clock, log: log, incarnation: uuid.NewString(), metrics: newMeters(),
+		client: &http.Client{},
+	}
+	e.owner = newSoleOwner(e)
+	rules := submission.NewRules(cfg.MaxSkew(), cfg.IDRetention)
+	table := submission.NewTable(cfg.AnswerRetention, cfg.MaxTableBytes)
+	e.home = newHome(clock, log, newDecisionLog(log, cfg.Log.DecisionSample), e.owner, rules, table, defaultRouter{}, e.metrics)
+	e.links = newLinks(e)
+	return e, nil
+}
+
+// Run serves until ctx is done, then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", e.cfg.Listen)
+	if err != nil {
+		return gypsumtide.NewError("listen", e.cfg.Listen, err)
+	}
+	// The members outlive ctx: a graceful stop finishes the requests in progress first.
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g := group.New(runCtx)
+	e.sessionCtx = g.Context()
+	e.background = group.New(g.Context())
+	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
+	g.Add("serve HTTP", func(context.Context) error { return serve(server, listener) })
+	g.Add("tick", e.tick)
+	g.Add("stop", func(context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-g.Context().Done():
+		}
+		e.shutdown(server)
+		stop()
+		return nil
+	})
+	e.log.Info("entry started", "name", e.cfg.Name, "incarnation", e.incarnation, "listen", e.cfg.Listen, "zone", e.cfg.Zone)
+	return g.Wait()
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("entry: %w", err)
+	}
+	return nil
+}
+
+// shutdown finishes the requests in progress within the drain timeout.
+func (e *Entry) shutdown(server *http.Server) {
+	e.draining.Store(true)
+	e.log.Info("entry draining")
+	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout.Duration())
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.log.Info("drain timeout: requests were cut", "error", err.Error())
+	}
+}
+
+func (e *Entry) tick(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			e.home.tick()
+		}
+	}
+}
+
+// ready reports whether this entry can serve callers.
+func (e *Entry) ready() bool { return !e.draining.Load() }
+
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", e.handleSubmit)
+	mux.HandleFunc("GET /v1/jobs/{id}", e.handleFetch)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", e.handleCancel)
+	mux.HandleFunc("POST /v1/submission-ids", e.handleIssue)
+	mux.HandleFunc("GET /v1/session", e.handleSession)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.metrics.set.WritePrometheus(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.handleReady)
+	return mux
+}
+
+func (e *Entry) handleReady(w http.ResponseWriter, r *http.Request) {
+	if !e.ready() {
+		writeProblem(w, r, &wire.Problem{Type: "not-ready", Status: http.StatusServiceUnavailable, Step: "check readiness"}, "", nil)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/home.go
@@ -0,0 +1,397 @@
+package entry
+
+import (
+	"container/heap"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"gypsumtide"
+	"gypsumtide/internal/job"
+	"gypsumtide/internal/submission"
+	"gypsumtide/internal/wire"
+)
+
+const (
+	// closeGrace bounds the wait for agents to settle the open tasks of a job
+	// that missed its deadline or was cancelled.
+	closeGrace gypsumtide.Millis = 300
+	// agentAbsence is the time after which a lost agent's open tasks become unknown.
+	agentAbsence gypsumtide.Millis = 5_000
+	// requeueDelay keeps a task that an agent refused from bouncing at once.
+	requeueDelay gypsumtide.Millis = 5
+)
+
+// ownership answers which shards this entry is home for.
+type ownership interface {
+	// Serving returns the epoch if this entry holds the lease of the shard.
+	Serving(s gypsumtide.ShardID) (epoch uint64, ok bool)
+	// Fresh reports whether no earlier home can have accepted the id.
+	Fresh(id gypsumtide.SubmissionID) bool
+	// Usable reports whether the agent may receive tasks of the shard.
+	Usable(incarnation string, s gypsumtide.ShardID) bool
+	// Candidates returns the incarnations that a submission of n tasks may use.
+	Candidates(id gypsumtide.SubmissionID, n int) []string
+	// RecoveryCandidates returns the incarnations that may have started tasks of
+	// the submission under an earlier home.
+	RecoveryCandidates(id gypsumtide.SubmissionID, n int) []string
+}
+
+// activeJob is a job with the home's bookkeeping.
+type activeJob struct {
+	*job.Job
+	pool       *pool
+	candidates map[string]bool
+	closeBy    gypsumtide.Millis
+	recovery   *recovery
+}
+
+// home runs the jobs of the shards that this entry owns.
+type home struct {
+	clock     gypsumtide.Clock
+	log       logr.Logger
+	decisions *decisionLog
+	owner     ownership
+	rules     submission.Rules
+	metrics   *meters
+
+	mu      sync.Mutex
+ 	jobs    map[gypsumtide.SubmissionID]*activeJob
+	// recovering holds the jobs among them that wait for agents' ledgers.
+	recovering map[gypsumtide.SubmissionID]*activeJob
+	table   *submission.Table
+	agents  map[string]*agentConn
+	current map[string]*agentConn
+	pools   map[string]*pool
+	router  router
+	timers  timerHeap
+	requeue []requeueItem
+}
+
+type requeueItem struct {
+	at   gypsumtide.Millis
+	task *gypsumtide.Task
+}
+
+func newHome(clock gypsumtide.Clock, log logr.Logger, decisions *decisionLog, owner ownership, rules submission.Rules, table *submission.Table, rt router, m *meters) *home {
+	return &home{
+		clock: clock, log: log, decisions: decisions, owner: owner, rules: rules, table: table, router: rt, metrics: m,
+		jobs:    make(map[gypsumtide.SubmissionID]*activeJob),
+		recovering: make(map[gypsumtide.SubmissionID]*activeJob),
+		agents:  make(map[string]*agentConn),
+		current: make(map[string]*agentConn),
+		pools:   make(map[string]*pool),
+	}
+}
+
+// submit admits a job, attaches to the one in progress, or answers at once. A
+// job that is accepted answers on the returned channel.
+func (h *home) submit(req *wire.Job, budget gypsumtide.Millis) <-chan wire.Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id := req.Submission
+	if a := h.active(req); a != nil {
+		return a
+	}
+	epoch, ok := h.owner.Serving(id.Shard())
+	if !ok {
+		return answered(wire.Answer{Submission: id, Moved: true})
+	}
+	if a, ok := h.recorded(req); ok {
+		return answered(a)
+	}
+	now := h.clock.Now()
+	j := job.New(req, epoch, now, now+budget)
+	aj := &activeJob{Job: j}
+	if !h.owner.Fresh(id) {
+		return h.startRecovery(aj, now)
+	}
+	if refusal := h.admit(aj, now); refusal != nil {
+		return answered(*refusal)
+	}
+	ch := j.Wait()
+	h.start(aj, now)
+	return ch
+}
+
+// active attaches the request to a job in progress.
+func (h *home) active(req *wire.Job) <-chan wire.Answer {
+	aj := h.jobs[req.Submission]
+	if aj == nil {
+		return nil
+	}
+	if aj.Digest() != job.Digest(req) {
+		return answered(reusedID(req.Submission))
+	}
+	h.metrics.attached.Inc()
+	return aj.Wait()
+}
+
+// recorded answers from the table of finished submissions and refuses ids that
+// may have been forgotten.
+func (h *home) recorded(req *wire.Job) (wire.Answer, bool) {
+	id := req.Submission
+	if rec, ok := h.table.Find(id); ok {
+		h.metrics.repeated.Inc()
+		if rec.Digest() != job.Digest(req) {
+			return reusedID(id), true
+		}
+		return recordedAnswer(id, rec), true
+	}
+	if err := h.rules.Check(id, h.clock.Wall()); err != nil {
+		return ruleAnswer(id, err), true
+	}
+	if id.Stamp() <= h.table.Floor() {
+		return ruleAnswer(id, submission.ErrExpired), true
+	}
+	return wire.Answer{}, false
+}
+
+// admit checks the route, the fit and the limits, and charges the team.
+func (h *home) admit(aj *activeJob, now gypsumtide.Millis) *wire.Answer {
+	req := aj.Request()
+	p, refusal := h.choosePool(req)
+	if refusal != nil {
+		return refusal
+	}
+	aj.pool = p
+	for i := range req.Tasks {
+		if reason := p.fits(h, aj.Tasks()[i]); reason != "" {
+			return refuse(req.Submission, &wire.Problem{Type: "unsatisfiable", Status: http.StatusUnprocessableEntity, Step: "admit", Detail: reason})
+		}
+	}
+	verdict := p.admit(h, aj, now)
+	if !verdict.Admit() {
+		h.metrics.refused.Inc()
+		h.decisions.log("refuse", "submission", req.Submission.String(), "team", req.Team, "limit", verdict.Limit(), "reason", verdict.Reason())
+		return refuse(req.Submission, &wire.Problem{
+			Type: "refused-by-limit", Status: http.StatusTooManyRequests, Step: "admit",
+			Detail: verdict.Reason(), Limit: verdict.Limit(), RetryAfter: verdict.RetryAfter(),
+		})
+	}
+	aj.SetCharged(true)
+	return nil
+}
+
+// start queues the tasks that wait at the home and dispatches what fits.
+func (h *home) start(aj *activeJob, now gypsumtide.Millis) {
+	h.jobs[aj.Submission()] = aj
+	heap.Push(&h.timers, timer{at: aj.Deadline(), job: aj})
+	h.metrics.admitted.Inc()
+	h.enqueue(aj, now)
+	h.pump(aj.pool, now)
+}
+
+func (h *home) enqueue(aj *activeJob, now gypsumtide.Millis) {
+	for i, t := range aj.Tasks() {
+		if aj.Queued(uint32(i)) {
+			aj.pool.push(t, &aj.Request().Tasks[i], now)
+		}
+	}
+}
+
+// cancel ends a job on behalf of its caller.
+func (h *home) cancel(id gypsumtide.SubmissionID) (wire.Answer, <-chan wire.Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.owner.Serving(id.Shard()); !ok {
+		return wire.Answer{Submission: id, Moved: true}, nil
+	}
+	aj := h.jobs[id]
+	if aj == nil {
+		return h.lookup(id), nil
+	}
+	ch := aj.Wait()
+	h.close(aj, &wire.Problem{Type: "cancelled", Status: http.StatusConflict, Step: "cancel", Detail: "the caller cancelled the job"}, h.clock.Now())
+	return wire.Answer{}, ch
+}
+
+// fetch returns the answer of a submission or a channel that will receive it.
+func (h *home) fetch(id gypsumtide.SubmissionID) (wire.Answer, <-chan wire.Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.owner.Serving(id.Shard()); !ok {
+		return wire.Answer{Submission: id, Moved: true}, nil
+	}
+	if aj := h.jobs[id]; aj != nil {
+		return wire.Answer{Submission: id, Running: true}, aj.Wait()
+	}
+	return h.lookup(id), nil
+}
+
+// lookup answers for a submission that is not in progress.
+func (h *home) lookup(id gypsumtide.SubmissionID) wire.Answer {
+	if rec, ok := h.table.Find(id); ok {
+		return recordedAnswer(id, rec)
+	}
+	if err := h.rules.Check(id, h.clock.Wall()); err != nil {
+		return ruleAnswer(id, err)
+	}
+	if id.Stamp() <= h.table.Floor() {
+		return ruleAnswer(id, submission.ErrExpired)
+	}
+	p := &wire.Problem{Type: "unknown-submission", Status: http.StatusNotFound, Step: "look up"}
+	if h.owner.Fresh(id) {
+		p.Detail = "no job with this id has been accepted"
+		return wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeNotRun, Problem: p}
+	}
+	p.Detail = "an earlier home may have accepted this id: submit the job again to learn its outcome"
+	return wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeUnknown, Problem: p}
+}
+
+// close begins to end a job: nothing more is dispatched and agents are asked
+// to stop or settle the open tasks.
+func (h *home) close(aj *activeJob, p *wire.Problem, now gypsumtide.Millis) {
+	if aj.Ended() || aj.Closing() != nil {
+		return
+	}
+	aj.Close(p)
+	if aj.pool != nil {
+		aj.pool.queue.Remove(aj.Submission())
+	}
+	// A started task already proves that the job failed.
+	if (aj.Settled() || aj.Started()) && !aj.Recovering() {
+		h.endClosed(aj)
+		return
+	}
+	for _, c := range h.agents {
+		c.stopTasks(aj.Submission())
+	}
+	aj.closeBy = now + closeGrace
+	heap.Push(&h.timers, timer{at: aj.closeBy, job: aj})
+}
+
+// endClosed answers a job that was closed, with the outcome that is proved.
+func (h *home) endClosed(aj *activeJob) {
+	outcome := aj.ClosingOutcome()
+	if aj.Recovering() {
+		outcome = gypsumtide.OutcomeUnknown
+	}
+	if outcome == gypsumtide.OutcomeNotRun {
+		// Without the lease another home may have started the job.
+		if _, ok := h.owner.Serving(aj.Submission().Shard()); !ok {
+			outcome = gypsumtide.OutcomeUnknown
+		}
+	}
+	h.end(aj, wire.Answer{Submission: aj.Submission(), Outcome: outcome, Problem: aj.Closing()})
+}
+
+// end gives the final answer, remembers it, and releases what the job holds.
+func (h *home) end(aj *activeJob, a wire.Answer) {
+	if !aj.End(a) {
+		return
+	}
+	now := h.clock.Now()
+	delete(h.jobs, aj.Submission())
+	delete(h.recovering, aj.Submission())
+	if aj.pool != nil {
+		aj.pool.queue.Remove(aj.Submission())
+	}
+	if aj.Charged() {
+		aj.pool.done(aj.Request().Team, len(aj.Tasks()), now)
+	}
+	h.metrics.ended(a)
+	if a.Moved || a.Outcome == gypsumtide.OutcomeNotRun {
+		return
+	}
+	h.table.Add(aj.Submission(), aj.Digest(), &a, now)
+	if a.Outcome != gypsumtide.OutcomeComplete {
+		for _, c := range h.agents {
+			c.stopTasks(aj.Submission())
+		}
+	}
+}
+
+// release drops the jobs of shards that this entry no longer owns. Their
+// waiting requests are sent to the new home.
+func (h *home) release(owned func(s gypsumtide.ShardID, epoch uint64) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, aj := range h.jobs {
+		if owned(id.Shard(), aj.Epoch()) {
+			continue
+		}
+		for _, c := range h.agents {
+			c.forget(id)
+		}
+		h.end(aj, wire.Answer{Submission: id, Moved: true})
+	}
+}
+
+// tick runs the deadlines, requeues and expiries that are due.
+func (h *home) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	for len(h.timers) > 0 && h.timers[0].at <= now {
+		h.expire(heap.Pop(&h.timers).(timer).job, now)
+	}
+	h.requeueDue(now)
+	for _, c := range h.agents {
+		if c.session == nil && now-c.lostAt > agentAbsence {
+			h.loseAgent(c, "agent absent")
+		}
+	}
+	h.tickRecoveries(now)
+	h.table.Expire(now, h.clock.Wall()-h.rules.Retention())
+	for _, p := range h.pools {
+		h.pump(p, now)
+		h.recall(p, now)
+	}
+}
+
+func (h *home) expire(aj *activeJob, now gypsumtide.Millis) {
+	if aj.Ended() {
+		return
+	}
+	if aj.Closing() != nil {
+		if now >= aj.closeBy {
+			h.endClosed(aj)
+		}
+		return
+	}
+	h.close(aj, &wire.Problem{
+		Type: "deadline", Status: http.StatusGatewayTimeout, Step: "wait for results",
+		Detail: fmt.Sprintf("%d of %d tasks were open or waiting at the deadline", len(aj.Tasks())-aj.DoneTasks(), len(aj.Tasks())),
+	}, now)
+}
+
+func (h *home) requeueDue(now gypsumtide.Millis) {
+	keep := h.requeue[:0]
+	for _, item := range h.requeue {
+		if item.at > now {
+			keep = append(keep, item)
+			continue
+		}
+		aj := h.jobs[item.task.Submission()]
+		if aj != nil && aj.Closing() == nil && aj.Queued(item.task.Index()) {
+			aj.pool.queue.Push(item.task)
+		}
+	}
+	h.requeue = keep
+}
+
+type timer struct {
+	at  gypsumtide.Millis
+	job *activeJob
+}
+
+type timerHeap []timer
+
+func (t timerHeap) Len() int           { return len(t) }
+func (t timerHeap) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timerHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timerHeap) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timerHeap) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// maxIssuedIDs bounds the ids of one request.
+const maxIssuedIDs = 10_000
+
+const jsonType = "application/json"
+
+// jobBody is the request body of POST /v1/jobs.
+type jobBody struct {
+	SubmissionID  string            `json:"submission-id"`
+	Service       string            `json:"service"`
+	Team          string            `json:"team"`
+	NonIdempotent bool              `json:"non-idempotent"`
+	DeadlineMS    gypsumtide.Millis `json:"deadline-ms"`
+	Tasks         []taskBody        `json:"tasks"`
+}
+
+// taskBody is one task of a jobBody. A payload is JSON, or any bytes in
+// base64 with their content type.
+type taskBody struct {
+	Payload       json.RawMessage   `json:"payload"`
+	PayloadBase64 []byte            `json:"payload-base64"`
+	ContentType   string            `json:"content-type"`
+	Processors    int64             `json:"processors-milli"`
+	Memory        int64             `json:"memory-mib"`
+	Accelerators  int64             `json:"accelerators"`
+	RunTimeMS     gypsumtide.Millis `json:"run-time-ms"`
+}
+
+// answerBody is the response body of a complete job.
+type answerBody struct {
+	SubmissionID string             `json:"submission-id"`
+	Outcome      gypsumtide.Outcome `json:"outcome,omitempty"`
+	Running      bool               `json:"running,omitempty"`
+	Results      []resultBody       `json:"results,omitempty"`
+}
+
+// resultBody is the upstream's answer to one task.
+type resultBody struct {
+	Status      int               `json:"status"`
+	ContentType string            `json:"content-type,omitempty"`
+	Body        json.RawMessage   `json:"body,omitempty"`
+	BodyBase64  []byte            `json:"body-base64,omitempty"`
+	RunTimeMS   gypsumtide.Millis `json:"run-time-ms"`
+	Upstream    string            `json:"upstream"`
+}
+
+// handleSubmit serves POST /v1/jobs.
+func (e *Entry) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	wait, err := waitParameter(r, -1)
+	if err != nil {
+		badRequest(w, r, err)
+		return
+	}
+	req, issued, err := e.readJob(w, r)
+	if err != nil {
+		badRequest(w, r, err)
+		return
+	}
+	if skew := e.owner.Skew(); skew > e.cfg.MaxSkew() {
+		p := &wire.Problem{Type: "clock-skew", Status: http.StatusServiceUnavailable, Step: "check clock", Detail: fmt.Sprintf("the clock of this entry is %d ms off", skew), RetryAfter: 1_000}
+		writeProblem(w, r, p, gypsumtide.OutcomeNotRun, &req.Submission)
+		return
+	}
+	if wait < 0 {
+		// The job goes on when the caller disconnects.
+		e.writeAnswer(w, r, e.Submit(context.WithoutCancel(r.Context()), req, issued))
+		return
+	}
+	done := make(chan wire.Answer, 1)
+	e.background.Add("submission", func(ctx context.Context) error {
+		done <- e.Submit(ctx, req, issued)
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(r.Context(), wait.Duration())
+	defer cancel()
+	select {
+	case a := <-done:
+		e.writeAnswer(w, r, a)
+	case <-ctx.Done():
+		w.Header().Set("Location", "/v1/jobs/"+req.Submission.String())
+		writeJSON(w, http.StatusAccepted, answerBody{SubmissionID: req.Submission.String(), Running: true})
+	}
+}
+
+// handleFetch serves GET /v1/jobs/{id}.
+func (e *Entry) handleFetch(w http.ResponseWriter, r *http.Request) {
+	id, err := gypsumtide.ParseSubmissionID(r.PathValue("id"))
+	if err != nil {
+		badRequest(w, r, err)
+		return
+	}
+	wait, err := waitParameter(r, 0)
+	if err != nil {
+		badRequest(w, r, err)
+		return
+	}
+	e.writeAnswer(w, r, e.Fetch(r.Context(), id, wait))
+}
+
+// handleCancel serves DELETE /v1/jobs/{id}.
+func (e *Entry) handleCancel(w http.ResponseWriter, r *http.Request) {
+	id, err := gypsumtide.ParseSubmissionID(r.PathValue("id"))
+	if err != nil {
+		badRequest(w, r, err)
+		return
+	}
+	e.writeAnswer(w, r, e.Cancel(r.Context(), id))
+}
+
+// handleIssue serves POST /v1/submission-ids.
+func (e *Entry) handleIssue(w http.ResponseWriter, r *http.Request) {
+	body := struct {
+		Count int `json:"count"`
+	}{Count: 1}
+	if err := decodeStrict(http.MaxBytesReader(w, r.Body, 1<<10), &body); err != nil && !errors.Is(err, io.EOF) {
+		badRequest(w, r, err)
+		return
+	}
+	if body.Count < 1 || body.Count > maxIssuedIDs {
+		badRequest(w, r, fmt.Errorf("count: %d is outside 1 to %d", body.Count, maxIssuedIDs))
+		return
+	}
+	ids := make([]string, body.Count)
+	for i := range ids {
+		id, err := gypsumtide.NewSubmissionID()
+		if err != nil {
+			writeProblem(w, r, &wire.Problem{Type: "internal", Status: http.StatusInternalServerError, Step: "issue id", Detail: err.Error()}, "", nil)
+			return
+		}
+		ids[i] = id.String()
+	}
+	writeJSON(w, http.StatusOK, map[string][]string{"submission-ids": ids})
+}
+
+// readJob decodes and checks a submission. issued says that the id was made here.
+func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (req *wire.Job, issued bool, err error) {
+	var body jobBody
+	if err := decodeStrict(http.MaxBytesReader(w, r.Body, e.cfg.MaxJobBytes), &body); err != nil {
+		return nil, false, fmt.Errorf("read job: %w", err)
+	}
+	var id gypsumtide.SubmissionID
+	if body.SubmissionID == "" {
+		issued = true
+		id, err = gypsumtide.NewSubmissionID()
+	} else {
+		id, err = gypsumtide.ParseSubmissionID(body.SubmissionID)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	if body.DeadlineMS == 0 {
+		body.DeadlineMS = e.cfg.DefaultDeadline
+	}
+	if err := e.checkJob(&body); err != nil {
+		return nil, false, err
+	}
+	req = &wire.Job{
+		Submission: id, Service: body.Service, Team: body.Team, NonIdempotent: body.NonIdempotent, Deadline: body.DeadlineMS,
+		Tasks: make([]wire.JobTask, len(body.Tasks)),
+	}
+	for i := range body.Tasks {
+		t := &body.Tasks[i]
+		req.Tasks[i] = wire.JobTask{
+			Payload: t.PayloadBase64, ContentType: t.ContentType, RunTime: t.RunTimeMS,
+			Size: gypsumtide.Size{Processors: t.Processors, Memory: t.Memory, Accelerators: t.Accelerators},
+		}
+		if t.Payload != nil {
+			req.Tasks[i].Payload, req.Tasks[i].ContentType = t.Payload, jsonType
+		}
+	}
+	return req, issued, nil
+}
+
+// checkJob returns the first fault of a job.
+func (e *Entry) checkJob(body *jobBody) error {
+	switch {
+	case body.Service == "":
+		return errors.New("service: must not be empty")
+	case len(body.Tasks) == 0:
+		return errors.New("tasks: a job needs at least one task")
+	case len(body.Tasks) > e.cfg.MaxTasks:
+		return fmt.Errorf("tasks: %d are more than %d", len(body.Tasks), e.cfg.MaxTasks)
+	case body.DeadlineMS < 1 || body.DeadlineMS > e.cfg.MaxDeadline:
+		return fmt.Errorf("deadline-ms: %d is outside 1 to %d", body.DeadlineMS, e.cfg.MaxDeadline)
+	}
+	for i := range body.Tasks {
+		if err := e.checkTask(&body.Tasks[i]); err != nil {
+			return fmt.Errorf("tasks[%d].%w", i, err)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) checkTask(t *taskBody) error {
+	switch {
+	case t.Payload != nil && t.PayloadBase64 != nil:
+		return errors.New("payload: excludes payload-base64")
+	case len(t.Payload)+len(t.PayloadBase64) > e.cfg.MaxPayloadBytes:
+		return fmt.Errorf("payload: larger than %d bytes", e.cfg.MaxPayloadBytes)
+	case t.Processors < 0 || t.Memory < 0 || t.Accelerators < 0 || t.RunTimeMS < 0:
+		return errors.New("processors-milli, memory-mib, accelerators, run-time-ms: must not be negative")
+	}
+	return nil
+}
+
+// writeAnswer turns an answer into a response.
+func (e *Entry) writeAnswer(w http.ResponseWriter, r *http.Request, a wire.Answer) {
+	switch {
+	case a.Running:
+		writeJSON(w, http.StatusAccepted, answerBody{SubmissionID: a.Submission.String(), Running: true})
+	case a.Outcome == gypsumtide.OutcomeComplete:
+		writeJSON(w, http.StatusOK, answerBody{SubmissionID: a.Submission.String(), Outcome: a.Outcome, Results: resultBodies(a.Results)})
+	default:
+		writeProblem(w, r, a.Problem, a.Outcome, &a.Submission)
+	}
+}
+
+func resultBodies(results []wire.TaskResult) []resultBody {
+	bodies := make([]resultBody, len(results))
+	for i := range results {
+		t := &results[i]
+		bodies[i] = resultBody{Status: t.Status, ContentType: t.ContentType, RunTimeMS: t.RunTime, Upstream: t.Upstream}
+		if json.Valid(t.Body) {
+			bodies[i].Body = t.Body
+		} else {
+			bodies[i].BodyBase64 = t.Body
+		}
+	}
+	return bodies
+}
+
+// decodeStrict decodes exactly one JSON value without unknown fields.
+func decodeStrict(r io.Reader, v any) error {
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
+
+// badRequest refuses a request that is not valid. Nothing of it runs.
+func badRequest(w http.ResponseWriter, r *http.Request, err error) {
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	writeProblem(w, r, &wire.Problem{Type: "invalid-request", Status: status, Step: "read request", Detail: err.Error()}, gypsumtide.OutcomeNotRun, nil)
+}
+
+// waitParameter reads the wait-ms query parameter.
+func waitParameter(r *http.Request, missing gypsumtide.Millis) (gypsumtide.Millis, error) {
+	raw := r.URL.Query().Get("wait-ms")
+	if raw == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseInt(raw, 10, 64)
+	if err != nil || n < 0 || n > 600_000 {
+		return 0, fmt.Errorf("wait-ms: %q is not a number from 0 to 600000", raw)
+	}
+	return gypsumtide.Millis(n), nil
+}
--- /dev/null
+++ b/internal/entry/pool.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// pool is the runtime of one pool: its queue, its policies and its agents.
+type pool struct {
+	name       string
+	queue      gypsumtide.Queue
+	placer     gypsumtide.Placer
+	candidates map[string]*candidates
+}
+
+// candidates are the agents that serve a service, as the placement sees them.
+type candidates struct {
+	conns []*agentConn
+	views []*gypsumtide.AgentView
+}
+
+// invalidate rebuilds the candidate lists at their next use.
+func (h *home) invalidate() {
+	for _, p := range h.pools {
+		clear(p.candidates)
+	}
+}
+
+// choosePool follows the route of the job's service and team.
+func (h *home) choosePool(req *wire.Job) (*pool, *wire.Answer) {
+	name, err := h.router.Pool(req.Service, req.Team)
+	if err != nil {
+		return nil, refuse(req.Submission, &wire.Problem{
+			Type: "no-route", Status: http.StatusNotFound, Step: "route", Detail: err.Error(),
+		})
+	}
+	return h.pool(name), nil
+}
+
+func (p *pool) serving(h *home, service string) *candidates {
+	c := p.candidates[service]
+	if c != nil {
+		return c
+	}
+	c = &candidates{}
+	for _, conn := range h.agents {
+		if conn.serves(service) && h.router.InPool(p.name, conn.record.Zone) {
+			c.conns = append(c.conns, conn)
+			c.views = append(c.views, conn.view)
+		}
+	}
+	p.candidates[service] = c
+	return c
+}
+
+// pump dispatches waiting tasks until none fits.
+func (h *home) pump(p *pool, now gypsumtide.Millis) {
+	for {
+		t := p.queue.Pop(now, func(t *gypsumtide.Task) bool { return h.place(p, t, now) })
+		if t == nil {
+			return
+		}
+	}
+}
+
+// place chooses an agent for the task and sends it there.
+func (h *home) place(p *pool, t *gypsumtide.Task, now gypsumtide.Millis) bool {
+	aj := h.jobs[t.Submission()]
+	if aj == nil || aj.Closing() != nil || !aj.Queued(t.Index()) {
+		return true
+	}
+	c := p.eligible(h, aj, t)
+	if len(c.conns) == 0 {
+		return false
+	}
+	d := p.placer.Place(t, c.views, now)
+	if d.Agent() < 0 {
+		return false
+	}
+	conn := c.conns[d.Agent()]
+	if !h.dispatch(conn, aj, t, now) {
+		return false
+	}
+	h.decisions.log("place", "submission", t.Submission().String(), "task", t.Index(), "service", t.Service(), "team", t.Team(),
+		"agent", conn.record.Name, "zone", conn.record.Zone, "class", t.Class().String(), "waited-ms", int64(now-t.Queued()), "reason", d.Reason())
+	return true
+}
+
+// eligible returns the agents of the job's candidate set that may receive tasks of its shard.
+func (p *pool) eligible(h *home, aj *activeJob, t *gypsumtide.Task) *candidates {
+	all := p.serving(h, t.Service())
+	shard := t.Submission().Shard()
+	if aj.candidates == nil {
+		aj.candidates = make(map[string]bool)
+		for _, inc := range h.owner.Candidates(t.Submission(), len(aj.Tasks())) {
+			aj.candidates[inc] = true
+		}
+	}
+	usable := func(c *agentConn) bool {
+		return aj.candidates[c.record.Incarnation] && h.owner.Usable(c.record.Incarnation, shard)
+	}
+	first := 0
+	for first < len(all.conns) && usable(all.conns[first]) {
+		first++
+	}
+	if first == len(all.conns) {
+		return all
+	}
+	some := &candidates{}
+	for i, c := range all.conns {
+		if i < first || usable(c) {
+			some.conns = append(some.conns, c)
+			some.views = append(some.views, all.views[i])
+		}
+	}
+	return some
+}
+
+// dispatch sends the task to the agent unless the lease of its shard has expired.
+func (h *home) dispatch(c *agentConn, aj *activeJob, t *gypsumtide.Task, now gypsumtide.Millis) bool {
+	req := &aj.Request().Tasks[t.Index()]
+	shard := t.Submission().Shard()
+	sent := false
+	alive := c.session.Update(func(f *wire.Frame) {
+		// The lease is checked after the session has fixed the credit of the
+		// frame, so that a pause in between makes the credit expire first.
+		epoch, ok := h.owner.Serving(shard)
+		if !ok || epoch != aj.Epoch() {
+			return
+		}
+		f.Dispatches = append(f.Dispatches, wire.Dispatch{
+			TaskRef: wire.TaskRef{Submission: t.Submission(), Task: t.Index(), Epoch: epoch},
+			Shard:   shard, Class: t.Class(), Service: t.Service(), Budget: t.Deadline() - now,
+			Payload: req.Payload, ContentType: req.ContentType, Size: req.Size,
+		})
+		sent = true
+	})
+	if !alive || !sent {
+		return false
+	}
+	aj.Dispatch(t.Index())
+	c.open[taskKey{submission: t.Submission(), index: t.Index()}] = openTask{task: t, epoch: aj.Epoch(), sentAt: now}
+	c.view.Assign(t)
+	h.metrics.dispatches.Inc()
+	return true
+}
+
+// fits returns why no connected worker can ever run the task, or an empty string.
+func (p *pool) fits(h *home, t *gypsumtide.Task) string {
+	c := p.serving(h, t.Service())
+	if len(c.views) == 0 {
+		return fmt.Sprintf("no upstream in pool %q serves %q", p.name, t.Service())
+	}
+	for _, v := range c.views {
+		if t.Size().Fits(v.Capacity()) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("task %d is larger than every worker of pool %q", t.Index(), p.name)
+}
--- /dev/null
+++ b/internal/entry/recovery.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// recoveryWait bounds the wait for agents of a submission in doubt whose
+// session is broken.
+const recoveryWait gypsumtide.Millis = 2_000
+
+// recovery collects what the candidate agents started for a submission that an
+// earlier home may have accepted.
+type recovery struct {
+	asked   map[string]bool
+	pending map[string]bool
+	until   gypsumtide.Millis
+	lost    string
+}
+
+// startRecovery asks every agent that may have started tasks of the job.
+func (h *home) startRecovery(aj *activeJob, now gypsumtide.Millis) <-chan wire.Answer {
+	id := aj.Submission()
+	aj.SetRecovering(true)
+	aj.recovery = &recovery{asked: make(map[string]bool), pending: make(map[string]bool), until: min(aj.Deadline(), now+recoveryWait)}
+	for _, inc := range h.owner.RecoveryCandidates(id, len(aj.Tasks())) {
+		aj.recovery.pending[inc] = true
+	}
+	h.jobs[id] = aj
+	h.recovering[id] = aj
+	h.metrics.recoveries.Inc()
+	ch := aj.Wait()
+	h.askAgents(aj, now)
+	h.finishRecovery(aj, now)
+	return ch
+}
+
+// askAgents sends the recover request to the pending agents that are connected.
+func (h *home) askAgents(aj *activeJob, now gypsumtide.Millis) {
+	id := aj.Submission()
+	for inc := range aj.recovery.pending {
+		c := h.agents[inc]
+		if c == nil || c.session == nil || aj.recovery.asked[inc] {
+			continue
+		}
+		aj.recovery.asked[inc] = c.session.Update(func(f *wire.Frame) {
+			f.Recovers = append(f.Recovers, wire.Recover{Submission: id, Shard: id.Shard(), Epoch: aj.Epoch()})
+		})
+	}
+}
+
+// recovered takes an agent's list of started tasks.
+func (h *home) recovered(c *agentConn, r *wire.Recovered, now gypsumtide.Millis) {
+	aj := h.jobs[r.Submission]
+	if aj == nil || !aj.Recovering() || !aj.recovery.pending[c.record.Incarnation] {
+		return
+	}
+	if r.Fenced {
+		h.end(aj, wire.Answer{Submission: r.Submission, Moved: true})
+		return
+	}
+	if r.Epoch != aj.Epoch() {
+		return
+	}
+	delete(aj.recovery.pending, c.record.Incarnation)
+	for i := range r.Tasks {
+		h.recoveredTask(c, aj, &r.Tasks[i], now)
+	}
+	h.finishRecovery(aj, now)
+}
+
+func (h *home) recoveredTask(c *agentConn, aj *activeJob, r *wire.Result, now gypsumtide.Millis) {
+	if int(r.Task) >= len(aj.Tasks()) {
+		return
+	}
+	switch r.State {
+	case wire.TaskDone:
+		aj.Finish(r.Task, wire.TaskResult{
+			Status: r.Status, ContentType: r.ContentType, Body: r.Body, RunTime: r.RunTime, Upstream: peerName(c, r),
+		})
+	case wire.TaskRunning:
+		t := aj.Tasks()[r.Task]
+		aj.Start(r.Task)
+		c.open[keyOf(r.TaskRef)] = openTask{task: t, epoch: aj.Epoch(), sentAt: now}
+		c.view.Assign(t)
+	case wire.TaskUnknown:
+		aj.Lose(r.Task)
+		aj.recovery.lost = peerName(c, r)
+	}
+}
+
+// recoveryLost notes that an agent can no longer answer.
+func (h *home) recoveryLost(c *agentConn, why string) {
+	for _, aj := range h.recovering {
+		if aj.recovery.pending[c.record.Incarnation] {
+			h.failRecovery(aj, c.record.Name, why)
+		}
+	}
+}
+
+// finishRecovery continues the job once every candidate has answered.
+func (h *home) finishRecovery(aj *activeJob, now gypsumtide.Millis) {
+	if len(aj.recovery.pending) > 0 || aj.Ended() {
+		return
+	}
+	if aj.recovery.lost != "" {
+		h.failRecovery(aj, aj.recovery.lost, "a started task has no result")
+		return
+	}
+	aj.SetRecovering(false)
+	delete(h.recovering, aj.Submission())
+	h.decisions.log("recover", "submission", aj.Submission().String(), "epoch", aj.Epoch(), "done", aj.DoneTasks(), "open", aj.OpenTasks())
+	if aj.Complete() {
+		h.endRecovered(aj)
+		return
+	}
+	if aj.Closing() != nil {
+		h.endClosed(aj)
+		return
+	}
+	h.resume(aj, now)
+}
+
+// endRecovered answers a job all of whose tasks had finished under an earlier home.
+func (h *home) endRecovered(aj *activeJob) {
+	for i := range aj.Tasks() {
+		if r := aj.Result(uint32(i)); r.Status >= http.StatusInternalServerError {
+			aj.Close(&wire.Problem{
+				Type: "task-failed", Status: http.StatusBadGateway, Step: "run task", Peer: r.Upstream,
+				Detail: fmt.Sprintf("task %d ended with status %d", i, r.Status),
+			})
+			h.endClosed(aj)
+			return
+		}
+	}
+	h.end(aj, aj.Answer())
+}
+
+// resume dispatches the tasks that no earlier home started.
+func (h *home) resume(aj *activeJob, now gypsumtide.Millis) {
+	if !aj.Started() {
+		if refusal := h.admit(aj, now); refusal != nil {
+			h.end(aj, *refusal)
+			return
+		}
+	} else {
+		p, refusal := h.choosePool(aj.Request())
+		if refusal != nil {
+			aj.Close(refusal.Problem)
+			h.endClosed(aj)
+			return
+		}
+		aj.pool = p
+	}
+	h.start(aj, now)
+}
+
+// failRecovery answers that the outcome is unknown. The answer is not
+// remembered, since the agent may come back and tell.
+func (h *home) failRecovery(aj *activeJob, peer, why string) {
+	id := aj.Submission()
+	if !aj.End(wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeUnknown, Problem: &wire.Problem{
+		Type: "outcome-unknown", Status: http.StatusServiceUnavailable, Step: "recover submission", Peer: peer,
+		Detail: "an earlier home may have started tasks there: " + why,
+	}}) {
+		return
+	}
+	for _, c := range h.agents {
+		c.forget(id)
+	}
+	delete(h.jobs, id)
+	delete(h.recovering, id)
+}
+
+// tickRecoveries asks agents that came back and gives up those that did not.
+func (h *home) tickRecoveries(now gypsumtide.Millis) {
+	for _, aj := range h.recovering {
+		h.askAgents(aj, now)
+		if now < aj.recovery.until {
+			continue
+		}
+		for inc := range aj.recovery.pending {
+			h.failRecovery(aj, inc, "no answer from the agent")
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/sessions.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"net/http"
+	"strings"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/wire"
+)
+
+var (
+	errNoWelcome = errors.New("no welcome received")
+	errSelf      = errors.New("the address leads back to this entry")
+	errNoHello   = errors.New("no hello received")
+)
+
+// handleSession accepts the sessions of agents and other entries.
+func (e *Entry) handleSession(w http.ResponseWriter, r *http.Request) {
+	if !e.authorized(r) {
+		writeProblem(w, r, &wire.Problem{Type: "unauthorized", Status: http.StatusUnauthorized, Step: "open session", Detail: "shared key missing or wrong"}, "", nil)
+		return
+	}
+	s, err := wire.Accept(w, r, e.clock, wire.Timing{Heartbeat: agentHeartbeat, Silence: agentSilence}, &e.counters)
+	if err != nil {
+		e.log.Info("session refused", "peer", r.RemoteAddr, "error", err.Error())
+		return
+	}
+	defer s.Close()
+	err = e.serveSession(e.sessionCtx, s)
+	e.log.V(1).Info("session ended", "peer", r.RemoteAddr, "error", errorText(err))
+}
+
+// authorized checks the shared key of the system's own processes.
+func (e *Entry) authorized(r *http.Request) bool {
+	if e.key == "" {
+		return true
+	}
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return subtle.ConstantTimeCompare([]byte(key), []byte(e.key)) == 1
+}
+
+func (e *Entry) serveSession(ctx context.Context, s *wire.Session) error {
+	f, err := s.ReadFrame(ctx)
+	if err != nil {
+		return err
+	}
+	if f.Hello == nil {
+		return gypsumtide.NewError("open session", s.Peer(), errNoHello)
+	}
+	welcome := &wire.Welcome{Name: e.cfg.Name, Incarnation: e.incarnation, Entries: e.entryList()}
+	if err := s.WriteFrame(ctx, &wire.Frame{Welcome: welcome}); err != nil {
+		return err
+	}
+	if f.Hello.Kind == "agent" {
+		return e.serveAgent(ctx, f.Hello, s)
+	}
+	return e.servePeer(ctx, f.Hello, s)
+}
+
+// servePeer answers the requests of another entry.
+func (e *Entry) servePeer(ctx context.Context, hello *wire.Hello, s *wire.Session) error {
+	g := group.New(ctx)
+	from := hello.Incarnation
+	g.Add("peer session", func(ctx context.Context) error {
+		return s.Run(ctx, func(f *wire.Frame) error {
+			e.handlePeer(g, from, s, f)
+			return nil
+		})
+	})
+	return g.Wait()
+}
+
+func (e *Entry) handlePeer(g *group.Group, from string, s *wire.Session, f *wire.Frame) {
+	e.owner.Heard(from)
+	if f.Heartbeat != nil {
+		ack := e.owner.HandleHeartbeat(from, f.Heartbeat)
+		e.usage.heard(from, f.Heartbeat.Usage)
+		s.Update(func(out *wire.Frame) { out.Ack = &ack })
+	}
+	for i := range f.Forwards {
+		req := f.Forwards[i]
+		g.Add("forwarded request", func(ctx context.Context) error {
+			e.answerForward(ctx, s, &req)
+			return nil
+		})
+	}
+	if len(f.RosterNotes) > 0 {
+		acked := make([]wire.AgentRecord, 0, len(f.RosterNotes))
+		for _, rec := range f.RosterNotes {
+			if e.owner.NoteAgent(from, rec) {
+				acked = append(acked, rec)
+			}
+		}
+		s.Update(func(out *wire.Frame) { out.RosterAcks = append(out.RosterAcks, acked...) })
+	}
+	if f.StateRequest {
+		if reply := e.stateReply(); reply != nil {
+			s.Update(func(out *wire.Frame) { out.StateReply = reply })
+		}
+	}
+}
+
+// answerForward runs a forwarded request at this home.
+func (e *Entry) answerForward(ctx context.Context, s *wire.Session, req *wire.Forward) {
+	// The sender gives up after the same time.
+	ctx, cancel := context.WithTimeout(ctx, (req.Budget + answerGrace).Duration())
+	defer cancel()
+	a, ok := e.home.serve(ctx, req)
+	if !ok {
+		return
+	}
+	s.Update(func(f *wire.Frame) { f.Replies = append(f.Replies, wire.ForwardReply{Request: req.Request, Answer: a}) })
+}
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+const (
+	// routeRetry is the pause before a request looks for the home again.
+	routeRetry = 10 * time.Millisecond
+	// answerGrace is the time that a request waits for its answer beyond the
+	// deadline: the home's close grace and one trip back.
+	answerGrace = closeGrace + 200
+	// homelessWait bounds the wait of a request for a shard without a home. A
+	// takeover takes at most 3 s.
+	homelessWait gypsumtide.Millis = 3_500
+)
+
+// route carries one request to the home of its shard, again after every change of home, until
+// it is answered or its time is over.
+type route struct {
+	entry     *Entry
+	id        gypsumtide.SubmissionID
+	kind      string
+	job       *wire.Job
+	deadline  gypsumtide.Millis
+	// offered means that a home may have accepted the job.
+	offered   bool
+	started   gypsumtide.Millis
+}
+
+// Submit runs a job at its home and returns the answer. issued says that this
+// request's id was made here, so that no other request can have used it.
+func (e *Entry) Submit(ctx context.Context, req *wire.Job, issued bool) wire.Answer {
+	now := e.clock.Now()
+	r := &route{entry: e, id: req.Submission, kind: wire.ForwardSubmit, job: req, started: now, deadline: now + req.Deadline}
+	a, ok := r.run(ctx)
+	if ok {
+		return a
+	}
+	return r.refusal(issued)
+}
+
+// Fetch returns the answer of a submission, waiting up to wait for it.
+func (e *Entry) Fetch(ctx context.Context, id gypsumtide.SubmissionID, wait gypsumtide.Millis) wire.Answer {
+	return e.ask(ctx, wire.ForwardFetch, id, wait)
+}
+
+// Cancel stops a submission and returns its answer.
+func (e *Entry) Cancel(ctx context.Context, id gypsumtide.SubmissionID) wire.Answer {
+	return e.ask(ctx, wire.ForwardCancel, id, 1_000)
+}
+
+func (e *Entry) ask(ctx context.Context, kind string, id gypsumtide.SubmissionID, wait gypsumtide.Millis) wire.Answer {
+	now := e.clock.Now()
+	r := &route{entry: e, id: id, kind: kind, started: now, deadline: now + wait}
+	a, ok := r.run(ctx)
+	if ok {
+		return a
+	}
+	return wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeUnknown, Problem: &wire.Problem{
+		Type: "no-home", Status: http.StatusServiceUnavailable, Step: "find home", Detail: "the shard of this id has no reachable home",
+		RetryAfter: 1_000,
+	}}
+}
+
+// run tries the home until it answers. It reports false when the time is over.
+func (r *route) run(ctx context.Context) (wire.Answer, bool) {
+	lastHome := r.started
+	for {
+		changed := r.entry.owner.Changed()
+		a, tried, ok := r.attempt(ctx)
+		if ok {
+			return a, true
+		}
+		now := r.entry.clock.Now()
+		if tried {
+			lastHome = now
+		}
+		if now >= r.deadline+answerGrace || now-lastHome > homelessWait || ctx.Err() != nil {
+			return wire.Answer{}, false
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(routeRetry):
+		}
+	}
+}
+
+// attempt asks the present home once. tried says that a home was found.
+func (r *route) attempt(ctx context.Context) (a wire.Answer, tried, ok bool) {
+	home, _, self, serving := r.entry.owner.Route(r.id.Shard())
+	ctx, cancel := context.WithTimeout(ctx, (r.remaining() + answerGrace).Duration())
+	defer cancel()
+	switch {
+	case self && serving:
+		r.offered = true
+		a, ok = r.local(ctx)
+	case !self && home.Incarnation != "":
+		link := r.entry.links.find(home.Incarnation)
+		if link == nil {
+			return wire.Answer{}, false, false
+		}
+		r.offered = true
+		r.entry.metrics.forwards.Inc()
+		a, ok = link.forward(ctx, &wire.Forward{Kind: r.kind, Job: r.job, Submission: r.id, Budget: r.remaining()})
+	default:
+		return wire.Answer{}, false, false
+	}
+	return a, true, ok && !a.Moved
+}
+
+func (r *route) remaining() gypsumtide.Millis {
+	return max(0, r.deadline-r.entry.clock.Now())
+}
+
+// local asks this entry's own home.
+func (r *route) local(ctx context.Context) (wire.Answer, bool) {
+	return r.entry.home.serve(ctx, &wire.Forward{Kind: r.kind, Job: r.job, Submission: r.id, Budget: r.remaining()})
+}
+
+// refusal answers a submission for which no home was found in time.
+func (r *route) refusal(issued bool) wire.Answer {
+	p := &wire.Problem{
+		Type: "no-home", Status: http.StatusServiceUnavailable, Step: "find home",
+		Detail: "the shard of this id has no reachable home", RetryAfter: 1_000,
+	}
+	since, homeless := r.entry.owner.HomelessSince(r.id.Shard())
+	unseen := homeless && r.id.Stamp() > since+r.entry.cfg.MaxSkew()
+	if !r.offered && (issued || unseen) {
+		return *refuse(r.id, p)
+	}
+	p.Detail += "; an earlier request with this id may have run"
+	return wire.Answer{Submission: r.id, Outcome: gypsumtide.OutcomeUnknown, Problem: p}
+}
+
+// serve handles a request at this home, whether it arrived here or was forwarded.
+func (h *home) serve(ctx context.Context, f *wire.Forward) (wire.Answer, bool) {
+	var a wire.Answer
+	var ch <-chan wire.Answer
+	switch f.Kind {
+	case wire.ForwardSubmit:
+		ch = h.submit(f.Job, f.Budget)
+	case wire.ForwardCancel:
+		a, ch = h.cancel(f.Submission)
+	default:
+		a, ch = h.fetch(f.Submission)
+		if a.Running && f.Budget == 0 {
+			return a, true
+		}
+	}
+	if ch == nil {
+		return a, true
+	}
+	if f.Kind == wire.ForwardFetch {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, f.Budget.Duration())
+		defer cancel()
+	}
+	select {
+	case a = <-ch:
+		return a, true
+	case <-ctx.Done():
+		return a, a.Running
+	}
+}
--- /dev/null
+++ b/internal/submission/table.go
@@ -0,0 +1,156 @@
+package submission
+
+import (
+	"container/heap"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// entryOverhead is the estimated memory of an id without its answer, in bytes:
+// map slot, record and heap item as measured by BenchmarkTableBytes.
+const entryOverhead = 160
+
+// Table remembers finished submissions. It is not safe for concurrent use.
+//
+// Ids are forgotten in the order of their stamps. An id below the floor may
+// have been forgotten and is treated as expired, so that forgetting an id can
+// never run it again.
+type Table struct {
+	answerRetention gypsumtide.Millis
+	maxBytes        int64
+	records         map[gypsumtide.SubmissionID]*record
+	byStamp         stampHeap
+	answers         []answerItem
+	bytes           int64
+	floor           gypsumtide.Millis
+}
+
+type record struct {
+	digest  uint64
+	outcome gypsumtide.Outcome
+	answer  *wire.Answer
+	size    int64
+}
+
+type answerItem struct {
+	id    gypsumtide.SubmissionID
+	ended gypsumtide.Millis
+}
+
+// NewTable returns an empty table that keeps answers for answerRetention and
+// uses about maxBytes of memory.
+func NewTable(answerRetention gypsumtide.Millis, maxBytes int64) *Table {
+	return &Table{answerRetention: answerRetention, maxBytes: maxBytes, records: make(map[gypsumtide.SubmissionID]*record)}
+}
+
+// Record is what the table knows of a finished submission.
+type Record struct {
+	digest  uint64
+	outcome gypsumtide.Outcome
+	answer  *wire.Answer
+}
+
+// Digest returns the hash of the submitted job.
+func (r Record) Digest() uint64 { return r.digest }
+
+// Outcome returns how the submission ended.
+func (r Record) Outcome() gypsumtide.Outcome { return r.outcome }
+
+// Answer returns the recorded answer, or nil if it was discarded.
+func (r Record) Answer() *wire.Answer { return r.answer }
+
+// Find returns the record of an id.
+func (t *Table) Find(id gypsumtide.SubmissionID) (Record, bool) {
+	r, ok := t.records[id]
+	if !ok {
+		return Record{}, false
+	}
+	return Record{digest: r.digest, outcome: r.outcome, answer: r.answer}, true
+}
+
+// Floor returns the stamp up to which ids may have been forgotten.
+func (t *Table) Floor() gypsumtide.Millis { return t.floor }
+
+// Len returns the number of remembered ids.
+func (t *Table) Len() int { return len(t.records) }
+
+// Bytes returns the estimated memory in use.
+func (t *Table) Bytes() int64 { return t.bytes }
+
+// Add remembers the end of a submission at monotonic time now.
+func (t *Table) Add(id gypsumtide.SubmissionID, digest uint64, answer *wire.Answer, now gypsumtide.Millis) {
+	if _, ok := t.records[id]; ok {
+		return
+	}
+	r := &record{digest: digest, outcome: answer.Outcome, answer: answer, size: answerBytes(answer)}
+	t.records[id] = r
+	t.bytes += r.size + entryOverhead
+	heap.Push(&t.byStamp, id)
+	t.answers = append(t.answers, answerItem{id: id, ended: now})
+	t.shrink()
+}
+
+// Expire forgets answers that ended before now-answerRetention and ids stamped before oldest.
+func (t *Table) Expire(now, oldest gypsumtide.Millis) {
+	for len(t.answers) > 0 && t.answers[0].ended < now-t.answerRetention {
+		t.dropAnswer()
+	}
+	for len(t.byStamp) > 0 && t.byStamp[0].Stamp() < oldest {
+		t.dropID()
+	}
+}
+
+// shrink discards answers first and ids second until the memory bound holds.
+func (t *Table) shrink() {
+	for t.bytes > t.maxBytes && len(t.answers) > 1 {
+		t.dropAnswer()
+	}
+	for t.bytes > t.maxBytes && len(t.byStamp) > 1 {
+		t.dropID()
+	}
+}
+
+func (t *Table) dropAnswer() {
+	r := t.records[t.answers[0].id]
+	t.answers[0] = answerItem{}
+	t.answers = t.answers[1:]
+	if r == nil {
+		return
+	}
+	t.bytes -= r.size
+	r.size, r.answer = 0, nil
+}
+
+func (t *Table) dropID() {
+	id := heap.Pop(&t.byStamp).(gypsumtide.SubmissionID)
+	t.floor = max(t.floor, id.Stamp())
+	t.bytes -= t.records[id].size + entryOverhead
+	delete(t.records, id)
+}
+
+func answerBytes(a *wire.Answer) int64 {
+	const resultOverhead = 112
+	n := int64(len(a.Results)) * resultOverhead
+	for i := range a.Results {
+		n += int64(len(a.Results[i].Body))
+	}
+	return n
+}
+
+type stampHeap []gypsumtide.SubmissionID
+
+func (h stampHeap) Len() int           { return len(h) }
+func (h stampHeap) Less(i, j int) bool { return h[i].Stamp() < h[j].Stamp() }
+func (h stampHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *stampHeap) Push(x any) { *h = append(*h, x.(gypsumtide.SubmissionID)) }
+
+// Pop implements heap.Interface.
+func (h *stampHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- a/policy.go
+++ b/policy.go
@@ -107,6 +107,9 @@
 // SetSlots changes the slots when the agent announces other upstreams.
 func (v *AgentView) SetSlots(slots, reserved int) { v.slots, v.reserved = slots, reserved }
 
+// SetCapacity changes the worker's capacity.
+func (v *AgentView) SetCapacity(c Size) { v.capacity = c }
+
 // ReservedShort returns the number of slots that long work may not use.
 func (v *AgentView) ReservedShort() int { return v.reserved }
 
