--- /dev/null
+++ b/internal/placement/fits.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"fmt"
+
+	"gypsumtide"
+)
+
+// Fits reports whether a task can ever run on the agents that serve its
+// service, and if not, why. Ejected and full agents count, since both pass.
+func Fits(t *gypsumtide.Task, agents []*gypsumtide.AgentView) (reason string, ok bool) {
+	if len(agents) == 0 {
+		return fmt.Sprintf("no agent serves %s", t.Service()), false
+	}
+	slots := false
+	var most gypsumtide.Size
+	for _, v := range agents {
+		slots = slots || v.Slots() > 0
+		if v.Slots() > 0 && t.Size().Fits(v.Capacity()) {
+			if t.Class() == gypsumtide.ClassShort || v.Slots() > v.ReservedShort() {
+				return "", true
+			}
+		}
+		most = larger(most, v.Capacity())
+	}
+	if !slots {
+		return fmt.Sprintf("no agent of %s has slots", t.Service()), false
+	}
+	if !fitsAny(t, agents) {
+		return fmt.Sprintf("the declared size %s is too large for every worker, the largest of each is %s", sizeText(t.Size()), sizeText(most)), false
+	}
+	return "all slots of the workers that it fits are reserved for short tasks", false
+}
+
+func fitsAny(t *gypsumtide.Task, agents []*gypsumtide.AgentView) bool {
+	for _, v := range agents {
+		if v.Slots() > 0 && t.Size().Fits(v.Capacity()) {
+			return true
+		}
+	}
+	return false
+}
+
+func larger(a, b gypsumtide.Size) gypsumtide.Size {
+	return gypsumtide.Size{
+		Processors:   max(a.Processors, b.Processors),
+		Memory:       max(a.Memory, b.Memory),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+func sizeText(s gypsumtide.Size) string {
+	return fmt.Sprintf("%d milli-processors, %d MiB, %d accelerators", s.Processors, s.Memory, s.Accelerators)
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,99 @@
+// Package placement chooses agents for tasks. The policies are pure: they read
+// a snapshot of agents and a clock value and return a decision with its reason.
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"gypsumtide"
+)
+
+// The names of the policies. BelievedFree is the default, the others are baselines.
+const (
+	BelievedFree = "believed-free"
+	LeastLoaded  = "least-loaded"
+	PowerOfTwo   = "power-of-two"
+	Random       = "random"
+	RoundRobin   = "round-robin"
+)
+
+// The ways in which BelievedFree treats the load that other homes put on an agent.
+const (
+	// StaleRaw takes the last report as it is.
+	StaleRaw = "raw"
+	// StaleDecayed lets the reported load fade with the age of the report.
+	StaleDecayed = "decayed"
+	// StaleShares ignores reports and uses the home's equal share of the slots.
+	StaleShares = "shares"
+)
+
+// Options configure a policy. The zero value of a field selects its default.
+type Options struct {
+	// Zone is the availability zone of the home, preferred on ties.
+	Zone string
+	// Overcommit is the number of tasks that may wait at an agent; negative means none.
+	Overcommit int
+	// ReportInterval is the time between two load reports of an agent.
+	ReportInterval gypsumtide.Millis
+	// Stale is one of the Stale constants.
+	Stale string
+	// Homes is the number of homes, for StaleShares.
+	Homes int
+	// Seed makes the random choices repeatable; 0 takes a random seed.
+	Seed uint64
+}
+
+const (
+	defaultOvercommit     = 1
+	defaultReportInterval = gypsumtide.Millis(200)
+)
+
+func (o Options) withDefaults() Options {
+	switch {
+	case o.Overcommit == 0:
+		o.Overcommit = defaultOvercommit
+	case o.Overcommit < 0:
+		o.Overcommit = 0
+	}
+	if o.ReportInterval <= 0 {
+		o.ReportInterval = defaultReportInterval
+	}
+	if o.Stale == "" {
+		o.Stale = StaleRaw
+	}
+	o.Homes = max(o.Homes, 1)
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	return o
+}
+
+// Names returns the names that New accepts.
+func Names() []string {
+	return []string{BelievedFree, LeastLoaded, PowerOfTwo, Random, RoundRobin}
+}
+
+// New returns the policy of that name. An empty name selects BelievedFree. A
+// policy is not safe for concurrent use.
+func New(name string, o Options) (gypsumtide.Placer, error) {
+	o = o.withDefaults()
+	if !slices.Contains([]string{StaleRaw, StaleDecayed, StaleShares}, o.Stale) {
+		return nil, fmt.Errorf("placement: unknown treatment of stale load %q", o.Stale)
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, 0))
+	switch name {
+	case BelievedFree, "":
+		return &believedFree{o: o, rng: rng}, nil
+	case LeastLoaded:
+		return &baseline{name: name, choose: leastLoaded, rng: rng}, nil
+	case PowerOfTwo:
+		return &baseline{name: name, choose: powerOfTwo, rng: rng}, nil
+	case Random:
+		return &baseline{name: name, choose: random, rng: rng}, nil
+	case RoundRobin:
+		return &baseline{name: name, choose: roundRobin, rng: rng}, nil
+	}
+	return nil, fmt.Errorf("placement: unknown policy %q, known are %v", name, Names())
+}
--- /dev/null
+++ b/internal/placement/recall.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"gypsumtide"
+)
+
+// RecallOptions configure a Recaller. The zero value of a field selects its default.
+type RecallOptions struct {
+	// MinAge is the time that a task must have been at its agent. A younger one
+	// is probably about to start.
+	MinAge gypsumtide.Millis
+	// Share is the number of recalls allowed for each dispatch.
+	Share float64
+}
+
+const (
+	// defaultRecallAge is several round trips of a few milliseconds.
+	defaultRecallAge = gypsumtide.Millis(50)
+	// defaultRecallShare keeps the wasted messages under 0.1 per task. Each
+	// recall costs three messages: the recall, its answer and a second dispatch.
+	defaultRecallShare = 0.03
+	// maxRecalls bounds the unused allowance of recalls.
+	maxRecalls = 64
+)
+
+// Sent is a task that was dispatched and not reported as running.
+type Sent struct {
+	Task *gypsumtide.Task
+	// Agent is the index of its agent.
+	Agent int
+	// At is the time of the dispatch.
+	At gypsumtide.Millis
+}
+
+// Recaller chooses the queued tasks to take back from agents that are slow or
+// full while another agent is idle. It is not safe for concurrent use.
+type Recaller struct {
+	o      RecallOptions
+	tokens float64
+}
+
+// NewRecaller returns a Recaller without allowance.
+func NewRecaller(o RecallOptions) *Recaller {
+	if o.MinAge <= 0 {
+		o.MinAge = defaultRecallAge
+	}
+	if o.Share <= 0 {
+		o.Share = defaultRecallShare
+	}
+	return &Recaller{o: o}
+}
+
+// Dispatched records n dispatches, which allow recalls.
+func (r *Recaller) Dispatched(n int) {
+	r.tokens = min(r.tokens+r.o.Share*float64(n), maxRecalls)
+}
+
+// Recall returns the indexes in sent of the tasks to recall, the longest
+// waiting first. An agent runs its tasks in the order of arrival, so only the
+// youngest ones are taken back, and no more than its tasks exceed its slots.
+// All tasks are taken back from an ejected agent. There are never more recalls
+// than free slots elsewhere.
+func (r *Recaller) Recall(now gypsumtide.Millis, sent []Sent, agents []*gypsumtide.AgentView) []int {
+	most := min(idleSlots(agents), int(r.tokens))
+	if most <= 0 {
+		return nil
+	}
+	chosen := queued(sent, agents)
+	chosen = slices.DeleteFunc(chosen, func(i int) bool { return now-sent[i].At < r.o.MinAge })
+	slices.SortFunc(chosen, func(a, b int) int { return cmp.Compare(sent[a].At, sent[b].At) })
+	chosen = chosen[:min(len(chosen), most)]
+	r.tokens -= float64(len(chosen))
+	return chosen
+}
+
+func idleSlots(agents []*gypsumtide.AgentView) int {
+	idle := 0
+	for _, v := range agents {
+		if !v.Ejected() {
+			idle += max(0, v.Slots()-v.Open())
+		}
+	}
+	return idle
+}
+
+// queued returns the indexes in sent of the tasks that probably wait at their agents.
+func queued(sent []Sent, agents []*gypsumtide.AgentView) []int {
+	var full []int
+	for i, s := range sent {
+		if v := agents[s.Agent]; v.Ejected() || v.Open() > v.Slots() {
+			full = append(full, i)
+		}
+	}
+	slices.SortFunc(full, func(a, b int) int {
+		return cmp.Or(cmp.Compare(sent[a].Agent, sent[b].Agent), cmp.Compare(sent[b].At, sent[a].At))
+	})
+	kept, agent, n := full[:0], -1, 0
+	for _, i := range full {
+		if sent[i].Agent != agent {
+			agent, n = sent[i].Agent, 0
+		}
+		n++
+		if v := agents[agent]; v.Ejected() || n <= v.Open()-v.Slots() {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/queue/fifo.go
@@ -0,0 +1,122 @@
+package queue
+
+import (
+	"container/list"
+
+	"gypsumtide"
+)
+
+// flowKey names the tasks of a team and class.
+type flowKey struct {
+	team  string
+	class gypsumtide.Class
+}
+
+func keyOf(t *gypsumtide.Task) flowKey { return flowKey{team: t.Team(), class: t.Class()} }
+
+// fifo is the baseline: tasks leave in the order of their arrival, whatever
+// their team and class. Pop is linear in the tasks that it passes over.
+type fifo struct {
+	tasks     *list.List
+	jobs      map[gypsumtide.SubmissionID][]*list.Element
+	waiting   map[flowKey]int
+	deadlines deadlines
+	tried     map[flowKey]bool
+}
+
+func newFIFO() *fifo {
+	return &fifo{
+		tasks:   list.New(),
+		jobs:    map[gypsumtide.SubmissionID][]*list.Element{},
+		waiting: map[flowKey]int{},
+		tried:   map[flowKey]bool{},
+	}
+}
+
+// Name implements gypsumtide.Queue.
+func (q *fifo) Name() string { return FIFO }
+
+// Len implements gypsumtide.Queue.
+func (q *fifo) Len() int { return q.tasks.Len() }
+
+// SetWeight implements gypsumtide.Queue. The order of arrival knows no weights.
+func (q *fifo) SetWeight(string, float64) {}
+
+// Ahead implements gypsumtide.Queue.
+func (q *fifo) Ahead(string, gypsumtide.Class) int { return q.tasks.Len() }
+
+// Push implements gypsumtide.Queue.
+func (q *fifo) Push(t *gypsumtide.Task) {
+	id := t.Submission()
+	waiting := q.jobs[id]
+	if t.Deadline() > 0 && (len(waiting) == 0 || taskOf(waiting[len(waiting)-1]).Deadline() != t.Deadline()) {
+		q.deadlines.compact(len(q.jobs), func(id gypsumtide.SubmissionID) bool { return q.jobs[id] != nil })
+		q.deadlines.add(id, t.Deadline())
+	}
+	q.jobs[id] = append(waiting, q.tasks.PushBack(t))
+	q.waiting[keyOf(t)]++
+}
+
+func taskOf(e *list.Element) *gypsumtide.Task { return e.Value.(*gypsumtide.Task) }
+
+// Pop implements gypsumtide.Queue.
+func (q *fifo) Pop(_ gypsumtide.Millis, place func(t *gypsumtide.Task) bool) *gypsumtide.Task {
+	clear(q.tried)
+	for e := q.tasks.Front(); e != nil && len(q.tried) < len(q.waiting); e = e.Next() {
+		t := taskOf(e)
+		if q.tried[keyOf(t)] {
+			continue
+		}
+		if place(t) {
+			q.drop(t.Submission(), func(other *list.Element) bool { return other == e })
+			return t
+		}
+		q.tried[keyOf(t)] = true
+	}
+	return nil
+}
+
+// Remove implements gypsumtide.Queue.
+func (q *fifo) Remove(id gypsumtide.SubmissionID) []*gypsumtide.Task {
+	return q.drop(id, func(*list.Element) bool { return true })
+}
+
+// Expired implements gypsumtide.Queue.
+func (q *fifo) Expired(now gypsumtide.Millis) []*gypsumtide.Task {
+	var expired []*gypsumtide.Task
+	for id, ok := q.deadlines.expired(now); ok; id, ok = q.deadlines.expired(now) {
+		expired = append(expired, q.drop(id, func(e *list.Element) bool { return passed(taskOf(e), now) })...)
+	}
+	return expired
+}
+
+// passed reports whether a task's deadline has passed.
+func passed(t *gypsumtide.Task, now gypsumtide.Millis) bool {
+	return t.Deadline() > 0 && t.Deadline() <= now
+}
+
+// drop removes and returns the waiting tasks of a submission that match.
+func (q *fifo) drop(id gypsumtide.SubmissionID, match func(e *list.Element) bool) []*gypsumtide.Task {
+	var dropped []*gypsumtide.Task
+	waiting := q.jobs[id]
+	kept := waiting[:0]
+	for _, e := range waiting {
+		if !match(e) {
+			kept = append(kept, e)
+			continue
+		}
+		t := taskOf(e)
+		q.tasks.Remove(e)
+		if q.waiting[keyOf(t)]--; q.waiting[keyOf(t)] == 0 {
+			delete(q.waiting, keyOf(t))
+		}
+		dropped = append(dropped, t)
+	}
+	clear(waiting[len(kept):])
+	if len(kept) == 0 {
+		delete(q.jobs, id)
+	} else {
+		q.jobs[id] = kept
+	}
+	return dropped
+}
--- /dev/null
+++ b/internal/queue/learner.go
@@ -0,0 +1,183 @@
+package queue
+
+import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gypsumtide"
+)
+
+// LearnerOptions configure a Learner. The zero value of a field selects its default.
+type LearnerOptions struct {
+	// Threshold separates short from long run times.
+	Threshold gypsumtide.Millis
+	// Enough is the number of observations from which declared run times are ignored.
+	Enough int
+	// Quantile of the observed run times is compared with the threshold.
+	Quantile float64
+}
+
+const (
+	defaultThreshold = gypsumtide.Millis(1000)
+	defaultEnough    = 20
+	defaultQuantile  = 0.8
+)
+
+const (
+	// maxRunTime bounds the histograms. Longer run times count as this one.
+	maxRunTime = gypsumtide.Millis(3_600_000)
+	// windowSize is the number of observations after which older ones fade:
+	// estimates cover the last one to two windows.
+	windowSize = 512
+	// classifyEvery is the number of observations between two looks at the quantile.
+	classifyEvery = 16
+	// backToShort is the part of the threshold below which a long service
+	// becomes short again, so that a service near the threshold keeps its class.
+	backToShort = 0.8
+	// speedGain is the weight of a new observation in an agent's relative run time.
+	speedGain = 0.1
+	// maxSpeed bounds one observation, so that a single straggler does not
+	// mark its agent as slow.
+	maxSpeed = 10.0
+)
+
+// Learner estimates run times of services and agents from results. It is not
+// safe for concurrent use.
+type Learner struct {
+	o        LearnerOptions
+	services map[string]*service
+	agents   map[string]float64
+}
+
+type service struct {
+	window  *hdrhistogram.WindowedHistogram
+	merged  *hdrhistogram.Histogram
+	stale   bool
+	count   int
+	mean    float64
+	granted int
+	class   gypsumtide.Class
+}
+
+// NewLearner returns a Learner without observations.
+func NewLearner(o LearnerOptions) *Learner {
+	if o.Threshold <= 0 {
+		o.Threshold = defaultThreshold
+	}
+	if o.Enough <= 0 {
+		o.Enough = defaultEnough
+	}
+	if o.Quantile <= 0 || o.Quantile >= 1 {
+		o.Quantile = defaultQuantile
+	}
+	return &Learner{o: o, services: map[string]*service{}, agents: map[string]float64{}}
+}
+
+func (l *Learner) service(name string) *service {
+	s := l.services[name]
+	if s == nil {
+		s = &service{window: hdrhistogram.NewWindowed(2, 1, int64(maxRunTime), 2)}
+		l.services[name] = s
+	}
+	return s
+}
+
+// Classify returns the class of a task of the service. The declared run time,
+// 0 if none, counts only until enough run times have been observed. Until then
+// at most that many tasks are short on the strength of a hint, or of none, and
+// the rest are long, so that a wrong hint occupies few of the slots reserved
+// for short work.
+func (l *Learner) Classify(name string, declared gypsumtide.Millis) gypsumtide.Class {
+	s := l.service(name)
+	if s.count >= l.o.Enough {
+		return s.class
+	}
+	if declared > l.o.Threshold || s.granted >= l.o.Enough {
+		return gypsumtide.ClassLong
+	}
+	s.granted++
+	return gypsumtide.ClassShort
+}
+
+// Observe records the run time of a finished task.
+func (l *Learner) Observe(name, agent string, runTime gypsumtide.Millis) {
+	runTime = min(max(runTime, 1), maxRunTime)
+	s := l.service(name)
+	if s.count > 0 {
+		l.observeAgent(agent, float64(runTime)/s.mean)
+	}
+	if s.count%windowSize == windowSize-1 {
+		s.window.Rotate()
+	}
+	// The value is inside the range of the histogram.
+	_ = s.window.Current.RecordValue(int64(runTime))
+	s.count++
+	s.stale = true
+	s.mean += (float64(runTime) - s.mean) / float64(min(s.count, windowSize))
+	if s.count >= l.o.Enough && (s.count == l.o.Enough || s.count%classifyEvery == 0) {
+		s.class = l.classOf(s)
+	}
+}
+
+func (l *Learner) classOf(s *service) gypsumtide.Class {
+	limit := float64(l.o.Threshold)
+	if s.class == gypsumtide.ClassLong && s.count > l.o.Enough {
+		limit *= backToShort
+	}
+	if float64(s.quantile(l.o.Quantile)) > limit {
+		return gypsumtide.ClassLong
+	}
+	return gypsumtide.ClassShort
+}
+
+func (s *service) quantile(q float64) gypsumtide.Millis {
+	if s.stale || s.merged == nil {
+		s.merged = s.window.Merge()
+		s.stale = false
+	}
+	return gypsumtide.Millis(s.merged.ValueAtQuantile(q * 100))
+}
+
+func (l *Learner) observeAgent(agent string, ratio float64) {
+	ratio = min(ratio, maxSpeed)
+	if speed, ok := l.agents[agent]; ok {
+		ratio = speed + speedGain*(ratio-speed)
+	} else {
+		ratio = 1 + speedGain*(ratio-1)
+	}
+	l.agents[agent] = ratio
+}
+
+// Known reports whether enough run times of the service have been observed.
+func (l *Learner) Known(name string) bool {
+	s := l.services[name]
+	return s != nil && s.count >= l.o.Enough
+}
+
+// Mean returns the mean run time of the service, or 0 without observations.
+func (l *Learner) Mean(name string) gypsumtide.Millis {
+	if s := l.services[name]; s != nil {
+		return gypsumtide.Millis(s.mean)
+	}
+	return 0
+}
+
+// Quantile returns a quantile between 0 and 1 of the recent run times of the
+// service, or 0 without observations.
+func (l *Learner) Quantile(name string, q float64) gypsumtide.Millis {
+	if s := l.services[name]; s != nil && s.count > 0 {
+		return s.quantile(q)
+	}
+	return 0
+}
+
+// Speed returns an agent's run time relative to the pool for
+// AgentView.SetSpeed: 1 is average, 5 is five times slower.
+func (l *Learner) Speed(agent string) float64 {
+	if s, ok := l.agents[agent]; ok {
+		return s
+	}
+	return 1
+}
+
+// Forget drops what is known of an agent that left or was replaced.
+func (l *Learner) Forget(agent string) { delete(l.agents, agent) }
