Add the open-loop load tool

Cause: response times and outcomes need load whose arrivals do not wait for answers. Change: internal/standin/load and gypsumtide-load send a seeded schedule of jobs, record the callers' history and report HDR histograms of response time and ratio, fairness, crest service, wasted messages and direct calls.

--- /dev/null
+++ b/internal/standin/load/report.go
@@ -0,0 +1,307 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gypsumtide"
+	"gypsumtide/internal/standin/history"
+)
+
+// stats collects what a run saw and is safe for concurrent use.
+type stats struct {
+	mu        sync.Mutex
+	classes   map[string]*classStats
+	teams     map[string]*TeamReport
+	directs   *hdrhistogram.Histogram
+	directErr int
+	crest     CrestReport
+	crestMean float64
+	tasks     int
+	errors    map[string]int
+}
+
+type classStats struct {
+	outcomes map[string]int
+	response *hdrhistogram.Histogram
+	ratio    *hdrhistogram.Histogram
+	extra    *hdrhistogram.Histogram
+	late     int
+}
+
+// newHistogram counts microseconds, or millionths of a ratio, up to one hour.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+}
+
+func newStats(cfg *Config) *stats {
+	s := &stats{classes: map[string]*classStats{}, teams: map[string]*TeamReport{}, directs: newHistogram(), errors: map[string]int{}}
+	for _, c := range cfg.Classes {
+		s.classes[c.Name] = &classStats{outcomes: map[string]int{}, response: newHistogram(), ratio: newHistogram(), extra: newHistogram()}
+		s.teams[c.Team] = &TeamReport{}
+	}
+	return s
+}
+
+// note counts a fault of the tool itself or of a side request.
+func (s *stats) note(err error) {
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errors[err.Error()]++
+}
+
+func record(h *hdrhistogram.Histogram, v int64) {
+	// Values beyond the range count as the highest one.
+	_ = h.RecordValue(min(max(v, 1), h.HighestTrackableValue()))
+}
+
+func (s *stats) direct(err error, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.directErr++
+		return
+	}
+	record(s.directs, took.Microseconds())
+}
+
+// outcome is the best answer that any attempt received.
+func outcome(attempts []history.Attempt, cancelled bool) string {
+	best := ""
+	for _, h := range attempts {
+		switch {
+		case h.Outcome == string(gypsumtide.OutcomeComplete):
+			return h.Outcome
+		case h.Outcome != "":
+			best = h.Outcome
+		case best == "":
+			best = "no answer: " + h.Step
+		}
+	}
+	if cancelled {
+		return "cancelled"
+	}
+	return best
+}
+
+func (s *stats) job(a *arrival, attempts []history.Attempt, cancelled bool, due, answered time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, team, n := s.classes[a.class.Name], s.teams[a.class.Team], len(a.runs)
+	out := outcome(attempts, cancelled)
+	c.outcomes[out]++
+	team.Offered += n
+	if a.crest {
+		s.crest.Offered += n
+		for _, run := range a.runs {
+			s.crestMean += float64(run)
+		}
+	}
+	if out != string(gypsumtide.OutcomeComplete) {
+		return
+	}
+	s.tasks += n
+	took := answered.Sub(due)
+	ideal := a.ideal
+	record(c.response, took.Microseconds())
+	record(c.ratio, int64(float64(took)/float64(ideal.Duration())*ratioUnit))
+	record(c.extra, (took - ideal.Duration()).Microseconds())
+	if took > a.class.Deadline.Duration() {
+		c.late++
+		return
+	}
+	team.Served += n
+	if a.crest {
+		s.crest.Served += n
+	}
+}
+
+// ratioUnit is the resolution of the ratio histograms.
+const ratioUnit = 10_000
+
+// Quantiles summarises a histogram.
+type Quantiles struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p99.9"`
+	Max  float64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram, unit float64) Quantiles {
+	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / unit }
+	return Quantiles{P50: q(50), P99: q(99), P999: q(99.9), Max: float64(h.Max()) / unit}
+}
+
+// Report is the result of a run. Response times are in milliseconds.
+type Report struct {
+	Classes map[string]*ClassReport `json:"classes"`
+	Teams   map[string]*TeamReport  `json:"teams"`
+	// Fairness is Jain's index over the teams' served shares: 1 is equal.
+	Fairness float64         `json:"fairness"`
+	Crest    *CrestReport    `json:"crest,omitempty"`
+	Messages *MessagesReport `json:"messages,omitempty"`
+	Direct   *DirectReport   `json:"direct,omitempty"`
+	Errors   map[string]int  `json:"errors,omitempty"`
+}
+
+// ClassReport describes one class of jobs.
+type ClassReport struct {
+	Outcomes map[string]int `json:"outcomes"`
+	Late     int            `json:"late"`
+	Response Quantiles      `json:"response-ms"`
+	Ratio    Quantiles      `json:"response-ratio"`
+	// Extra is the response time beyond the ideal.
+	Extra Quantiles `json:"extra-ms"`
+
+	ratios *hdrhistogram.Histogram
+}
+
+// TeamReport counts tasks of a team.
+type TeamReport struct {
+	Offered int     `json:"offered"`
+	Served  int     `json:"served"`
+	Share   float64 `json:"share"`
+}
+
+// CrestReport compares the tasks of jobs that arrived in a crest and were
+// answered within their deadline with what the slots can serve.
+type CrestReport struct {
+	Offered  int     `json:"offered"`
+	Served   int     `json:"served"`
+	Possible float64 `json:"possible"`
+	Service  float64 `json:"service"`
+}
+
+// MessagesReport counts messages between processes.
+type MessagesReport struct {
+	Dispatches float64 `json:"dispatches"`
+	Results    float64 `json:"results"`
+	Messages   float64 `json:"messages"`
+	// Wasted is messages per completed task beyond one start and one result.
+	Wasted float64 `json:"wasted-per-task"`
+}
+
+// DirectReport describes the calls without the dispatcher.
+type DirectReport struct {
+	Calls    int64     `json:"calls"`
+	Errors   int       `json:"errors"`
+	Response Quantiles `json:"response-ms"`
+}
+
+func (s *stats) report(cfg *Config, before, after counters) *Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rep := &Report{Classes: map[string]*ClassReport{}, Teams: s.teams, Errors: s.errors}
+	for name, c := range s.classes {
+		rep.Classes[name] = &ClassReport{Outcomes: c.outcomes, Late: c.late, Response: quantiles(c.response, 1000),
+			Ratio: quantiles(c.ratio, ratioUnit), Extra: quantiles(c.extra, 1000), ratios: c.ratio}
+	}
+	rep.Fairness = fairness(s.teams)
+	if s.crest.Offered > 0 && cfg.Slots > 0 {
+		crest := s.crest
+		mean := s.crestMean / float64(crest.Offered)
+		crest.Possible = min(float64(crest.Offered), float64(cfg.Slots)*float64(cfg.crestTime())/mean)
+		crest.Service = float64(crest.Served) / crest.Possible
+		rep.Crest = &crest
+	}
+	if m, ok := messages(before, after, s.tasks); ok {
+		rep.Messages = &m
+	}
+	if cfg.Direct.Rate > 0 {
+		rep.Direct = &DirectReport{Calls: s.directs.TotalCount(), Errors: s.directErr, Response: quantiles(s.directs, 1000)}
+	}
+	return rep
+}
+
+// crestTime returns how long the run was in a crest.
+func (c *Config) crestTime() gypsumtide.Millis {
+	var sum gypsumtide.Millis
+	for start := c.Swing.Start; start < c.Duration; start += c.Swing.Period {
+		sum += min(c.Swing.Crest, c.Duration-start)
+		if c.Swing.Period == 0 {
+			break
+		}
+	}
+	return sum
+}
+
+func fairness(teams map[string]*TeamReport) float64 {
+	var sum, squares float64
+	for _, t := range teams {
+		if t.Offered > 0 {
+			t.Share = float64(t.Served) / float64(t.Offered)
+		}
+		sum += t.Share
+		squares += t.Share * t.Share
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(teams)) * squares)
+}
+
+func messages(before, after counters, tasks int) (MessagesReport, bool) {
+	var m MessagesReport
+	var found bool
+	m.Dispatches, _ = increase(before, after, metricDispatches)
+	m.Results, _ = increase(before, after, metricResults)
+	m.Messages, found = increase(before, after, metricMessages)
+	if !found || tasks == 0 {
+		return m, false
+	}
+	m.Wasted = m.Messages/float64(tasks) - 2
+	return m, true
+}
+
+// WriteText writes the report as tables.
+func (r *Report) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	p := func(format string, args ...any) { fmt.Fprintf(tw, format+"\n", args...) }
+	p("class\tresponse p50\tp99\tp99.9 ms\tratio p50\tp99\tp99.9\tlate\toutcomes")
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
+		c := r.Classes[name]
+		p("%s\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%d\t%s", name, c.Response.P50, c.Response.P99, c.Response.P999,
+			c.Ratio.P50, c.Ratio.P99, c.Ratio.P999, c.Late, counts(c.Outcomes))
+	}
+	p("\nteam\toffered\tserved\tshare")
+	for _, name := range slices.Sorted(maps.Keys(r.Teams)) {
+		t := r.Teams[name]
+		p("%s\t%d\t%d\t%.3f", name, t.Offered, t.Served, t.Share)
+	}
+	p("fairness\t%.3f", r.Fairness)
+	if c := r.Crest; c != nil {
+		p("\ncrest service\t%.3f\t(%d served, %.0f possible, %d offered)", c.Service, c.Served, c.Possible, c.Offered)
+	}
+	if m := r.Messages; m != nil {
+		p("\nwasted messages per task\t%.3f\t(%.0f messages, %.0f dispatches, %.0f results)", m.Wasted, m.Messages, m.Dispatches, m.Results)
+	}
+	if d := r.Direct; d != nil {
+		p("\ndirect calls\t%d\tp50 %.2f ms\tp99 %.2f ms\t%d errors", d.Calls, d.Response.P50, d.Response.P99, d.Errors)
+	}
+	for _, e := range slices.Sorted(maps.Keys(r.Errors)) {
+		p("error\t%d\t%s", r.Errors[e], e)
+	}
+	if err := tw.Flush(); err != nil {
+		return fmt.Errorf("load: report: %w", err)
+	}
+	return nil
+}
+
+func counts(m map[string]int) string {
+	var parts []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %d", k, m[k]))
+	}
+	return strings.Join(parts, ", ")
+}
