--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,360 @@
+// Package deployment runs the programs as processes on loopback for
+// integration tests and demos. Only tests may start processes.
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"gypsumtide/internal/standin/faultproxy"
+)
+
+// Config describes a deployment.
+type Config struct {
+	// Bin is the directory of the programs.
+	Bin string
+	// Dir receives settings, logs and histories. The default is a new temporary directory.
+	Dir     string
+	Entries int
+	// Workers is the number of upstreams, each with an agent.
+	Workers  int
+	Zones    int
+	Slots    int
+	Services []string
+	// Proxies puts a fault proxy on every link between entries, agents, the log and callers.
+	Proxies bool
+	// ZoneDelay is the one-way delay between availability zones; it needs Proxies.
+	ZoneDelay time.Duration
+	// CallerDelay is the one-way delay between callers and entries; it needs Proxies.
+	CallerDelay time.Duration
+	// EntrySettings and AgentSettings are added to the settings files.
+	EntrySettings, AgentSettings map[string]any
+}
+
+// rackSize is the number of workers in a rack on the user organisations' platforms.
+const rackSize = 3
+
+// Link names a direction of dialling: From opens connections to To. The name
+// of callers is Callers.
+type Link struct{ From, To string }
+
+// Callers is the From of links that callers use.
+const Callers = "callers"
+
+// Deployment is a set of running processes.
+type Deployment struct {
+	cfg       Config
+	log       *Process
+	entries   []*Process
+	agents    []*Process
+	upstreams []*Process
+
+	mu    sync.Mutex
+	links map[Link]*faultproxy.Proxy
+}
+
+// ErrNoProgram means that a program has not been built.
+var ErrNoProgram = errors.New("program not found")
+
+// Programs lists the programs that a deployment runs.
+var Programs = []string{"standin-log", "gypsumtide-entry", "gypsumtide-agent", "standin-upstream"}
+
+// Start starts all processes and waits until they serve. On an error it ends
+// what it started.
+func Start(ctx context.Context, cfg Config) (*Deployment, error) {
+	cfg.setDefaults()
+	for _, name := range Programs {
+		if _, err := os.Stat(filepath.Join(cfg.Bin, name)); err != nil {
+			return nil, fmt.Errorf("deployment: %s: %w", name, ErrNoProgram)
+		}
+	}
+	if cfg.Dir == "" {
+		dir, err := os.MkdirTemp("", "gypsumtide-")
+		if err != nil {
+			return nil, fmt.Errorf("deployment: %w", err)
+		}
+		cfg.Dir = dir
+	}
+	d := &Deployment{cfg: cfg, links: map[Link]*faultproxy.Proxy{}}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (c *Config) setDefaults() {
+	if c.Bin == "" {
+		c.Bin = "./bin"
+	}
+	c.Entries = max(c.Entries, 1)
+	c.Workers = max(c.Workers, 1)
+	c.Zones = max(c.Zones, 1)
+	if c.Slots == 0 {
+		c.Slots = 8
+	}
+	if len(c.Services) == 0 {
+		c.Services = []string{"stock-check"}
+	}
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	if err := d.plan(); err != nil {
+		return err
+	}
+	for _, p := range d.Processes() {
+		if err := p.start(); err != nil {
+			return err
+		}
+		// Later processes dial this one at their start.
+		if p == d.log {
+			if err := awaitPort(ctx, p.addr); err != nil {
+				return fmt.Errorf("deployment: %s: %w", p.name, err)
+			}
+		}
+	}
+	return d.WaitReady(ctx)
+}
+
+// plan chooses addresses and writes the settings files.
+func (d *Deployment) plan() error {
+	ports := &portPicker{used: map[int]bool{}}
+	addr, err := ports.pick()
+	if err != nil {
+		return err
+	}
+	d.log = d.newProcess("log", "standin-log", addr, d.zone(0))
+	d.log.args = func(int) []string { return []string{"--listen", addr} }
+	for i := range d.cfg.Entries {
+		if addr, err = ports.pick(); err != nil {
+			return err
+		}
+		d.entries = append(d.entries, d.newProcess(fmt.Sprintf("entry-%d", i+1), "gypsumtide-entry", addr, d.zone(i)))
+	}
+	for i := range d.cfg.Workers {
+		if addr, err = ports.pick(); err != nil {
+			return err
+		}
+		a := d.newProcess(fmt.Sprintf("agent-%d", i+1), "gypsumtide-agent", addr, d.zone(i))
+		a.rack = fmt.Sprintf("%s-rack-%d", a.zone, i/d.cfg.Zones/rackSize+1)
+		d.agents = append(d.agents, a)
+		if addr, err = ports.pick(); err != nil {
+			return err
+		}
+		d.upstreams = append(d.upstreams, d.newProcess(fmt.Sprintf("upstream-%d", i+1), "standin-upstream", addr, d.zone(i)))
+	}
+	if err := d.planEntries(); err != nil {
+		return err
+	}
+	return d.planWorkers()
+}
+
+func (d *Deployment) zone(i int) string { return fmt.Sprintf("zone-%d", i%d.cfg.Zones+1) }
+
+func (d *Deployment) planEntries() error {
+	for _, e := range d.entries {
+		logURL, err := d.link(e.name, d.log, 0)
+		if err != nil {
+			return err
+		}
+		announced, err := d.link(Callers, e, d.cfg.CallerDelay)
+		if err != nil {
+			return err
+		}
+		e.callerURL = announced
+		peers := []string{}
+		for _, o := range d.entries {
+			if o == e {
+				continue
+			}
+			u, err := d.link(e.name, o, d.delay(e, o))
+			if err != nil {
+				return err
+			}
+			peers = append(peers, u)
+		}
+		set := map[string]any{"name": e.name, "listen": e.addr, "zone": e.zone, "rack": e.zone + "-entries", "url": announced, "log-url": logURL, "peers": peers}
+		if err := d.writeSettings(e, set, d.cfg.EntrySettings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) planWorkers() error {
+	for i, a := range d.agents {
+		urls := []string{}
+		for _, e := range d.entries {
+			u, err := d.link(a.name, e, d.delay(a, e))
+			if err != nil {
+				return err
+			}
+			urls = append(urls, u)
+		}
+		set := map[string]any{"name": a.name, "listen": a.addr, "zone": a.zone, "rack": a.rack, "entries": urls}
+		if err := d.writeSettings(a, set, d.cfg.AgentSettings); err != nil {
+			return err
+		}
+		u := d.upstreams[i]
+		u.args = func(run int) []string {
+			args := []string{"--listen", u.addr, "--agent", a.URL(), "--name", u.name, "--slots", fmt.Sprint(d.cfg.Slots), "--history", u.historyFile(run)}
+			for _, s := range d.cfg.Services {
+				args = append(args, "--service", s)
+			}
+			return args
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) delay(a, b *Process) time.Duration {
+	if a.zone == b.zone {
+		return 0
+	}
+	return d.cfg.ZoneDelay
+}
+
+// link returns the URL at which from reaches to.
+func (d *Deployment) link(from string, to *Process, delay time.Duration) (string, error) {
+	if !d.cfg.Proxies {
+		return to.URL(), nil
+	}
+	p, err := faultproxy.Listen("127.0.0.1:0", to.addr)
+	if err != nil {
+		return "", fmt.Errorf("deployment: %w", err)
+	}
+	p.SetDelay(delay)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links[Link{from, to.name}] = p
+	return p.URL(), nil
+}
+
+func (d *Deployment) writeSettings(p *Process, set, extra map[string]any) error {
+	for k, v := range extra {
+		set[k] = v
+	}
+	data, err := yaml.Marshal(set)
+	if err != nil {
+		return fmt.Errorf("deployment: settings of %s: %w", p.name, err)
+	}
+	path := filepath.Join(d.cfg.Dir, p.name+".yaml")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return fmt.Errorf("deployment: settings of %s: %w", p.name, err)
+	}
+	p.args = func(int) []string { return []string{"--settings", path} }
+	return nil
+}
+
+// Processes returns all processes in the order of their start.
+func (d *Deployment) Processes() []*Process {
+	var all []*Process
+	if d.log != nil {
+		all = append(all, d.log)
+	}
+	all = append(all, d.entries...)
+	all = append(all, d.agents...)
+	return append(all, d.upstreams...)
+}
+
+// Log returns the platform's log.
+func (d *Deployment) Log() *Process { return d.log }
+
+// Entries returns the entries.
+func (d *Deployment) Entries() []*Process { return d.entries }
+
+// Agents returns the agents; the upstream of the same index is beside each.
+func (d *Deployment) Agents() []*Process { return d.agents }
+
+// Upstreams returns the upstreams.
+func (d *Deployment) Upstreams() []*Process { return d.upstreams }
+
+// Dir returns the directory of settings, logs and histories.
+func (d *Deployment) Dir() string { return d.cfg.Dir }
+
+// Links returns the fault proxies.
+func (d *Deployment) Links() map[Link]*faultproxy.Proxy {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	links := make(map[Link]*faultproxy.Proxy, len(d.links))
+	for l, p := range d.links {
+		links[l] = p
+	}
+	return links
+}
+
+// EntryURLs returns the base URLs that callers use.
+func (d *Deployment) EntryURLs() []string {
+	var urls []string
+	for _, e := range d.entries {
+		urls = append(urls, e.callerURL)
+	}
+	return urls
+}
+
+// MetricsURLs returns the base URLs of entries and agents without proxies.
+func (d *Deployment) MetricsURLs() []string {
+	var urls []string
+	for _, p := range append(append([]*Process(nil), d.entries...), d.agents...) {
+		urls = append(urls, p.URL())
+	}
+	return urls
+}
+
+// HistoryFiles returns the files that the upstreams have written in all their runs.
+func (d *Deployment) HistoryFiles() []string {
+	var files []string
+	for _, u := range d.upstreams {
+		for run := 1; run <= u.Runs(); run++ {
+			if _, err := os.Stat(u.historyFile(run)); err == nil {
+				files = append(files, u.historyFile(run))
+			}
+		}
+	}
+	return files
+}
+
+// Close ends every process by its id, first gracefully, and closes the proxies.
+func (d *Deployment) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var ends sync.WaitGroup
+	for _, p := range d.Processes() {
+		ends.Go(func() { p.end(ctx) })
+	}
+	ends.Wait()
+	var errs []error
+	for _, p := range d.Links() {
+		errs = append(errs, p.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// portPicker chooses free ports below the ephemeral range, so that no
+// outgoing connection takes the port of a process that is down.
+type portPicker struct{ used map[int]bool }
+
+func (pp *portPicker) pick() (string, error) {
+	for range 1000 {
+		port := 18_000 + rand.IntN(14_000)
+		if pp.used[port] {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		pp.used[port] = true
+		return addr, ln.Close()
+	}
+	return "", errors.New("deployment: no free port")
+}
--- /dev/null
+++ b/internal/standin/deployment/process.go
@@ -0,0 +1,171 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+)
+
+// ErrNotRunning means that a signal was meant for a process that has ended.
+var ErrNotRunning = errors.New("process is not running")
+
+// Process is one program of the deployment. It keeps name and address over restarts.
+type Process struct {
+	name, program, addr string
+	zone, rack          string
+	callerURL           string
+	bin, dir            string
+	// args returns the arguments of the n-th run.
+	args func(run int) []string
+
+	mu     sync.Mutex
+	runs   int
+	cmd    *exec.Cmd
+	done   chan struct{}
+	paused bool
+}
+
+func (d *Deployment) newProcess(name, program, addr, zone string) *Process {
+	done := make(chan struct{})
+	close(done)
+	return &Process{name: name, program: program, addr: addr, zone: zone, bin: d.cfg.Bin, dir: d.cfg.Dir, done: done}
+}
+
+// Name returns the name in settings and histories.
+func (p *Process) Name() string { return p.name }
+
+// Zone returns the availability zone.
+func (p *Process) Zone() string { return p.zone }
+
+// URL returns the base URL without a fault proxy.
+func (p *Process) URL() string { return "http://" + p.addr }
+
+// CallerURL returns the base URL that callers of an entry use.
+func (p *Process) CallerURL() string { return p.callerURL }
+
+// Runs returns how often the process was started.
+func (p *Process) Runs() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs
+}
+
+// PID returns the id of the running process, or 0.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running() {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// LogFile returns the file with the output of all runs.
+func (p *Process) LogFile() string { return filepath.Join(p.dir, p.name+".log") }
+
+func (p *Process) historyFile(run int) string {
+	return filepath.Join(p.dir, fmt.Sprintf("%s-history-%d.jsonl", p.name, run))
+}
+
+func (p *Process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running() {
+		return fmt.Errorf("deployment: start %s: already running", p.name)
+	}
+	out, err := os.OpenFile(p.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("deployment: start %s: %w", p.name, err)
+	}
+	p.runs++
+	cmd := exec.Command(filepath.Join(p.bin, p.program), p.args(p.runs)...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The kernel ends the child if a test ends without Close.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Join(fmt.Errorf("deployment: start %s: %w", p.name, err), out.Close())
+	}
+	done := make(chan struct{})
+	p.cmd, p.done, p.paused = cmd, done, false
+	go func() {
+		defer close(done)
+		// The exit status is of no interest: tests end processes on purpose.
+		_ = cmd.Wait()
+		_ = out.Close()
+	}()
+	return nil
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.Done()
+	return nil
+}
+
+// Done is closed when the present run ends.
+func (p *Process) Done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// Pause stops the process until Resume.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate asks the process to shut down and waits for its end.
+func (p *Process) Terminate(ctx context.Context) error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.Done():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("deployment: terminate %s: %w", p.name, ctx.Err())
+	}
+}
+
+// Restart starts a process that has ended.
+func (p *Process) Restart() error { return p.start() }
+
+func (p *Process) signal(sig syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running() {
+		return fmt.Errorf("deployment: signal %s: %w", p.name, ErrNotRunning)
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return fmt.Errorf("deployment: signal %s: %w", p.name, err)
+	}
+	p.paused = sig == syscall.SIGSTOP || p.paused && sig != syscall.SIGCONT
+	return nil
+}
+
+// end terminates the process, or kills it when ctx ends.
+func (p *Process) end(ctx context.Context) {
+	// An error means that the process has ended already.
+	_ = p.Resume()
+	if err := p.Terminate(ctx); err != nil {
+		_ = p.Kill()
+	}
+}
