--- /dev/null
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -0,0 +1,149 @@
+package faultproxy
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// startEcho starts a server that returns what it reads.
+func startEcho(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+type peer struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, p *Proxy) peer {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return peer{conn, bufio.NewReader(conn)}
+}
+
+// call sends a line and returns the echo, or the error within the wait.
+func (c peer) call(line string, wait time.Duration) (string, error) {
+	if _, err := fmt.Fprintln(c, line); err != nil {
+		return "", err
+	}
+	return c.read(wait)
+}
+
+func (c peer) read(wait time.Duration) (string, error) {
+	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return "", err
+	}
+	s, err := c.r.ReadString('\n')
+	return s, err
+}
+
+func TestProxy(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 5 * time.Second
+	Convey("With a proxy before an echo server", t, func() {
+		p, err := Listen("127.0.0.1:0", startEcho(t))
+		So(err, ShouldBeNil)
+		Reset(func() { So(p.Close(), ShouldBeNil) })
+		c := dial(t, p)
+		s, err := c.call("a", long)
+		So(err, ShouldBeNil)
+		So(s, ShouldEqual, "a\n")
+
+		// A delay on one way only would make zones look closer than they are.
+		Convey("a delay applies to both ways", func() {
+			p.SetDelay(20 * time.Millisecond)
+			start := time.Now()
+			_, err := c.call("b", long)
+			So(err, ShouldBeNil)
+			So(time.Since(start), ShouldBeGreaterThanOrEqualTo, 40*time.Millisecond)
+		})
+		// Reordered bytes would corrupt frames and show faults that do not exist.
+		Convey("order is kept while the delay shrinks and the link is held", func() {
+			p.SetDelay(30 * time.Millisecond)
+			for i := range 200 {
+				if i == 50 {
+					p.SetDelay(0)
+				}
+				if i == 100 {
+					p.Pause()
+				}
+				_, err := fmt.Fprintln(c, i)
+				So(err, ShouldBeNil)
+			}
+			p.Heal()
+			for i := range 200 {
+				s, err := c.read(long)
+				So(err, ShouldBeNil)
+				So(s, ShouldEqual, fmt.Sprintln(i))
+			}
+		})
+		// A black hole that closed connections would be noticed too early.
+		Convey("drop is silent, and heal resets what lost data", func() {
+			p.Drop()
+			_, err := c.call("lost", short)
+			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue)
+			late := dial(t, p)
+			_, err = late.call("late", short)
+			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue)
+			p.Heal()
+			_, err = c.read(long)
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			s, err := late.read(long)
+			So(err, ShouldBeNil)
+			So(s, ShouldEqual, "late\n")
+		})
+		Convey("cut resets old and new connections until heal", func() {
+			p.Cut()
+			_, err := c.read(long)
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			_, err = dial(t, p).read(long)
+			So(err, ShouldNotBeNil)
+			p.Heal()
+			_, err = dial(t, p).call("b", long)
+			So(err, ShouldBeNil)
+		})
+		Convey("reset breaks present connections only", func() {
+			p.Reset()
+			_, err := c.read(long)
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			_, err = dial(t, p).call("b", long)
+			So(err, ShouldBeNil)
+		})
+		// A half close that is not forwarded would hang HTTP bodies that end by close.
+		Convey("the end of a stream is forwarded", func() {
+			So(c.Conn.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+			_, err := c.read(long)
+			So(err, ShouldEqual, io.EOF)
+		})
+	})
+}
--- /dev/null
+++ b/internal/standin/history/check_test.go
@@ -0,0 +1,151 @@
+package history
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// world is a hand-made history that a case changes.
+type world struct {
+	attempts []Attempt
+	events   []Event
+	faults   []Fault
+}
+
+// clean holds two complete jobs, one with a resubmission, a true refusal that
+// was later run under the same id, and a broken request beside a kill.
+func clean() *world {
+	w := &world{}
+	complete := func(id string, attempt int, sent, received float64) {
+		w.attempts = append(w.attempts, Attempt{Submission: id, Attempt: attempt, Entry: "e1", Sent: sent, Received: received, Deadline: 1000,
+			Tasks: 2, Outcome: "complete", Status: 200, Results: 2, Check: CheckOK, Digest: "d-" + id})
+	}
+	start := func(id string, task int, at float64) {
+		w.events = append(w.events, Event{Event: EventStart, Submission: id, Task: task, Wall: at, Upstream: "u1"},
+			Event{Event: EventEnd, Submission: id, Task: task, Wall: at + 50, Upstream: "u1"})
+	}
+	complete("a", 1, 100, 200) // 0
+	complete("a", 2, 150, 210) // 1
+	start("a", 0, 110)         // events 0, 1
+	start("a", 1, 120)         // events 2, 3
+	complete("b", 1, 300, 400) // 2
+	start("b", 0, 310)
+	start("b", 1, 310)
+	w.attempts = append(w.attempts, Attempt{Submission: "c", Attempt: 1, Sent: 500, Received: 510, Deadline: 1000, Tasks: 2, Outcome: "not-run", Status: 503}) // 3
+	complete("c", 2, 600, 700)                                                                                                                                 // 4
+	start("c", 0, 610)
+	start("c", 1, 610)
+	w.attempts = append(w.attempts, Attempt{Submission: "d", Attempt: 1, Sent: 800, Received: 900, Deadline: 1000, Tasks: 2, Step: StepAnswer}) // 5
+	start("d", 0, 850)
+	w.faults = append(w.faults, Fault{Kind: "kill", Target: "entry-1", From: 890, Until: 890})
+	// A direct call starts a task that no caller submitted.
+	start("x", 0, 10)
+	return w
+}
+
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		name   string
+		mutate func(w *world)
+		want   []Rule
+	}{
+		// A checker that reports clean histories would be ignored.
+		{"clean", func(*world) {}, nil},
+		// A retry that runs the task again, even on a direct call.
+		{"second start", func(w *world) { w.events = append(w.events, w.events[0]) }, []Rule{RuleSecondStart}},
+		{"second start elsewhere", func(w *world) {
+			e := w.events[2]
+			e.Wall, e.Upstream = 5000, "u2"
+			w.events = append(w.events, e)
+		}, []Rule{RuleSecondStart}},
+		{"second start of an unknown submission", func(w *world) { w.events = append(w.events, w.events[len(w.events)-2]) }, []Rule{RuleSecondStart}},
+		// A home that answers before all results are in.
+		{"result missing", func(w *world) { w.attempts[2].Results = 1 }, []Rule{RulePartial}},
+		{"result too many", func(w *world) { w.attempts[2].Results = 3 }, []Rule{RulePartial}},
+		{"failed job with results", func(w *world) { w.attempts[2].Outcome = "failed" }, []Rule{RulePartial}},
+		// A home that matches a late result with the wrong job or task.
+		{"crossed body", func(w *world) { w.attempts[2].Check = CheckCrossed }, []Rule{RuleCrossed}},
+		{"unreadable body", func(w *world) { w.attempts[2].Check = CheckBroken }, []Rule{RuleCrossed}},
+		// Two homes that both assembled an answer.
+		{"two answers", func(w *world) { w.attempts[1].Digest = "other" }, []Rule{RuleTwoAnswers}},
+		// An answer that was made up or taken from another id.
+		{"no start", func(w *world) { w.events = slices.Delete(w.events, 4, 6) }, []Rule{RuleNoStart}},
+		// A refusal although a task had been dispatched.
+		{"start before the refusal arrived", func(w *world) { w.attempts[4].Outcome = "not-run"; w.attempts[4].Results = 0 }, []Rule{RuleFalseNotRun, RuleFalseNotRun}},
+		{"start before the second attempt", func(w *world) {
+			w.events = append(w.events, Event{Event: EventStart, Submission: "c", Task: 7, Wall: 505, Upstream: "u1"})
+		}, []Rule{RuleFalseNotRun}},
+		// A refusal whose dispatch was still under way.
+		{"start after the refusal arrived", func(w *world) {
+			w.events = append(w.events, Event{Event: EventStart, Submission: "c", Task: 7, Wall: 590, Upstream: "u1"})
+		}, []Rule{RuleFalseNotRun}},
+		// The start belongs to the attempt that was open or whose connection broke.
+		{"refusal beside an open attempt", func(w *world) { w.attempts[1].Outcome = "not-run"; w.attempts[1].Results = 0 }, nil},
+		{"refusal after a broken attempt", func(w *world) {
+			w.attempts = append(w.attempts, Attempt{Submission: "d", Attempt: 2, Sent: 910, Received: 920, Deadline: 1000, Tasks: 2, Outcome: "not-run", Status: 503})
+		}, nil},
+		{"refusal after an attempt that never arrived", func(w *world) {
+			w.attempts[5].Step = StepConnect
+			w.attempts = append(w.attempts, Attempt{Submission: "d", Attempt: 2, Sent: 810, Received: 820, Deadline: 1000, Tasks: 2, Outcome: "not-run", Status: 503})
+		}, []Rule{RuleFalseNotRun}},
+		// A shutdown that does not wait for open requests.
+		{"cut without a fault", func(w *world) { w.faults = nil }, []Rule{RuleCut}},
+		{"cut by a graceful stop", func(w *world) { w.faults[0].Graceful = true }, []Rule{RuleCut}},
+		{"cut after the effect of a fault", func(w *world) { w.attempts[5].Sent += 8000; w.attempts[5].Received += 8000; w.events[12].Wall += 8000 }, []Rule{RuleCut}},
+		{"outcome lost by a graceful stop", func(w *world) { w.faults = nil; w.attempts[5].Status, w.attempts[5].Outcome = 502, "outcome-unknown" }, []Rule{RuleCut}},
+		{"outcome lost at the deadline", func(w *world) {
+			w.faults = nil
+			w.attempts[5].Status, w.attempts[5].Outcome, w.attempts[5].Received = 504, "outcome-unknown", 1800
+		}, nil},
+		{"no connection to a stopped entry", func(w *world) { w.faults = nil; w.attempts[5].Step = StepConnect }, nil},
+		// A reused connection that closes at once may have been idle, but not if the job started.
+		{"idle connection closed", func(w *world) {
+			w.faults = nil
+			w.attempts[5].Reused, w.attempts[5].Received = true, 805
+			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
+		}, nil},
+		{"reused connection cut after a start", func(w *world) { w.faults = nil; w.attempts[5].Reused, w.attempts[5].Received = true, 845 }, []Rule{RuleCut}},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			w := clean()
+			c.mutate(w)
+			var got []Rule
+			for _, v := range Check(w.attempts, w.events, w.faults) {
+				got = append(got, v.Rule)
+			}
+			So(got, ShouldResemble, c.want)
+		})
+	}
+}
+
+// Guards against a reader that fails on, or invents, the half line of a killed process.
+func TestReadDropsHalfLine(t *testing.T) {
+	Convey("A last line without an end is dropped, a broken line is an error", t, func() {
+		path := filepath.Join(t.TempDir(), "h.jsonl")
+		So(os.WriteFile(path, []byte("{\"event\":\"start\",\"task\":3}\n{\"event\":\"sta"), 0o600), ShouldBeNil)
+		events, err := Read[Event](path)
+		So(err, ShouldBeNil)
+		So(events, ShouldResemble, []Event{{Event: EventStart, Task: 3}})
+		So(os.WriteFile(path, []byte("{\"ev\n{}\n"), 0o600), ShouldBeNil)
+		_, err = Read[Event](path)
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func ExampleCheck() {
+	attempts, _ := parse[Attempt](`{"submission":"a","attempt":1,"tasks":1,"sent-wall-ms":5,"received-wall-ms":9,"outcome":"not-run","status":503,"step":"queue"}`)
+	events, _ := parse[Event](`{"event":"start","submission":"a","task":0,"wall-ms":7,"upstream":"upstream-1"}`)
+	for _, v := range Check(attempts, events, nil) {
+		fmt.Println(v)
+	}
+	// Output: false-not-run: submission a: task 0 started at upstream-1 2.0 ms after attempt 1 was sent, which was refused after 4.0 ms (step queue)
+}
+
+func parse[T any](line string) ([]T, error) { return decode[T](strings.NewReader(line + "\n")) }
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -123,8 +123,12 @@
 		return nil, err
 	}
 	defer f.Close()
+	return decode[T](f)
+}
+
+func decode[T any](rd io.Reader) ([]T, error) {
 	var lines []T
-	r := bufio.NewReader(f)
+	r := bufio.NewReader(rd)
 	for n := 1; ; n++ {
 		line, err := r.ReadBytes('\n')
 		if err == io.EOF {
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,279 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide/internal/standin/history"
+)
+
+// fakeEntry answers jobs as an entry does, after change has altered the answer.
+func fakeEntry(t *testing.T, change func(job jobBody, ans map[string]any) int) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			return
+		}
+		var job jobBody
+		if err := json.NewDecoder(r.Body).Decode(&job); err != nil {
+			t.Error(err)
+		}
+		var results []map[string]any
+		for i, task := range job.Tasks {
+			results = append(results, map[string]any{"status": 200, "body": echoBody{job.Submission, i, task.Payload.Echo}})
+		}
+		ans := map[string]any{"submission-id": job.Submission, "outcome": "complete", "results": results}
+		w.WriteHeader(change(job, ans))
+		_ = json.NewEncoder(w).Encode(ans)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+func run(cfg *Config) (*Report, []history.Attempt) {
+	So(cfg.Check(), ShouldBeEmpty)
+	var buf bytes.Buffer
+	rep, err := New(cfg, &buf).Run(context.Background())
+	So(err, ShouldBeNil)
+	var attempts []history.Attempt
+	for dec := json.NewDecoder(&buf); ; {
+		var a history.Attempt
+		if err := dec.Decode(&a); err == io.EOF {
+			return rep, attempts
+		}
+		attempts = append(attempts, a)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		change func(c *Config)
+		want   string
+	}{
+		{func(*Config) {}, ""},
+		{func(c *Config) { c.Targets = nil }, "targets"},
+		{func(c *Config) { c.Targets = []string{"localhost"} }, "base URL"},
+		{func(c *Config) { c.Arrivals = "often" }, "arrivals"},
+		{func(c *Config) { c.Swing = Swing{Factor: 3, Crest: 10, Period: 5} }, "swing"},
+		{func(c *Config) { c.CancelShare = 2 }, "share"},
+		{func(c *Config) { c.Direct.Rate = 1 }, "direct"},
+		{func(c *Config) { c.Classes[0].TasksMax = 1201 }, "tasks-max"},
+		{func(c *Config) { c.Classes[0].Rate = 3 }, "rate and share"},
+		{func(c *Config) { c.Classes[0].Run.Kind = "" }, "run.kind"},
+		{func(c *Config) { c.Classes[0].Hints = "maybe" }, "hints"},
+		{func(c *Config) { c.Classes[0].Deadline = 0 }, "deadline-ms"},
+	}
+	// A mistyped mix that runs anyway gives a figure for another load.
+	Convey("Faulty settings are named", t, func() {
+		for _, c := range cases {
+			cfg := Default()
+			c.change(cfg)
+			got := fmt.Sprint(cfg.Check())
+			if c.want == "" {
+				So(got, ShouldEqual, "[]")
+			}
+			So(got, ShouldContainSubstring, c.want)
+		}
+	})
+}
+
+func testRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestSchedule(t *testing.T) {
+	Convey("With a swing to three times the rate", t, func() {
+		cfg := Default()
+		cfg.Duration, cfg.Rate = 30_000, 200
+		cfg.Swing = Swing{Factor: 3, Start: 10_000, Crest: 10_000}
+		for _, kind := range []string{"poisson", "step"} {
+			cfg.Arrivals = kind
+			var base, crest float64
+			for _, a := range schedule(cfg) {
+				if a.crest {
+					crest++
+				} else {
+					base++
+				}
+			}
+			// Thinning with a wrong peak changes the offered load unseen.
+			So(math.Abs(base-4000), ShouldBeLessThan, 4*math.Sqrt(4000))
+			So(math.Abs(crest-6000), ShouldBeLessThan, 4*math.Sqrt(6000))
+		}
+		// Two runs that differ cannot be compared.
+		So(fmt.Sprint(times(testRand(), "poisson", 50, cfg.Swing, time.Second)), ShouldEqual,
+			fmt.Sprint(times(testRand(), "poisson", 50, cfg.Swing, time.Second)))
+	})
+	Convey("Run times and hints follow their kinds", t, func() {
+		rng := testRand()
+		stragglers := RunTime{Kind: "stragglers", Mean: 50, StragglerShare: 0.1, StragglerFactor: 20}
+		var long int
+		for range 1000 {
+			if stragglers.draw(rng) == 1000 {
+				long++
+			}
+			So(hint(rng, "off", 50), ShouldBeIn, int64(5), int64(500))
+		}
+		So(long, ShouldBeBetween, 60, 140)
+		So(hint(rng, "absent", 50), ShouldEqual, 0)
+		So(hint(rng, "right", 50), ShouldEqual, 50)
+		So(RunTime{Kind: "fixed", Mean: 50}.draw(rng), ShouldEqual, 50)
+	})
+}
+
+func TestRun(t *testing.T) {
+	Convey("With fake entries", t, func() {
+		cfg := Default()
+		cfg.Duration, cfg.Rate, cfg.Arrivals = 400, 50, "step"
+		cfg.Classes[0].TasksMin, cfg.Classes[0].TasksMax = 1, 3
+
+		// A tool that waits for answers hides queueing time from its own figures.
+		Convey("slow answers delay no arrival", func() {
+			entry := fakeEntry(t, func(jobBody, map[string]any) int { time.Sleep(300 * time.Millisecond); return 200 })
+			cfg.Targets = []string{entry}
+			rep, attempts := run(cfg)
+			So(len(attempts), ShouldEqual, 20)
+			So(rep.Classes["short"].Outcomes, ShouldResemble, map[string]int{"complete": 20})
+			So(rep.Classes["short"].Response.P50, ShouldBeBetween, 299, 600)
+			So(attempts[19].Sent-attempts[0].Sent, ShouldBeLessThan, 700)
+			So(rep.Teams["shop"].Share, ShouldEqual, 1)
+			So(rep.WriteText(io.Discard), ShouldBeNil)
+			var svg bytes.Buffer
+			So(rep.WritePlot(&svg), ShouldBeNil)
+			So(svg.String(), ShouldContainSubstring, "</svg>")
+		})
+		// An unchecked body hides crossed answers from the history checker.
+		Convey("bodies are checked", func() {
+			for want, change := range map[string]func(job jobBody, ans map[string]any){
+				history.CheckOK: func(jobBody, map[string]any) {},
+				history.CheckCrossed: func(_ jobBody, ans map[string]any) {
+					r := ans["results"].([]map[string]any)
+					r[0]["body"] = echoBody{"other", 0, "other/0"}
+				},
+				history.CheckBroken: func(_ jobBody, ans map[string]any) {
+					r := ans["results"].([]map[string]any)
+					r[0]["body"] = "aGVsbG8="
+				},
+			} {
+				cfg.Targets = []string{fakeEntry(t, func(j jobBody, ans map[string]any) int { change(j, ans); return 200 })}
+				_, attempts := run(cfg)
+				for _, a := range attempts {
+					So(a.Check, ShouldEqual, want)
+					So(a.Results, ShouldEqual, a.Tasks)
+				}
+			}
+		})
+		// A resubmission under a new id would not test deduplication.
+		Convey("resubmissions use the other entry and the same id", func() {
+			change := func(jobBody, map[string]any) int { time.Sleep(50 * time.Millisecond); return 200 }
+			cfg.Targets = []string{fakeEntry(t, change), fakeEntry(t, change)}
+			cfg.ResubmitShare, cfg.ResubmitAfter = 1, 10
+			_, attempts := run(cfg)
+			So(len(attempts), ShouldEqual, 40)
+			entries := map[string]map[string]bool{}
+			for _, a := range attempts {
+				if entries[a.Submission] == nil {
+					entries[a.Submission] = map[string]bool{}
+				}
+				entries[a.Submission][a.Entry] = true
+			}
+			So(len(entries), ShouldEqual, 20)
+			for _, e := range entries {
+				So(len(e), ShouldEqual, 2)
+			}
+		})
+		// A refusal counted as no answer would hide false refusals.
+		Convey("problems keep outcome, status and step", func() {
+			cfg.Targets = []string{fakeEntry(t, func(_ jobBody, ans map[string]any) int {
+				ans["outcome"], ans["step"], ans["results"] = "not-run", "quota", nil
+				return 429
+			})}
+			rep, attempts := run(cfg)
+			So(rep.Classes["short"].Outcomes, ShouldResemble, map[string]int{"not-run": 20})
+			So(attempts[0].Status, ShouldEqual, 429)
+			So(attempts[0].Step, ShouldEqual, "quota")
+		})
+		Convey("a broken connection is told apart from a refused one, and retried once", func() {
+			var calls atomic.Int64
+			broken := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					calls.Add(1)
+				}
+				panic(http.ErrAbortHandler)
+			}))
+			defer broken.Close()
+			closed := httptest.NewServer(nil)
+			closed.Close()
+			cfg.Targets, cfg.RetryBroken = []string{broken.URL}, true
+			_, attempts := run(cfg)
+			So(len(attempts), ShouldEqual, 40)
+			So(calls.Load(), ShouldEqual, 40)
+			So(attempts[0].Step, ShouldEqual, history.StepAnswer)
+			cfg.Targets, cfg.RetryBroken = []string{closed.URL}, false
+			_, attempts = run(cfg)
+			So(len(attempts), ShouldEqual, 20)
+			So(attempts[0].Step, ShouldEqual, history.StepConnect)
+		})
+	})
+}
+
+func TestCrestAndFairness(t *testing.T) {
+	Convey("Crest service compares with what the slots can serve", t, func() {
+		cfg := Default()
+		cfg.Slots, cfg.Duration, cfg.Swing = 10, 5_000, Swing{Factor: 3, Start: 1_000, Crest: 2_000}
+		s := newStats(cfg)
+		due := time.Now()
+		// 10 slots serve 400 tasks of 50 ms in 2 s; 600 are offered and 300 are served in time.
+		for i := range 600 {
+			a := arrival{class: &cfg.Classes[0], runs: []int64{50}, ideal: 50, crest: true}
+			h := history.Attempt{Outcome: "complete"}
+			took := 100 * time.Millisecond
+			if i >= 300 {
+				h.Outcome = "not-run"
+			}
+			if i%600 == 299 {
+				took = time.Minute
+			}
+			s.job(&a, []history.Attempt{h}, false, due, due.Add(took))
+		}
+		rep := s.report(cfg, nil, nil)
+		So(rep.Crest.Possible, ShouldEqual, 400)
+		So(rep.Crest.Served, ShouldEqual, 299)
+		So(rep.Classes["short"].Late, ShouldEqual, 1)
+		So(rep.Classes["short"].Ratio.P50, ShouldAlmostEqual, 2, 0.01)
+	})
+	Convey("Fairness is 1 for equal shares and falls when one team starves", t, func() {
+		So(fairness(map[string]*TeamReport{"a": {Offered: 10, Served: 5}, "b": {Offered: 100, Served: 50}}), ShouldAlmostEqual, 1)
+		So(fairness(map[string]*TeamReport{"a": {Offered: 10, Served: 10}, "b": {Offered: 100}}), ShouldAlmostEqual, 0.5)
+	})
+}
+
+func TestMetrics(t *testing.T) {
+	// Labels that overwrite one another, or a restart, would hide messages.
+	Convey("Counters add up over labels and processes, restarts included", t, func() {
+		parse := func(s string) map[string]float64 {
+			m, err := parseMetrics(strings.NewReader(s))
+			So(err, ShouldBeNil)
+			return m
+		}
+		before := counters{"a": parse("gypsumtide_messages_total{kind=\"x\"} 5\ngypsumtide_messages_total{kind=\"y\"} 7\n"), "b": parse("gypsumtide_messages_total 90\n")}
+		after := counters{"a": parse("# TYPE x\ngypsumtide_messages_total{kind=\"x\"} 15\ngypsumtide_messages_total{kind=\"y\"} 7\n"), "b": parse("gypsumtide_messages_total 4\n")}
+		m, ok := messages(before, after, 4)
+		So(ok, ShouldBeTrue)
+		So(m.Messages, ShouldEqual, 14)
+		So(m.Wasted, ShouldEqual, 1.5)
+		_, ok = messages(nil, counters{}, 4)
+		So(ok, ShouldBeFalse)
+	})
+}
