Use the queue, placement and limit policies in the home

Cause: the policies have landed as packages. Change: one runtime per pool with queue, placer, learner, admission and retry budget.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -262,7 +262,12 @@
 	if r.Reason == wire.ReasonCancelled || r.Reason == wire.ReasonDeadline {
 		return
 	}
-	h.requeue = append(h.requeue, requeueItem{at: h.clock.Now() + requeueDelay, task: aj.Tasks()[r.Task]})
+	now := h.clock.Now()
+	delay := requeueDelay
+	if !aj.pool.retries.Take(now) {
+		delay = requeueBackoff
+	}
+	h.requeue = append(h.requeue, requeueItem{at: now + delay, task: aj.Tasks()[r.Task]})
 }
 
 // finished records an upstream's answer.
@@ -271,7 +276,7 @@
 		Status: r.Status, ContentType: r.ContentType, Body: r.Body, RunTime: r.RunTime, Upstream: peerName(c, r),
 	})
 	if aj.pool != nil {
-		aj.pool.observe(c, aj.Tasks()[r.Task], r)
+		aj.pool.observe(c, aj.Tasks()[r.Task], r, h.clock.Now())
 	}
 	if job.FailedStatus(r.Status) {
 		h.close(aj, &wire.Problem{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,7 +51,14 @@
 	e.owner = newSoleOwner(e)
 	rules := submission.NewRules(cfg.MaxSkew(), cfg.IDRetention)
 	table := submission.NewTable(cfg.AnswerRetention, cfg.MaxTableBytes)
-	e.home = newHome(clock, log, newDecisionLog(log, cfg.Log.DecisionSample), e.owner, rules, table, defaultRouter{}, e.metrics)
+	h, err := newHome(homeOptions{
+		name: e.incarnation, zone: cfg.Zone, clock: clock, log: log, decisions: newDecisionLog(log, cfg.Log.DecisionSample),
+		owner: e.owner, rules: rules, table: table, router: defaultRouter{}, metrics: e.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	e.home = h
 	e.links = newLinks(e)
 	return e, nil
 }
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -10,6 +10,7 @@
 
 	"gypsumtide"
 	"gypsumtide/internal/job"
+	"gypsumtide/internal/limit"
 	"gypsumtide/internal/submission"
 	"gypsumtide/internal/wire"
 )
@@ -22,6 +23,10 @@
 	agentAbsence gypsumtide.Millis = 5_000
 	// requeueDelay keeps a task that an agent refused from bouncing at once.
 	requeueDelay gypsumtide.Millis = 5
+	// requeueBackoff applies when the pool's retry budget is spent.
+	requeueBackoff gypsumtide.Millis = 100
+	// loadInterval is the heartbeat of agents, which carries their load.
+	loadInterval gypsumtide.Millis = 300
 )
 
 // ownership answers which shards this entry is home for.
@@ -50,24 +55,19 @@
 
 // home runs the jobs of the shards that this entry owns.
 type home struct {
-	clock     gypsumtide.Clock
-	log       logr.Logger
-	decisions *decisionLog
-	owner     ownership
-	rules     submission.Rules
-	metrics   *meters
+	homeOptions
 
-	mu      sync.Mutex
- 	jobs    map[gypsumtide.SubmissionID]*activeJob
+	mu   sync.Mutex
+	jobs map[gypsumtide.SubmissionID]*activeJob
 	// recovering holds the jobs among them that wait for agents' ledgers.
 	recovering map[gypsumtide.SubmissionID]*activeJob
-	table   *submission.Table
-	agents  map[string]*agentConn
-	current map[string]*agentConn
-	pools   map[string]*pool
-	router  router
-	timers  timerHeap
-	requeue []requeueItem
+	table      *submission.Table
+	agents     map[string]*agentConn
+	current    map[string]*agentConn
+	pools      map[string]*pool
+	quotas     *limit.Quotas
+	timers     timerHeap
+	requeue    []requeueItem
 }
 
 type requeueItem struct {
@@ -75,15 +75,33 @@
 	task *gypsumtide.Task
 }
 
-func newHome(clock gypsumtide.Clock, log logr.Logger, decisions *decisionLog, owner ownership, rules submission.Rules, table *submission.Table, rt router, m *meters) *home {
+// homeOptions are what a home needs of its entry.
+type homeOptions struct {
+	name      string
+	zone      string
+	clock     gypsumtide.Clock
+	log       logr.Logger
+	decisions *decisionLog
+	owner     ownership
+	rules     submission.Rules
+	table     *submission.Table
+	router    router
+	metrics   *meters
+}
+
+func newHome(o homeOptions) (*home, error) {
+	quotas, err := limit.NewQuotas(limit.Config{}, limit.Options{Home: o.name, ReportInterval: heartbeat}, o.clock.Now())
+	if err != nil {
+		return nil, fmt.Errorf("home: %w", err)
+	}
 	return &home{
-		clock: clock, log: log, decisions: decisions, owner: owner, rules: rules, table: table, router: rt, metrics: m,
-		jobs:    make(map[gypsumtide.SubmissionID]*activeJob),
+		homeOptions: o, quotas: quotas,
+		jobs:       make(map[gypsumtide.SubmissionID]*activeJob),
 		recovering: make(map[gypsumtide.SubmissionID]*activeJob),
-		agents:  make(map[string]*agentConn),
-		current: make(map[string]*agentConn),
-		pools:   make(map[string]*pool),
-	}
+		agents:     make(map[string]*agentConn),
+		current:    make(map[string]*agentConn),
+		pools:      make(map[string]*pool),
+	}, nil
 }
 
 // submit admits a job, attaches to the one in progress, or answers at once. A
@@ -187,7 +205,7 @@
 func (h *home) enqueue(aj *activeJob, now gypsumtide.Millis) {
 	for i, t := range aj.Tasks() {
 		if aj.Queued(uint32(i)) {
-			aj.pool.push(t, &aj.Request().Tasks[i], now)
+			aj.pool.push(t, aj.Request().Tasks[i].RunTime, now)
 		}
 	}
 }
@@ -290,7 +308,7 @@
 		aj.pool.queue.Remove(aj.Submission())
 	}
 	if aj.Charged() {
-		aj.pool.done(aj.Request().Team, len(aj.Tasks()), now)
+		h.quotas.Done(aj.Request().Team, len(aj.Tasks()), now)
 	}
 	h.metrics.ended(a)
 	if a.Moved || a.Outcome == gypsumtide.OutcomeNotRun {
@@ -338,7 +356,6 @@
 	h.table.Expire(now, h.clock.Wall()-h.rules.Retention())
 	for _, p := range h.pools {
 		h.pump(p, now)
-		h.recall(p, now)
 	}
 }
 
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -5,15 +5,126 @@
 	"net/http"
 
 	"gypsumtide"
+	"gypsumtide/internal/limit"
+	"gypsumtide/internal/placement"
+	"gypsumtide/internal/queue"
 	"gypsumtide/internal/wire"
 )
 
 // pool is the runtime of one pool: its queue, its policies and its agents.
 type pool struct {
-	name       string
+	spec       poolSpec
 	queue      gypsumtide.Queue
 	placer     gypsumtide.Placer
+	learner    *queue.Learner
+	admission  *limit.Admission
+	retries    *limit.RetryBudget
 	candidates map[string]*candidates
+	slots      int
+}
+
+// poolSpec holds the settings of a pool that the configuration in force gives.
+type poolSpec struct {
+	name         string
+	placement    string
+	queue        string
+	overcommit   int
+	reserveShort int
+	maxEjected   int
+}
+
+func newPool(spec poolSpec, zone string, now gypsumtide.Millis) (*pool, error) {
+	q, err := queue.New(spec.queue)
+	if err != nil {
+		return nil, err
+	}
+	overcommit := spec.overcommit
+	if overcommit == 0 {
+		overcommit = -1
+	}
+	placer, err := placement.New(spec.placement, placement.Options{Zone: zone, Overcommit: overcommit, ReportInterval: loadInterval})
+	if err != nil {
+		return nil, err
+	}
+	return &pool{
+		spec: spec, queue: q, placer: placer,
+		learner:    queue.NewLearner(queue.LearnerOptions{}),
+		admission:  limit.NewAdmission(limit.AdmissionOptions{}),
+		retries:    limit.NewRetryBudget(limit.RetryOptions{}, now),
+		candidates: make(map[string]*candidates),
+	}, nil
+}
+
+// pool returns the runtime of the named pool.
+func (h *home) pool(name string) (*pool, error) {
+	spec := h.router.Spec(name)
+	p := h.pools[name]
+	if p != nil && p.spec == spec {
+		return p, nil
+	}
+	next, err := newPool(spec, h.zone, h.clock.Now())
+	if err != nil {
+		return nil, fmt.Errorf("pool %q: %w", name, err)
+	}
+	if p != nil {
+		next.take(p, h)
+	}
+	h.pools[name] = next
+	return next, nil
+}
+
+// take moves the waiting tasks and the estimates of the pool whose settings changed.
+func (p *pool) take(old *pool, h *home) {
+	p.learner, p.admission, p.retries = old.learner, old.admission, old.retries
+	for _, aj := range h.jobs {
+		if aj.pool != old {
+			continue
+		}
+		aj.pool = p
+		for _, t := range old.queue.Remove(aj.Submission()) {
+			p.queue.Push(t)
+		}
+	}
+}
+
+// push queues a task under its learned class.
+func (p *pool) push(t *gypsumtide.Task, declared gypsumtide.Millis, now gypsumtide.Millis) {
+	t.SetClass(p.learner.Classify(t.Service(), declared))
+	t.SetQueued(now)
+	p.queue.Push(t)
+}
+
+// observe learns from a result.
+func (p *pool) observe(c *agentConn, t *gypsumtide.Task, r *wire.Result, now gypsumtide.Millis) {
+	p.learner.Observe(t.Service(), c.record.Name, r.RunTime)
+	c.view.SetSpeed(p.learner.Speed(c.record.Name))
+	p.admission.Served(1, p.queue.Len(), now)
+}
+
+// admit asks the deadline admission and the quotas whether the job may enter.
+func (p *pool) admit(h *home, aj *activeJob, now gypsumtide.Millis) gypsumtide.Verdict {
+	req := aj.Request()
+	n := len(req.Tasks)
+	class := p.learner.Classify(req.Service, req.Tasks[0].RunTime)
+	v := p.admission.Admit(limit.Forecast{
+		Ahead: p.ahead(req.Team, class, n), Tasks: n,
+		RunTime: p.learner.Quantile(req.Service, 0.5), MeanRunTime: p.learner.Mean(req.Service),
+		Slots: p.slots, Deadline: aj.Deadline(),
+	}, now)
+	if !v.Admit() {
+		return v
+	}
+	return h.quotas.Admit(req.Team, n, now)
+}
+
+// ahead counts the waiting tasks that leave before the last task of a job of n tasks.
+func (p *pool) ahead(team string, class gypsumtide.Class, n int) int {
+	if q, ok := p.queue.(interface {
+		AheadOfJob(team string, class gypsumtide.Class, n int) int
+	}); ok {
+		return q.AheadOfJob(team, class, n)
+	}
+	return p.queue.Ahead(team, class)
 }
 
 // candidates are the agents that serve a service, as the placement sees them.
@@ -37,7 +148,13 @@
 			Type: "no-route", Status: http.StatusNotFound, Step: "route", Detail: err.Error(),
 		})
 	}
-	return h.pool(name), nil
+	p, err := h.pool(name)
+	if err != nil {
+		return nil, refuse(req.Submission, &wire.Problem{
+			Type: "internal", Status: http.StatusInternalServerError, Step: "route", Detail: err.Error(),
+		})
+	}
+	return p, nil
 }
 
 func (p *pool) serving(h *home, service string) *candidates {
@@ -46,10 +163,13 @@
 		return c
 	}
 	c = &candidates{}
+	p.slots = 0
 	for _, conn := range h.agents {
-		if conn.serves(service) && h.router.InPool(p.name, conn.record.Zone) {
+		if conn.serves(service) && h.router.InPool(p.spec.name, conn.record.Zone) {
+			conn.view.SetSlots(conn.view.Slots(), conn.view.Slots()*p.spec.reserveShort/100)
 			c.conns = append(c.conns, conn)
 			c.views = append(c.views, conn.view)
+			p.slots += conn.view.Slots()
 		}
 	}
 	p.candidates[service] = c
@@ -152,12 +272,12 @@
 func (p *pool) fits(h *home, t *gypsumtide.Task) string {
 	c := p.serving(h, t.Service())
 	if len(c.views) == 0 {
-		return fmt.Sprintf("no upstream in pool %q serves %q", p.name, t.Service())
+		return fmt.Sprintf("no upstream in pool %q serves %q", p.spec.name, t.Service())
 	}
 	for _, v := range c.views {
 		if t.Size().Fits(v.Capacity()) {
 			return ""
 		}
 	}
-	return fmt.Sprintf("task %d is larger than every worker of pool %q", t.Index(), p.name)
+	return fmt.Sprintf("task %d is larger than every worker of pool %q", t.Index(), p.spec.name)
 }
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -6,4 +6,6 @@
 	Pool(service, team string) (string, error)
 	// InPool reports whether workers of the availability zone belong to the pool.
 	InPool(pool, zone string) bool
+	// Spec returns the settings of a pool.
+	Spec(pool string) poolSpec
 }
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -78,7 +78,7 @@
 	e.owner.Heard(from)
 	if f.Heartbeat != nil {
 		ack := e.owner.HandleHeartbeat(from, f.Heartbeat)
-		e.usage.heard(from, f.Heartbeat.Usage)
+		e.home.reportUsage(from, f.Heartbeat.Usage)
 		s.Update(func(out *wire.Frame) { out.Ack = &ack })
 	}
 	for i := range f.Forwards {
--- a/internal/entry/sole.go
+++ b/internal/entry/sole.go
@@ -28,18 +28,18 @@
 
 func newSoleOwner(e *Entry) *soleOwner { return &soleOwner{e: e} }
 
-func (o *soleOwner) Serving(gypsumtide.ShardID) (uint64, bool)    { return 1, true }
-func (o *soleOwner) Fresh(gypsumtide.SubmissionID) bool           { return true }
-func (o *soleOwner) Usable(string, gypsumtide.ShardID) bool       { return true }
-func (o *soleOwner) Changed() <-chan struct{}                     { return nil }
-func (o *soleOwner) Skew() gypsumtide.Millis                      { return 0 }
-func (o *soleOwner) AgentUp(wire.AgentRecord)                     {}
-func (o *soleOwner) AgentDown(string)                             {}
-func (o *soleOwner) Promised(string, wire.Promise)                {}
-func (o *soleOwner) Heard(string)                                 {}
-func (o *soleOwner) SessionDown(string)                           {}
-func (o *soleOwner) NoteAgent(string, wire.AgentRecord) bool      { return true }
-func (o *soleOwner) RosterAcked(string, wire.AgentRecord)         {}
+func (o *soleOwner) Serving(gypsumtide.ShardID) (uint64, bool)               { return 1, true }
+func (o *soleOwner) Fresh(gypsumtide.SubmissionID) bool                      { return true }
+func (o *soleOwner) Usable(string, gypsumtide.ShardID) bool                  { return true }
+func (o *soleOwner) Changed() <-chan struct{}                                { return nil }
+func (o *soleOwner) Skew() gypsumtide.Millis                                 { return 0 }
+func (o *soleOwner) AgentUp(wire.AgentRecord)                                {}
+func (o *soleOwner) AgentDown(string)                                        {}
+func (o *soleOwner) Promised(string, wire.Promise)                           {}
+func (o *soleOwner) Heard(string)                                            {}
+func (o *soleOwner) SessionDown(string)                                      {}
+func (o *soleOwner) NoteAgent(string, wire.AgentRecord) bool                 { return true }
+func (o *soleOwner) RosterAcked(string, wire.AgentRecord)                    {}
 func (o *soleOwner) HandleAck(string, gypsumtide.Millis, *wire.HeartbeatAck) {}
 
 func (o *soleOwner) HandleHeartbeat(string, *wire.Heartbeat) wire.HeartbeatAck {
@@ -68,3 +68,7 @@
 
 func (defaultRouter) Pool(string, string) (string, error) { return "default", nil }
 func (defaultRouter) InPool(string, string) bool          { return true }
+
+func (defaultRouter) Spec(pool string) poolSpec {
+	return poolSpec{name: pool, overcommit: 1, reserveShort: 25, maxEjected: 50}
+}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -23,14 +23,14 @@
 // route carries one request to the home of its shard, again after every change of home, until
 // it is answered or its time is over.
 type route struct {
-	entry     *Entry
-	id        gypsumtide.SubmissionID
-	kind      string
-	job       *wire.Job
-	deadline  gypsumtide.Millis
+	entry    *Entry
+	id       gypsumtide.SubmissionID
+	kind     string
+	job      *wire.Job
+	deadline gypsumtide.Millis
 	// offered means that a home may have accepted the job.
-	offered   bool
-	started   gypsumtide.Millis
+	offered bool
+	started gypsumtide.Millis
 }
 
 // Submit runs a job at its home and returns the answer. issued says that this
