--- /dev/null
+++ b/internal/upstream/handler.go
@@ -0,0 +1,106 @@
+package upstream
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"gypsumtide"
+)
+
+// maxRequest bounds the body of an announcement.
+const maxRequest = 1 << 20
+
+// renewal is the body of a renewal. Used is optional.
+type renewal struct {
+	Generation uint64           `json:"generation"`
+	Used       *gypsumtide.Size `json:"used,omitempty"`
+}
+
+// Handler serves announcements and renewals below /v1/upstreams.
+func (r *Registry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/upstreams", r.announce)
+	mux.HandleFunc("PUT /v1/upstreams/{name}/lease", r.renew)
+	mux.HandleFunc("DELETE /v1/upstreams/{name}", r.leave)
+	if r.cfg.Key == "" {
+		return mux
+	}
+	want := []byte("Bearer " + r.cfg.Key)
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(req.Header.Get("Authorization")), want) != 1 {
+			writeError(w, http.StatusUnauthorized, errors.New("the shared key is missing or wrong"))
+			return
+		}
+		mux.ServeHTTP(w, req)
+	})
+}
+
+func (r *Registry) announce(w http.ResponseWriter, req *http.Request) {
+	var a Announcement
+	if !readJSON(w, req, &a) {
+		return
+	}
+	lease, err := r.Announce(a)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, lease)
+}
+
+func (r *Registry) renew(w http.ResponseWriter, req *http.Request) {
+	var body renewal
+	if !readJSON(w, req, &body) {
+		return
+	}
+	name := req.PathValue("name")
+	lease, err := r.Renew(name, body.Generation)
+	switch {
+	case errors.Is(err, ErrUnknown):
+		writeError(w, http.StatusNotFound, err)
+	case err != nil:
+		writeError(w, http.StatusConflict, err)
+	default:
+		if body.Used != nil {
+			r.Report(name, *body.Used)
+		}
+		writeJSON(w, http.StatusOK, lease)
+	}
+}
+
+func (r *Registry) leave(w http.ResponseWriter, req *http.Request) {
+	if err := r.Leave(req.PathValue("name")); err != nil {
+		writeError(w, http.StatusNotFound, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func readJSON(w http.ResponseWriter, req *http.Request, v any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxRequest))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, err)
+		return false
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// writeError writes an RFC 9457 problem.
+func writeError(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"status": status, "title": http.StatusText(status), "detail": err.Error()})
+}
--- /dev/null
+++ b/internal/upstream/run.go
@@ -0,0 +1,161 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// The headers of a task request and its answer.
+const (
+	HeaderSubmission = "Gypsumtide-Submission"
+	HeaderTask       = "Gypsumtide-Task"
+	HeaderService    = "Gypsumtide-Service"
+	HeaderLease      = "Gypsumtide-Lease"
+	HeaderBudget     = "Gypsumtide-Budget-Ms"
+	HeaderNotStarted = "Gypsumtide-Not-Started"
+)
+
+// The reasons of TaskUnknown results, and of TaskNotStarted for a connection
+// that carried nothing.
+const (
+	ReasonBroken   = "connection-broken"
+	ReasonTooLarge = "response-too-large"
+	ReasonRunTime  = "run-time-exceeded"
+	ReasonUnopened = "connection-not-opened"
+)
+
+var errTooLarge = errors.New("response too large")
+
+// body hides the type of its reader from net/http, which otherwise could send
+// the request again from a copy of the body.
+type body struct{ io.Reader }
+
+// Run sends the task and waits for its answer. Budget is the time left until
+// the deadline; it is passed on and does not end the request, because the
+// upstream decides whether a started task goes on.
+func (s *Slot) Run(ctx context.Context, d *wire.Dispatch, budget gypsumtide.Millis) wire.Result {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.registry.cfg.MaxRunTime.Duration())
+	defer cancel()
+	r := s.send(ctx, d, budget)
+	r.TaskRef = d.TaskRef
+	r.Upstream = s.name
+	r.RunTime = gypsumtide.FromDuration(time.Since(started))
+	if r.State == wire.TaskUnknown && ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.Reason = ReasonRunTime
+	}
+	return r
+}
+
+func (s *Slot) send(ctx context.Context, d *wire.Dispatch, budget gypsumtide.Millis) wire.Result {
+	var conn *countedConn
+	var before uint64
+	sent := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sent = true
+		if conn = counted(info); conn != nil {
+			before = conn.written()
+		}
+	}})
+	req, err := s.request(ctx, d, budget)
+	if err != nil {
+		return wire.Result{State: wire.TaskNotStarted, Reason: ReasonUnopened}
+	}
+	resp, err := s.client.http.Do(req)
+	if err != nil {
+		// Without a connection, or with nothing written to it, nothing can have started.
+		if !sent || conn != nil && conn.seal() == before {
+			return wire.Result{State: wire.TaskNotStarted, Reason: ReasonUnopened}
+		}
+		return wire.Result{State: wire.TaskUnknown, Reason: ReasonBroken}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotStarted) == "true" {
+		_, _ = io.CopyN(io.Discard, resp.Body, 4096)
+		return wire.Result{State: wire.TaskNotStarted, Reason: wire.ReasonRefused}
+	}
+	data, err := readAll(resp.Body, s.registry.cfg.MaxBody)
+	if errors.Is(err, errTooLarge) {
+		return wire.Result{State: wire.TaskUnknown, Reason: ReasonTooLarge}
+	}
+	if err != nil {
+		return wire.Result{State: wire.TaskUnknown, Reason: ReasonBroken}
+	}
+	return wire.Result{State: wire.TaskDone, Status: resp.StatusCode, Body: data, ContentType: resp.Header.Get("Content-Type")}
+}
+
+func counted(info httptrace.GotConnInfo) *countedConn {
+	conn := info.Conn
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	c, _ := conn.(*countedConn)
+	return c
+}
+
+func (s *Slot) request(ctx context.Context, d *wire.Dispatch, budget gypsumtide.Millis) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimSuffix(s.url, "/")+"/tasks", body{bytes.NewReader(d.Payload)})
+	if err != nil {
+		return nil, fmt.Errorf("upstream: request: %w", err)
+	}
+	req.ContentLength = int64(len(d.Payload))
+	if len(d.Payload) == 0 {
+		req.Body = http.NoBody
+	}
+	if d.ContentType != "" {
+		req.Header.Set("Content-Type", d.ContentType)
+	}
+	req.Header.Set(HeaderSubmission, d.Submission.String())
+	req.Header.Set(HeaderTask, strconv.FormatUint(uint64(d.Task), 10))
+	req.Header.Set(HeaderService, d.Service)
+	req.Header.Set(HeaderLease, strconv.FormatUint(s.lease, 10))
+	req.Header.Set(HeaderBudget, strconv.FormatInt(int64(budget), 10))
+	if s.registry.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+s.registry.cfg.Key)
+	}
+	return req, nil
+}
+
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("upstream: read answer: %w", err)
+	}
+	if int64(len(data)) > limit {
+		return nil, errTooLarge
+	}
+	return data, nil
+}
+
+// Stop asks the upstream to end a running task.
+func (s *Slot) Stop(ctx context.Context, ref wire.TaskRef) error {
+	url := fmt.Sprintf("%s/tasks/%s/%d/stop", strings.TrimSuffix(s.url, "/"), ref.Submission, ref.Task)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return fmt.Errorf("upstream: stop: %w", err)
+	}
+	if s.registry.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+s.registry.cfg.Key)
+	}
+	resp, err := s.client.http.Do(req)
+	if err != nil {
+		return gypsumtide.NewError("stop task", s.name, err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return gypsumtide.NewError("stop task", s.name, fmt.Errorf("status %d", resp.StatusCode))
+	}
+	return nil
+}
