Add the agent daemon and the worker stand-in

Cause: dispatches need a process beside each upstream that starts them. Change: internal/agent with sessions, local queue, credit check, results, queries, recalls, cancels, promises, recovery and drain; settings and command line; internal/standin/worker with faults and a history file.

--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,163 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/ledger"
+	"gypsumtide/internal/wire"
+)
+
+// stopTimeout bounds a stop request to an upstream.
+const stopTimeout = 2 * time.Second
+
+// handle acts on a frame from an entry. Promises go first: a frame that carries
+// a promise and a dispatch comes from the home of the higher epoch.
+func (a *Agent) handle(l *link, f *wire.Frame) error {
+	if f.Config != nil {
+		a.configure(f.Config)
+	}
+	if f.Welcome != nil {
+		a.learn(l, f.Welcome)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l.echo = max(l.echo, f.Echo)
+	if len(f.Promises)+len(f.Recovers)+len(f.Queries)+len(f.Recalls)+len(f.Cancels)+len(f.Dispatches) == 0 {
+		return nil
+	}
+	a.promises(l, f.Promises)
+	a.recovers(l, f.Recovers)
+	for _, ref := range f.Queries {
+		a.settle(l, ref, wire.ReasonUnknown)
+	}
+	for _, ref := range f.Recalls {
+		a.settle(l, ref, wire.ReasonRecalled)
+	}
+	for _, ref := range f.Cancels {
+		a.cancel(l, ref)
+	}
+	if len(f.Dispatches) > 0 {
+		a.dispatches(l, f)
+	}
+	a.scheduleLocked()
+	notify(a.wake)
+	return nil
+}
+
+func (a *Agent) promises(l *link, promises []wire.Promise) {
+	for _, p := range promises {
+		highest, discarded := a.ledger.Promise(p.Shard, p.Epoch)
+		a.deliver(discarded)
+		a.update(l, func(f *wire.Frame) {
+			f.Promised = append(f.Promised, wire.Promise{Shard: p.Shard, Epoch: highest})
+		})
+	}
+}
+
+func (a *Agent) recovers(l *link, recovers []wire.Recover) {
+	for _, rec := range recovers {
+		out, discarded := a.ledger.Recover(rec, l.number)
+		a.deliver(discarded)
+		for _, r := range out.Tasks {
+			a.follow(l, r)
+		}
+		a.update(l, func(f *wire.Frame) { f.Recovered = append(f.Recovered, out) })
+	}
+}
+
+// settle answers a query or a recall.
+func (a *Agent) settle(l *link, ref wire.TaskRef, reason string) {
+	r := a.ledger.Withdraw(ref, l.number, reason)
+	if r.State == wire.TaskNotStarted && r.Reason == reason {
+		a.queue.remove(keyOf(ref))
+	}
+	a.follow(l, r)
+	a.reply(l, r)
+}
+
+// cancel withdraws a queued task or asks the upstream to stop a running one, at most once.
+func (a *Agent) cancel(l *link, ref wire.TaskRef) {
+	a.settle(l, ref, wire.ReasonCancelled)
+	it := a.running[keyOf(ref)]
+	if it == nil || it.stopped {
+		return
+	}
+	it.stopped = true
+	done := group.Go(a.runCtx, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		return it.slot.Stop(ctx, ref)
+	})
+	a.stops.Add(1)
+	go func() {
+		defer a.stops.Done()
+		if err := <-done; err != nil {
+			a.log.V(2).Info("stop failed", "submission", ref.Submission.String(), "task", ref.Task, "error", err.Error())
+		}
+	}()
+}
+
+// follow counts a running task for the session that asked for it last.
+func (a *Agent) follow(l *link, r wire.Result) {
+	if it := a.running[keyOf(r.TaskRef)]; it != nil && r.State == wire.TaskRunning {
+		it.link = l.number
+	}
+}
+
+// configure keeps the highest revision, so that a node never reverts.
+func (a *Agent) configure(c *wire.Config) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.config != nil && c.Revision <= a.config.Revision {
+		return
+	}
+	a.config = c
+	a.log.Info("configuration in force", "revision", c.Revision)
+	for _, l := range a.links {
+		a.update(l, func(*wire.Frame) {})
+	}
+}
+
+// deliver sends the answers for discarded tasks to their homes.
+func (a *Agent) deliver(discarded []ledger.Answer) {
+	for _, answer := range discarded {
+		r := answer.Result()
+		a.queue.remove(keyOf(r.TaskRef))
+		a.decide("task not started", &r.TaskRef, r.State.String(), r.Reason, "")
+		a.send(answer)
+	}
+}
+
+// send gives a result to the session of the home that asked last. If the
+// session is broken, the result waits in the ledger for a query or a recovery.
+func (a *Agent) send(answer ledger.Answer) {
+	if l := a.links[answer.Asker().Session()]; l != nil {
+		a.reply(l, answer.Result())
+	}
+}
+
+func (a *Agent) reply(l *link, r wire.Result) {
+	if r.State == 0 {
+		return
+	}
+	a.update(l, func(f *wire.Frame) { f.Results = append(f.Results, r) })
+}
+
+// update adds to the next frame, which carries load and revision as well.
+func (a *Agent) update(l *link, add func(f *wire.Frame)) {
+	l.session.Update(func(f *wire.Frame) {
+		add(f)
+		load := a.load(l)
+		f.Load = &load
+		f.Revision = a.revision()
+	})
+}
+
+func (a *Agent) revision() uint64 {
+	if a.config == nil {
+		return 0
+	}
+	return a.config.Revision
+}
--- /dev/null
+++ b/internal/agent/harness_test.go
@@ -0,0 +1,243 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"gypsumtide"
+	"gypsumtide/internal/settings"
+	"gypsumtide/internal/standin/worker"
+	"gypsumtide/internal/wire"
+)
+
+// fakeEntry is the entry side of sessions, as far as a test needs it.
+type fakeEntry struct {
+	t           *testing.T
+	server      *httptest.Server
+	incarnation string
+	config      *wire.Config
+	clock       gypsumtide.Clock
+	ctx         context.Context
+
+	mu       sync.Mutex
+	sessions []*wire.Session
+	frames   []*wire.Frame
+	entries  []wire.EntryInfo
+}
+
+func newFakeEntry(t *testing.T, name string) *fakeEntry {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &fakeEntry{t: t, incarnation: name + "-1", clock: gypsumtide.NewSystemClock(), ctx: ctx}
+	e.server = httptest.NewServer(http.HandlerFunc(e.accept))
+	t.Cleanup(func() {
+		cancel()
+		e.server.Close()
+	})
+	return e
+}
+
+func (e *fakeEntry) accept(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/session" {
+		http.NotFound(w, r)
+		return
+	}
+	s, err := wire.Accept(w, r, e.clock, wire.Timing{Heartbeat: 50, Silence: 1500}, &wire.Counters{})
+	if err != nil {
+		return
+	}
+	hello, err := s.ReadFrame(e.ctx)
+	if err != nil || hello.Hello == nil {
+		return
+	}
+	e.mu.Lock()
+	entries := e.entries
+	e.mu.Unlock()
+	if err := s.WriteFrame(e.ctx, &wire.Frame{Welcome: &wire.Welcome{Name: e.incarnation, Incarnation: e.incarnation, Entries: entries}, Config: e.config}); err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.sessions = append(e.sessions, s)
+	e.mu.Unlock()
+	_ = s.Run(e.ctx, func(f *wire.Frame) error {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.frames = append(e.frames, f)
+		return nil
+	})
+}
+
+// session waits for the n-th session, from 1.
+func (e *fakeEntry) session(n int) *wire.Session {
+	e.t.Helper()
+	var s *wire.Session
+	e.wait("session", func() bool {
+		if len(e.sessions) >= n {
+			s = e.sessions[n-1]
+		}
+		return s != nil
+	})
+	return s
+}
+
+// wait polls cond under the mutex for up to 10 s.
+func (e *fakeEntry) wait(what string, cond func() bool) {
+	e.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		e.mu.Lock()
+		ok := cond()
+		e.mu.Unlock()
+		if ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			e.t.Fatalf("timed out waiting for %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// send adds messages to the next frame of the newest session.
+func (e *fakeEntry) send(add func(f *wire.Frame)) {
+	e.t.Helper()
+	e.mu.Lock()
+	n := len(e.sessions)
+	e.mu.Unlock()
+	e.session(max(n, 1)).Update(add)
+}
+
+// results returns the results received for a task.
+func (e *fakeEntry) results(ref wire.TaskRef) []wire.Result {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resultsLocked(ref)
+}
+
+func (e *fakeEntry) resultsLocked(ref wire.TaskRef) []wire.Result {
+	var list []wire.Result
+	for _, f := range e.frames {
+		for _, r := range f.Results {
+			if r.Submission == ref.Submission && r.Task == ref.Task {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// result waits for the n-th result of a task, from 1.
+func (e *fakeEntry) result(ref wire.TaskRef, n int) wire.Result {
+	e.t.Helper()
+	var r wire.Result
+	e.wait("result", func() bool {
+		list := e.resultsLocked(ref)
+		if len(list) < n {
+			return false
+		}
+		r = list[n-1]
+		return true
+	})
+	return r
+}
+
+// announced waits until the last announcement satisfies cond.
+func (e *fakeEntry) announced(what string, cond func(a *wire.Announcement) bool) {
+	e.t.Helper()
+	e.wait(what, func() bool {
+		for i := len(e.frames) - 1; i >= 0; i-- {
+			if a := e.frames[i].Announcement; a != nil {
+				return cond(a)
+			}
+		}
+		return false
+	})
+}
+
+// serving is the condition that an upstream with the slots is announced.
+func serving(slots int) func(a *wire.Announcement) bool {
+	return func(a *wire.Announcement) bool { return len(a.Upstreams) == 1 && a.Upstreams[0].Slots == slots }
+}
+
+// run is a goroutine that stops with the test or earlier.
+type run struct {
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func start(t *testing.T, fn func(ctx context.Context) error) *run {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &run{cancel: cancel, done: make(chan error, 1)}
+	go func() {
+		r.done <- fn(ctx)
+		close(r.done)
+	}()
+	t.Cleanup(func() { r.stop() })
+	return r
+}
+
+// stop ends the goroutine and returns its error once.
+func (r *run) stop() error {
+	r.cancel()
+	return <-r.done
+}
+
+func startAgent(t *testing.T, change func(cfg *settings.Agent), entries ...*fakeEntry) (*Agent, *run) {
+	cfg := settings.DefaultAgent()
+	cfg.Listen = "127.0.0.1:0"
+	cfg.Name = "agent-1"
+	cfg.Heartbeat = 50
+	cfg.DrainTimeout = 5000
+	cfg.Entries = nil
+	for _, e := range entries {
+		cfg.Entries = append(cfg.Entries, e.server.URL)
+	}
+	if change != nil {
+		change(cfg)
+	}
+	a, err := New(cfg, logr.Discard(), gypsumtide.NewSystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := start(t, a.Run)
+	for a.Address() == "" {
+		time.Sleep(time.Millisecond)
+	}
+	return a, r
+}
+
+func startWorker(t *testing.T, a *Agent, change func(cfg *worker.Config)) (*worker.Worker, *run) {
+	cfg := worker.DefaultConfig()
+	cfg.Agent = "http://" + a.Address()
+	cfg.DrainTimeout = 5 * time.Second
+	if change != nil {
+		change(&cfg)
+	}
+	w, err := worker.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w, start(t, w.Run)
+}
+
+func newID(t *testing.T) gypsumtide.SubmissionID {
+	id, err := gypsumtide.NewSubmissionID()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+func dispatch(ref wire.TaskRef, payload string) wire.Dispatch {
+	return wire.Dispatch{TaskRef: ref, Shard: ref.Submission.Shard(), Service: "echo", Budget: 5000, Payload: []byte(payload), ContentType: "application/json"}
+}
+
+func (e *fakeEntry) dispatch(ds ...wire.Dispatch) {
+	e.t.Helper()
+	e.send(func(f *wire.Frame) { f.Dispatches = append(f.Dispatches, ds...) })
+}
--- /dev/null
+++ b/internal/agent/server.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// Status is the answer of GET /v1/status.
+type Status struct {
+	Name        string            `json:"name"`
+	Incarnation string            `json:"incarnation"`
+	Zone        string            `json:"zone"`
+	Rack        string            `json:"rack"`
+	Revision    uint64            `json:"revision"`
+	Draining    bool              `json:"draining"`
+	Running     int               `json:"running"`
+	Queued      int               `json:"queued"`
+	Entries     []StatusEntry     `json:"entries"`
+	Upstreams   []wire.Upstream   `json:"upstreams"`
+	Ledger      StatusLedger      `json:"ledger"`
+	Now         gypsumtide.Millis `json:"now-ms"`
+}
+
+// StatusEntry is an address that the agent dials.
+type StatusEntry struct {
+	URL         string `json:"url"`
+	Name        string `json:"name,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Connected   bool   `json:"connected"`
+}
+
+// StatusLedger sums the start ledger up.
+type StatusLedger struct {
+	Entries       int `json:"entries"`
+	RetainedBytes int `json:"retained-bytes"`
+}
+
+func (a *Agent) listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", a.cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("agent: listen: %w", err)
+	}
+	a.mu.Lock()
+	a.address = l.Addr().String()
+	a.mu.Unlock()
+	return l, nil
+}
+
+// Address returns the address of the HTTP server once Run listens.
+func (a *Agent) Address() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.address
+}
+
+func (a *Agent) serve(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 5 * time.Second}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	select {
+	case err := <-done:
+		return fmt.Errorf("http server: %w", err)
+	case <-ctx.Done():
+	}
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := srv.Shutdown(sctx); err != nil {
+		_ = srv.Close()
+	}
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("http server: %w", err)
+	}
+	return ctx.Err()
+}
+
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	upstreams := a.registry.Handler()
+	mux.Handle("/v1/upstreams", upstreams)
+	mux.Handle("/v1/upstreams/", upstreams)
+	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.WritePrometheus(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", a.ready)
+	return mux
+}
+
+// ready answers 200 if the agent has a session and is not draining.
+func (a *Agent) ready(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	ok := len(a.links) > 0 && !a.draining
+	a.mu.Unlock()
+	if !ok {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+func (a *Agent) status(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	s := Status{
+		Name: a.cfg.Name, Incarnation: a.incarnation, Zone: a.cfg.Zone, Rack: a.cfg.Rack,
+		Revision: a.revision(), Draining: a.draining, Running: len(a.running), Queued: a.queue.len(),
+		Upstreams: a.registry.Announced(), Now: a.clock.Now(),
+		Ledger: StatusLedger{Entries: a.ledger.Entries(), RetainedBytes: a.ledger.RetainedBytes()},
+	}
+	for _, t := range a.targets {
+		e := StatusEntry{URL: t.url, Connected: t.link != nil}
+		if t.link != nil {
+			e.Name, e.Incarnation = t.link.welcome.Name, t.link.welcome.Incarnation
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	a.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+func readKey(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("agent: shared key: %w", err)
+	}
+	key := strings.TrimSpace(string(data))
+	if key == "" {
+		return "", fmt.Errorf("agent: shared key: %s is empty", path)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/internal/agent/sessions.go
@@ -0,0 +1,255 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+const (
+	minBackOff = 50 * time.Millisecond
+	maxBackOff = time.Second
+	// dialTimeout bounds a connection attempt including the handshake.
+	dialTimeout = 2 * time.Second
+)
+
+var errSecondSession = errors.New("another session to the same entry exists")
+
+// link is an established session. Numbers rise with each session.
+type link struct {
+	number  uint64
+	session *wire.Session
+	welcome *wire.Welcome
+	// counters are the session's own, so that a drain can tell when a frame is written.
+	counters *wire.Counters
+	// echo is the newest of this agent's clock readings that the entry has returned.
+	echo gypsumtide.Millis
+}
+
+// target is an entry address that the agent keeps dialling.
+type target struct {
+	url    string
+	fixed  bool
+	cancel context.CancelFunc
+	link   *link
+}
+
+// dialEntries keeps a session to each entry until ctx is done.
+func (a *Agent) dialEntries(ctx context.Context) error {
+	var wg sync.WaitGroup
+	a.mu.Lock()
+	a.dial = func(url string, fixed bool) {
+		tctx, cancel := context.WithCancel(ctx)
+		t := &target{url: url, fixed: fixed, cancel: cancel}
+		a.targets[url] = t
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a.keepSession(tctx, t)
+		}()
+	}
+	for _, url := range a.cfg.Entries {
+		if url = normalURL(url); a.targets[url] == nil {
+			a.dial(url, true)
+		}
+	}
+	a.mu.Unlock()
+	<-ctx.Done()
+	a.mu.Lock()
+	a.dial = nil
+	a.mu.Unlock()
+	wg.Wait()
+	return ctx.Err()
+}
+
+// keepSession dials again after each break, with a growing back-off.
+func (a *Agent) keepSession(ctx context.Context, t *target) {
+	backOff := minBackOff
+	for ctx.Err() == nil {
+		established, err := a.runSession(ctx, t)
+		if ctx.Err() != nil {
+			return
+		}
+		if established {
+			backOff = minBackOff
+		}
+		a.log.V(2).Info("session ended", "entry", t.url, "error", fmt.Sprint(err))
+		if a.forgotten(t) {
+			return
+		}
+		// Jitter keeps the agents from dialling a restarted entry in step.
+		pause := backOff/2 + rand.N(backOff)
+		backOff = min(2*backOff, maxBackOff)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (a *Agent) runSession(ctx context.Context, t *target) (established bool, err error) {
+	counters := &wire.Counters{}
+	timing := wire.Timing{Heartbeat: a.cfg.Heartbeat, Silence: a.cfg.Silence}
+	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s, err := wire.Dial(hctx, a.client, sessionURL(t.url), a.key, a.clock, timing, counters)
+	if err != nil {
+		return false, err
+	}
+	defer s.Close()
+	welcome, err := a.handshake(hctx, s)
+	if err != nil {
+		return false, err
+	}
+	l := &link{session: s, welcome: welcome, counters: counters}
+	if err := a.open(t, l); err != nil {
+		return false, err
+	}
+	defer a.close(t, l)
+	a.learn(l, welcome)
+	return true, s.Run(ctx, func(f *wire.Frame) error { return a.handle(l, f) })
+}
+
+func (a *Agent) handshake(ctx context.Context, s *wire.Session) (*wire.Welcome, error) {
+	hello := &wire.Hello{Kind: "agent", Name: a.cfg.Name, Incarnation: a.incarnation, Zone: a.cfg.Zone, Rack: a.cfg.Rack}
+	if err := s.WriteFrame(ctx, &wire.Frame{Hello: hello}); err != nil {
+		return nil, err
+	}
+	f, err := s.ReadFrame(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if f.Config != nil {
+		a.configure(f.Config)
+	}
+	if f.Welcome == nil {
+		return nil, gypsumtide.NewError("handshake", s.Peer(), errors.New("no welcome"))
+	}
+	return f.Welcome, nil
+}
+
+// open registers the session, unless the same entry incarnation has one.
+func (a *Agent) open(t *target, l *link) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.connected(l.welcome.Incarnation) {
+		return errSecondSession
+	}
+	a.lastLink++
+	l.number = a.lastLink
+	a.links[l.number] = l
+	t.link = l
+	announcement := a.announcement()
+	a.update(l, func(f *wire.Frame) { f.Announcement = announcement })
+	a.log.Info("session established", "entry", l.welcome.Name, "incarnation", l.welcome.Incarnation, "url", t.url)
+	return nil
+}
+
+// connected reports whether a session to the entry incarnation exists.
+func (a *Agent) connected(incarnation string) bool {
+	for _, l := range a.links {
+		if l.welcome.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) close(t *target, l *link) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.links, l.number)
+	t.link = nil
+}
+
+// learn dials entries that are new in a welcome and drops those that left.
+func (a *Agent) learn(l *link, w *wire.Welcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l.welcome = w
+	if a.dial == nil {
+		return
+	}
+	for _, e := range w.Entries {
+		// A connected entry may advertise another address than the one dialled.
+		if url := normalURL(e.URL); url != "" && a.targets[url] == nil && !a.connected(e.Incarnation) {
+			a.dial(url, false)
+		}
+	}
+	for _, t := range a.targets {
+		// A target with a session is dropped when the session ends.
+		if t.link == nil && !t.fixed && !a.listed(t.url) {
+			t.cancel()
+			delete(a.targets, t.url)
+		}
+	}
+}
+
+// listed reports whether a connected entry lists the address.
+func (a *Agent) listed(url string) bool {
+	for _, l := range a.links {
+		if slices.ContainsFunc(l.welcome.Entries, func(e wire.EntryInfo) bool { return normalURL(e.URL) == url }) {
+			return true
+		}
+	}
+	return false
+}
+
+// forgotten drops a target that no connected entry lists any more. Without any
+// session the agent keeps dialling, since nothing says that the entry left.
+func (a *Agent) forgotten(t *target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.fixed || len(a.links) == 0 || a.listed(t.url) {
+		return false
+	}
+	delete(a.targets, t.url)
+	return true
+}
+
+// announce sends load each heartbeat and the announcement when it changes.
+func (a *Agent) announce(ctx context.Context) error {
+	ticker := time.NewTicker(a.cfg.Heartbeat.Duration())
+	defer ticker.Stop()
+	sent := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-a.offer:
+		}
+		a.mu.Lock()
+		announcement := a.announcement()
+		// Leases and back-offs end without an event, so each heartbeat compares.
+		now := fmt.Sprintf("%+v", *announcement)
+		for _, l := range a.links {
+			a.update(l, func(f *wire.Frame) {
+				if now != sent {
+					f.Announcement = announcement
+				}
+			})
+		}
+		sent = now
+		a.mu.Unlock()
+	}
+}
+
+func (a *Agent) announcement() *wire.Announcement {
+	return &wire.Announcement{Upstreams: a.registry.Announced(), Draining: a.draining}
+}
+
+func normalURL(url string) string { return strings.TrimSuffix(url, "/") }
+
+// sessionURL returns the address of the session endpoint of an entry.
+func sessionURL(base string) string {
+	return "ws" + strings.TrimPrefix(normalURL(base), "http") + "/v1/session"
+}
--- /dev/null
+++ b/internal/settings/agent.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"fmt"
+	"net/url"
+	"os"
+
+	"gypsumtide"
+)
+
+// Agent holds the settings of gypsumtide-agent.
+type Agent struct {
+	Common `yaml:",inline"`
+	// Entries are the base URLs of the entries dialled first; the others are learned from them.
+	Entries []string `yaml:"entries"`
+	// QueueLength bounds the tasks that wait for a slot.
+	QueueLength int `yaml:"queue-length"`
+	// ReserveShort is the percentage of slots that long tasks may not use.
+	ReserveShort int `yaml:"reserve-short"`
+	// Slots, Connections and LeaseTTL apply to upstreams that announce none.
+	Slots       int               `yaml:"slots"`
+	Connections int               `yaml:"connections"`
+	LeaseTTL    gypsumtide.Millis `yaml:"lease-ttl"`
+	// ResultRetention is the time for which results are kept for a home that lost them.
+	ResultRetention gypsumtide.Millis `yaml:"result-retention"`
+	// ResultBytes bounds the results kept.
+	ResultBytes int `yaml:"result-bytes"`
+	// IDRetention is the time for which ids are remembered. It must be the same on all processes.
+	IDRetention gypsumtide.Millis `yaml:"id-retention"`
+	// MaxRunTime is the time after which the agent gives up waiting for a started task.
+	MaxRunTime gypsumtide.Millis `yaml:"max-run-time"`
+	// DrainTimeout bounds the wait for running tasks at shutdown.
+	DrainTimeout gypsumtide.Millis `yaml:"drain-timeout"`
+	// Heartbeat is the longest time between two frames to an entry.
+	Heartbeat gypsumtide.Millis `yaml:"heartbeat"`
+	// Silence is the time without a frame after which a session is broken.
+	Silence gypsumtide.Millis `yaml:"silence"`
+	// Credit is the age at which the agent rejects the echo in a dispatch.
+	Credit   gypsumtide.Millis `yaml:"credit"`
+	Ejection Ejection          `yaml:"ejection"`
+}
+
+// Ejection controls when a failing upstream gets no more work.
+type Ejection struct {
+	Window         gypsumtide.Millis `yaml:"window"`
+	MinResults     int               `yaml:"min-results"`
+	FailurePercent int               `yaml:"failure-percent"`
+	BackOff        gypsumtide.Millis `yaml:"back-off"`
+	MaxBackOff     gypsumtide.Millis `yaml:"max-back-off"`
+	Probes         int               `yaml:"probes"`
+}
+
+// DefaultAgent returns settings that run on loopback as they are.
+func DefaultAgent() *Agent {
+	name, err := os.Hostname()
+	if err != nil || name == "" {
+		name = "agent"
+	}
+	return &Agent{
+		Common:          Common{Name: name, Listen: "127.0.0.1:7101", Zone: "zone-1", Rack: "rack-1", Log: DefaultLog()},
+		Entries:         []string{"http://127.0.0.1:7001"},
+		QueueLength:     64,
+		ReserveShort:    25,
+		Slots:           8,
+		Connections:     64,
+		LeaseTTL:        2000,
+		ResultRetention: 60_000,
+		ResultBytes:     16 << 20,
+		IDRetention:     600_000,
+		MaxRunTime:      300_000,
+		DrainTimeout:    30_000,
+		Heartbeat:       300,
+		Silence:         1500,
+		Credit:          1000,
+		Ejection:        Ejection{Window: 5000, MinResults: 8, FailurePercent: 80, BackOff: 1000, MaxBackOff: 30_000, Probes: 3},
+	}
+}
+
+// Check implements Checked.
+func (a *Agent) Check() []error {
+	errs := a.CheckCommon()
+	if len(a.Entries) == 0 {
+		errs = append(errs, fmt.Errorf("entries: must name at least one entry"))
+	}
+	for _, e := range a.Entries {
+		u, err := url.Parse(e)
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			errs = append(errs, fmt.Errorf("entries: %q is not an http URL with a host", e))
+		}
+	}
+	errs = append(errs, CheckRange("queue-length", int64(a.QueueLength), 0, 100_000)...)
+	errs = append(errs, CheckRange("reserve-short", int64(a.ReserveShort), 0, 90)...)
+	errs = append(errs, CheckRange("slots", int64(a.Slots), 1, 10_000)...)
+	errs = append(errs, CheckRange("connections", int64(a.Connections), 1, 100_000)...)
+	errs = append(errs, CheckMillis("lease-ttl", a.LeaseTTL, 100, 60_000)...)
+	errs = append(errs, CheckMillis("result-retention", a.ResultRetention, 1000, a.IDRetention)...)
+	errs = append(errs, CheckRange("result-bytes", int64(a.ResultBytes), 0, 1<<30)...)
+	errs = append(errs, CheckMillis("id-retention", a.IDRetention, 10_000, 86_400_000)...)
+	errs = append(errs, CheckMillis("max-run-time", a.MaxRunTime, 100, 86_400_000)...)
+	errs = append(errs, CheckMillis("drain-timeout", a.DrainTimeout, 0, 600_000)...)
+	errs = append(errs, CheckMillis("heartbeat", a.Heartbeat, 10, 10_000)...)
+	errs = append(errs, CheckMillis("silence", a.Silence, 2*a.Heartbeat, 60_000)...)
+	errs = append(errs, CheckMillis("credit", a.Credit, 2*a.Heartbeat, 1000)...)
+	return append(errs, a.Ejection.check()...)
+}
+
+func (e *Ejection) check() []error {
+	errs := CheckMillis("ejection.window", e.Window, 100, 600_000)
+	// The window keeps 64 results at most.
+	errs = append(errs, CheckRange("ejection.min-results", int64(e.MinResults), 1, 64)...)
+	errs = append(errs, CheckRange("ejection.failure-percent", int64(e.FailurePercent), 1, 100)...)
+	errs = append(errs, CheckMillis("ejection.back-off", e.BackOff, 10, 600_000)...)
+	errs = append(errs, CheckMillis("ejection.max-back-off", e.MaxBackOff, e.BackOff, 3_600_000)...)
+	return append(errs, CheckRange("ejection.probes", int64(e.Probes), 1, 100)...)
+}
