Run the thin path with one entry and one agent

Cause: the home crashed at its first tick, since the table existed twice in the struct and one was nil. Change: one table; panics of group members carry their stack.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -61,7 +61,6 @@
 	jobs map[gypsumtide.SubmissionID]*activeJob
 	// recovering holds the jobs among them that wait for agents' ledgers.
 	recovering map[gypsumtide.SubmissionID]*activeJob
-	table      *submission.Table
 	agents     map[string]*agentConn
 	current    map[string]*agentConn
 	pools      map[string]*pool
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -19,7 +20,7 @@
 	go func() {
 		defer func() {
 			if p := recover(); p != nil {
-				done <- fmt.Errorf("%w: %v", ErrPanic, p)
+				done <- fmt.Errorf("%w: %v\n%s", ErrPanic, p, debug.Stack())
 			}
 		}()
 		done <- fn(ctx)
