Own shards through the platform's log

Cause: one entry owned everything. Change: the entry follows the shards stream, feeds the shard manager, executes its appends, promise requests and roster notes, forwards to other homes and recovers submissions in doubt.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -175,8 +175,9 @@
 	h.invalidate()
 }
 
-// handleAgent takes one frame from an agent.
-func (h *home) handleAgent(c *agentConn, f *wire.Frame) {
+// handleAgent takes one frame from an agent. It reports whether the agent is
+// draining and holds no task, so that it starts none any more.
+func (h *home) handleAgent(c *agentConn, f *wire.Frame) (left bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -200,6 +201,7 @@
 			h.pump(p, now)
 		}
 	}
+	return c.draining && f.Load != nil && f.Load.Running+f.Load.Queued == 0
 }
 
 // settleResult applies a result to its job. A result that matches no open task is dropped.
@@ -301,7 +303,9 @@
 		for _, p := range f.Promised {
 			e.owner.Promised(rec.Incarnation, p)
 		}
-		e.home.handleAgent(c, f)
+		if e.home.handleAgent(c, f) {
+			e.owner.AgentLeft(rec.Incarnation)
+		}
 		return nil
 	})
 	e.home.agentDown(c, s)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,14 +17,22 @@
 
 	"gypsumtide"
 	"gypsumtide/internal/group"
+	"gypsumtide/internal/journal"
 	"gypsumtide/internal/settings"
+	"gypsumtide/internal/shard"
 	"gypsumtide/internal/submission"
 	"gypsumtide/internal/wire"
 )
 
+// handoverTimeout bounds the wait for other entries to own the shards.
+const handoverTimeout = 3 * time.Second
+
 // tickInterval is the resolution of deadlines and requeues at the home.
 const tickInterval = 10 * time.Millisecond
 
+// logTimeout bounds one request to the platform's log.
+const logTimeout gypsumtide.Millis = 1_000
+
 // Entry is the daemon.
 type Entry struct {
 	cfg         *settings.Entry
@@ -34,21 +43,32 @@
 	client      *http.Client
 	counters    wire.Counters
 	metrics     *meters
-	owner       owner
+	owner       *shard.Manager
+	state       *shard.State
+	shards      *journal.Follower
+	configs     *journal.Follower
 	home        *home
 	links       *links
 	sessionCtx  context.Context
 	background  *group.Group
 	draining    atomic.Bool
+
+	learnedMu sync.Mutex
+	learned   map[string]bool
 }
 
 // New returns an entry that is ready to run.
 func New(cfg *settings.Entry, clock gypsumtide.Clock, log logr.Logger) (*Entry, error) {
 	e := &Entry{
 		cfg: cfg, clock: clock, log: log, incarnation: uuid.NewString(), metrics: newMeters(),
-		client: &http.Client{},
+		client: &http.Client{}, learned: make(map[string]bool),
 	}
-	e.owner = newSoleOwner(e)
+	self := wire.EntryInfo{Name: cfg.Name, Incarnation: e.incarnation, URL: cfg.URL, Zone: cfg.Zone}
+	e.state = shard.NewState()
+	e.owner = shard.New(shard.DefaultConfig(self), e.state, clock)
+	platformLog := journal.NewClient(cfg.LogURL, e.client, logTimeout)
+	e.shards = journal.New(platformLog, shardsStream, e.state, clock, log)
+	e.shards.SetRetention(cfg.LogRetention)
 	rules := submission.NewRules(cfg.MaxSkew(), cfg.IDRetention)
 	table := submission.NewTable(cfg.AnswerRetention, cfg.MaxTableBytes)
 	h, err := newHome(homeOptions{
@@ -78,6 +98,8 @@
 	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
 	g.Add("serve HTTP", func(context.Context) error { return serve(server, listener) })
 	g.Add("tick", e.tick)
+	g.Add("follow the shards stream", e.shards.Run)
+	g.Add("control", e.control)
 	g.Add("stop", func(context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -104,11 +126,30 @@
 	e.log.Info("entry draining")
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout.Duration())
 	defer cancel()
+	e.owner.Drain()
+	e.awaitHandover(ctx)
 	if err := server.Shutdown(ctx); err != nil {
 		e.log.Info("drain timeout: requests were cut", "error", err.Error())
 	}
 }
 
+// awaitHandover waits until other entries own this entry's shards, or for the
+// drain delay if there is no other entry. The listener stays open for callers
+// whose balancer has not noticed the drain.
+func (e *Entry) awaitHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	t := time.NewTicker(controlInterval)
+	defer t.Stop()
+	for !e.owner.Left() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 func (e *Entry) tick(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
@@ -123,7 +164,7 @@
 }
 
 // ready reports whether this entry can serve callers.
-func (e *Entry) ready() bool { return !e.draining.Load() }
+func (e *Entry) ready() bool { return !e.draining.Load() && e.shards.Ready() && e.owner.Ready() }
 
 func (e *Entry) handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -11,6 +11,7 @@
 	"gypsumtide"
 	"gypsumtide/internal/job"
 	"gypsumtide/internal/limit"
+	"gypsumtide/internal/shard"
 	"gypsumtide/internal/submission"
 	"gypsumtide/internal/wire"
 )
@@ -39,9 +40,9 @@
 	Usable(incarnation string, s gypsumtide.ShardID) bool
 	// Candidates returns the incarnations that a submission of n tasks may use.
 	Candidates(id gypsumtide.SubmissionID, n int) []string
-	// RecoveryCandidates returns the incarnations that may have started tasks of
-	// the submission under an earlier home.
-	RecoveryCandidates(id gypsumtide.SubmissionID, n int) []string
+	// RecoveryCandidates returns the agents that may have started tasks of the
+	// submission under an earlier home; complete is false if there may be others.
+	RecoveryCandidates(id gypsumtide.SubmissionID, n int) (candidates []shard.RecoveryCandidate, complete bool)
 }
 
 // activeJob is a job with the home's bookkeeping.
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -70,7 +70,8 @@
 		badRequest(w, r, err)
 		return
 	}
-	if skew := e.owner.Skew(); skew > e.cfg.MaxSkew() {
+	if e.owner.SkewExceeded() {
+		skew := e.owner.Skew()
 		p := &wire.Problem{Type: "clock-skew", Status: http.StatusServiceUnavailable, Step: "check clock", Detail: fmt.Sprintf("the clock of this entry is %d ms off", skew), RetryAfter: 1_000}
 		writeProblem(w, r, p, gypsumtide.OutcomeNotRun, &req.Submission)
 		return
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -43,7 +43,6 @@
 	next    uint64
 	pending map[uint64]chan wire.Answer
 	broken  bool
-	beats   map[uint64]gypsumtide.Millis
 }
 
 func newLinks(e *Entry) *links {
@@ -136,11 +135,11 @@
 	e.learn(f.Welcome.Entries)
 	k := &link{
 		session: s, incarnation: f.Welcome.Incarnation, name: f.Welcome.Name,
-		pending: make(map[uint64]chan wire.Answer), beats: make(map[uint64]gypsumtide.Millis),
+		pending: make(map[uint64]chan wire.Answer),
 	}
 	l.add(k)
 	defer l.remove(k)
-	if !e.ready() {
+	if !e.shards.Ready() {
 		s.Update(func(f *wire.Frame) { f.StateRequest = true })
 	}
 	e.log.Info("link up", "peer", k.name, "incarnation", k.incarnation)
@@ -169,22 +168,6 @@
 	k.pending = nil
 }
 
-// beat sends a heartbeat and remembers when, since an acknowledgement extends
-// leases from the sending time.
-func (k *link) beat(hb wire.Heartbeat, now gypsumtide.Millis) {
-	k.mu.Lock()
-	k.next++
-	hb.Sequence = k.next
-	k.beats[hb.Sequence] = now
-	for seq, at := range k.beats {
-		if now-at > 10*heartbeat {
-			delete(k.beats, seq)
-		}
-	}
-	k.mu.Unlock()
-	k.session.Update(func(f *wire.Frame) { f.Heartbeat = &hb })
-}
-
 // forward sends a request to the peer and waits for the answer. It reports
 // false if the session breaks or ctx ends first.
 func (k *link) forward(ctx context.Context, req *wire.Forward) (wire.Answer, bool) {
@@ -216,19 +199,13 @@
 func (k *link) handle(e *Entry, f *wire.Frame) error {
 	e.owner.Heard(k.incarnation)
 	if f.Ack != nil {
-		k.mu.Lock()
-		sentAt, ok := k.beats[f.Ack.Sequence]
-		delete(k.beats, f.Ack.Sequence)
-		k.mu.Unlock()
-		if ok {
-			e.acknowledged(k, sentAt, f.Ack)
-		}
+		e.owner.HandleAck(k.incarnation, f.Ack)
 	}
 	for i := range f.Replies {
 		k.reply(&f.Replies[i])
 	}
-	for _, rec := range f.RosterAcks {
-		e.owner.RosterAcked(k.incarnation, rec)
+	if len(f.RosterAcks) > 0 {
+		e.owner.HandleNoteAcks(k.incarnation, f.RosterAcks)
 	}
 	if f.StateReply != nil {
 		return e.adopt(k.name, f.StateReply)
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -26,13 +26,22 @@
 	id := aj.Submission()
 	aj.SetRecovering(true)
 	aj.recovery = &recovery{asked: make(map[string]bool), pending: make(map[string]bool), until: min(aj.Deadline(), now+recoveryWait)}
-	for _, inc := range h.owner.RecoveryCandidates(id, len(aj.Tasks())) {
-		aj.recovery.pending[inc] = true
-	}
 	h.jobs[id] = aj
 	h.recovering[id] = aj
 	h.metrics.recoveries.Inc()
 	ch := aj.Wait()
+	candidates, complete := h.owner.RecoveryCandidates(id, len(aj.Tasks()))
+	if !complete {
+		h.failRecovery(aj, "", "an agent that is not known may have started tasks")
+		return ch
+	}
+	for _, c := range candidates {
+		if !c.CanAnswer {
+			h.failRecovery(aj, c.Incarnation, "the agent is gone")
+			return ch
+		}
+		aj.recovery.pending[c.Incarnation] = true
+	}
 	h.askAgents(aj, now)
 	h.finishRecovery(aj, now)
 	return ch
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -9,3 +9,12 @@
 	// Spec returns the settings of a pool.
 	Spec(pool string) poolSpec
 }
+
+type defaultRouter struct{}
+
+func (defaultRouter) Pool(string, string) (string, error) { return "default", nil }
+func (defaultRouter) InPool(string, string) bool          { return true }
+
+func (defaultRouter) Spec(pool string) poolSpec {
+	return poolSpec{name: pool, overcommit: 1, reserveShort: 25, maxEjected: 50}
+}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -89,13 +89,8 @@
 		})
 	}
 	if len(f.RosterNotes) > 0 {
-		acked := make([]wire.AgentRecord, 0, len(f.RosterNotes))
-		for _, rec := range f.RosterNotes {
-			if e.owner.NoteAgent(from, rec) {
-				acked = append(acked, rec)
-			}
-		}
-		s.Update(func(out *wire.Frame) { out.RosterAcks = append(out.RosterAcks, acked...) })
+		acks := e.owner.HandleNotes(from, f.RosterNotes)
+		s.Update(func(out *wire.Frame) { out.RosterAcks = append(out.RosterAcks, acks...) })
 	}
 	if f.StateRequest {
 		if reply := e.stateReply(); reply != nil {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -72,7 +72,7 @@
 func (r *route) run(ctx context.Context) (wire.Answer, bool) {
 	lastHome := r.started
 	for {
-		changed := r.entry.owner.Changed()
+		changed := r.entry.shards.Changed()
 		a, tried, ok := r.attempt(ctx)
 		if ok {
 			return a, true
@@ -130,8 +130,9 @@
 		Type: "no-home", Status: http.StatusServiceUnavailable, Step: "find home",
 		Detail: "the shard of this id has no reachable home", RetryAfter: 1_000,
 	}
-	since, homeless := r.entry.owner.HomelessSince(r.id.Shard())
-	unseen := homeless && r.id.Stamp() > since+r.entry.cfg.MaxSkew()
+	// The shard must have been without a home when the request arrived.
+	since, asOf, homeless := r.entry.owner.HomelessSince(r.id.Shard())
+	unseen := homeless && asOf >= r.started && r.id.Stamp() > since+2*r.entry.cfg.MaxSkew()
 	if !r.offered && (issued || unseen) {
 		return *refuse(r.id, p)
 	}
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -1,6 +1,9 @@
 package entry
 
-import "gypsumtide/internal/wire"
+import (
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
 
 // reportUsage takes the use of shared quotas at another home.
 func (h *home) reportUsage(from string, usage []wire.TeamUsage) {
@@ -8,3 +11,10 @@
 	defer h.mu.Unlock()
 	h.quotas.Report(from, usage, h.clock.Now())
 }
+
+// usage returns what this home reports to the others.
+func (h *home) usage(now gypsumtide.Millis) []wire.TeamUsage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.quotas.Usage(now)
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -315,10 +315,11 @@
 	RetryAfter gypsumtide.Millis `cbor:"7,keyasint,omitempty"`
 }
 
-// StateReply carries a node's folded control streams for a peer that cannot read the log.
+// StateReply carries a node's folded control streams, each with the offset up
+// to which it was folded, for a peer that cannot read the log.
 type StateReply struct {
-	Revision uint64 `cbor:"1,keyasint,omitempty"`
-	// Configuration and Shards are snapshots as written to the log.
-	Configuration []byte `cbor:"2,keyasint,omitempty"`
-	Shards        []byte `cbor:"3,keyasint,omitempty"`
+	ShardsAsOf        uint64 `cbor:"1,keyasint,omitempty"`
+	Shards            []byte `cbor:"2,keyasint,omitempty"`
+	ConfigurationAsOf uint64 `cbor:"3,keyasint,omitempty"`
+	Configuration     []byte `cbor:"4,keyasint,omitempty"`
 }
