--- /dev/null
+++ b/internal/shard/record.go
@@ -0,0 +1,134 @@
+package shard
+
+import (
+	"errors"
+	"fmt"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// Kind names what a record of the shards stream states.
+type Kind string
+
+// The kinds of records.
+const (
+	EntryJoined    Kind = "entry-joined"
+	EntryLeft      Kind = "entry-left"
+	AgentJoined    Kind = "agent-joined"
+	AgentLeft      Kind = "agent-left"
+	AgentRetired   Kind = "agent-retired"
+	Claim          Kind = "claim"
+	SuccessorNamed Kind = "successor-named"
+)
+
+// maxIncarnation bounds the text of an incarnation, so that a faulty writer
+// cannot fill every node's memory.
+const maxIncarnation = 128
+
+var errIllFormed = errors.New("ill-formed record")
+
+// Record is one record of the shards stream.
+type Record struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// Time is the author's Unix time.
+	Time gypsumtide.Millis `cbor:"2,keyasint"`
+	// Entry is set in entry-joined.
+	Entry *wire.EntryInfo `cbor:"3,keyasint,omitempty"`
+	// Agents is set in agent-joined. Only the incarnations are read in
+	// agent-left and agent-retired.
+	Agents []wire.AgentRecord `cbor:"4,keyasint,omitempty"`
+	// Author is the incarnation of the claimer, of the home that names a
+	// successor, or of the entry that leaves.
+	Author string `cbor:"5,keyasint,omitempty"`
+	// Home is the incarnation that a claim makes the home.
+	Home string `cbor:"6,keyasint,omitempty"`
+	// Successor is an incarnation, or empty if no entry can take over.
+	Successor string     `cbor:"7,keyasint,omitempty"`
+	Shards    []ShardRef `cbor:"8,keyasint,omitempty"`
+}
+
+// ShardRef names a shard in a claim or a naming.
+type ShardRef struct {
+	Shard gypsumtide.ShardID `cbor:"1,keyasint,omitempty"`
+	// Epoch is the epoch that a claim starts or that a naming leaves unchanged.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Base is the offset of the shard's last valid record that the author
+	// knew. The record is invalid for the shard if another one came between,
+	// so an append that takes effect late cannot undo a newer decision.
+	Base uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the record as it is appended to the log.
+func (r *Record) Encode() ([]byte, error) {
+	if err := r.check(); err != nil {
+		return nil, fmt.Errorf("shard: encode %s: %w", r.Kind, err)
+	}
+	return wire.Marshal(r)
+}
+
+// DecodeRecord decodes a record and checks its form.
+func DecodeRecord(data []byte) (*Record, error) {
+	var r Record
+	if err := wire.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("shard: record: %w", err)
+	}
+	if err := r.check(); err != nil {
+		return nil, fmt.Errorf("shard: record: %w", err)
+	}
+	return &r, nil
+}
+
+func (r *Record) check() error {
+	switch r.Kind {
+	case EntryJoined:
+		if r.Entry == nil || r.Entry.Name == "" || !validIncarnation(r.Entry.Incarnation) {
+			return errIllFormed
+		}
+	case EntryLeft:
+		if !validIncarnation(r.Author) {
+			return errIllFormed
+		}
+	case AgentJoined, AgentLeft, AgentRetired:
+		return r.checkAgents()
+	case Claim:
+		if !validIncarnation(r.Home) {
+			return errIllFormed
+		}
+		return r.checkShards()
+	case SuccessorNamed:
+		return r.checkShards()
+	default:
+		return fmt.Errorf("%w: kind %q", errIllFormed, r.Kind)
+	}
+	return nil
+}
+
+func (r *Record) checkAgents() error {
+	if len(r.Agents) == 0 {
+		return errIllFormed
+	}
+	for i := range r.Agents {
+		a := &r.Agents[i]
+		if !validIncarnation(a.Incarnation) || r.Kind == AgentJoined && a.Name == "" {
+			return errIllFormed
+		}
+	}
+	return nil
+}
+
+func (r *Record) checkShards() error {
+	if !validIncarnation(r.Author) || len(r.Successor) > maxIncarnation || len(r.Shards) == 0 || len(r.Shards) > gypsumtide.ShardCount {
+		return errIllFormed
+	}
+	var seen [gypsumtide.ShardCount]bool
+	for _, s := range r.Shards {
+		if s.Shard >= gypsumtide.ShardCount || seen[s.Shard] || s.Epoch == 0 {
+			return errIllFormed
+		}
+		seen[s.Shard] = true
+	}
+	return nil
+}
+
+func validIncarnation(s string) bool { return s != "" && len(s) <= maxIncarnation }
--- /dev/null
+++ b/internal/shard/state.go
@@ -0,0 +1,494 @@
+package shard
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// keepDeparted is how long departed agents and entries and old homes are kept
+// after their end, by the times in the records. It exceeds id-retention (10
+// min) so that the recovery of every id that is not expired can see them.
+const keepDeparted gypsumtide.Millis = 30 * 60 * 1000
+
+// Departure says how a process ended.
+type Departure uint8
+
+// The ways in which a process departs.
+const (
+	// Present means that the process has not departed.
+	Present Departure = iota
+	// Left means that the process announced its end after it had stopped.
+	Left
+	// Replaced means that a newer incarnation of the same name joined, which
+	// proves that this one is dead.
+	Replaced
+	// Retired means that an operator stated that the host is gone.
+	Retired
+)
+
+// String returns the name used in logs.
+func (d Departure) String() string {
+	switch d {
+	case Present:
+		return "present"
+	case Left:
+		return "left"
+	case Replaced:
+		return "replaced"
+	case Retired:
+		return "retired"
+	}
+	return "invalid"
+}
+
+// Member is what the fold knows of the presence of an entry or agent.
+type Member struct {
+	// Joined is the offset of the join, JoinedAt the author's Unix time.
+	Joined   uint64            `cbor:"1,keyasint,omitempty"`
+	JoinedAt gypsumtide.Millis `cbor:"2,keyasint,omitempty"`
+	// Departed is the offset of the record that ended it, DepartedAt its time.
+	Departed   uint64            `cbor:"3,keyasint,omitempty"`
+	DepartedAt gypsumtide.Millis `cbor:"4,keyasint,omitempty"`
+	Departure  Departure         `cbor:"5,keyasint,omitempty"`
+}
+
+// Present reports whether the member joined and has not departed.
+func (m *Member) Present() bool { return m.Departure == Present }
+
+// EntryMember is an entry with its presence.
+type EntryMember struct {
+	wire.EntryInfo
+	Member Member `cbor:"10,keyasint"`
+}
+
+// AgentMember is an agent with its presence.
+type AgentMember struct {
+	wire.AgentRecord
+	Member Member `cbor:"10,keyasint"`
+}
+
+// Home is the ownership of a shard.
+type Home struct {
+	// Home and Successor are incarnations; Home is empty if the shard was never owned.
+	Home      string `cbor:"1,keyasint,omitempty"`
+	Epoch     uint64 `cbor:"2,keyasint,omitempty"`
+	Successor string `cbor:"3,keyasint,omitempty"`
+	// Offset is the offset of the last valid record of the shard.
+	Offset uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Tenure is one epoch of a shard, for the recovery of ids of earlier homes.
+type Tenure struct {
+	Home  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Offset and Time belong to the claim.
+	Offset uint64            `cbor:"3,keyasint"`
+	Time   gypsumtide.Millis `cbor:"4,keyasint,omitempty"`
+	// Claimer appended the claim. Previous is the ownership that it replaced.
+	Claimer  string `cbor:"5,keyasint"`
+	Previous Home   `cbor:"6,keyasint"`
+	// Gap means that the home before may have used agents that no record and
+	// no living entry names: the claim was an orphan claim, the home before
+	// had a successor and did not leave in order.
+	Gap bool `cbor:"7,keyasint,omitempty"`
+}
+
+// State is the fold of the shards stream. It is safe for concurrent use, but
+// Apply and Restore must be called in offset order.
+type State struct {
+	version atomic.Uint64
+
+	mu      sync.RWMutex
+	entries map[string]*EntryMember
+	agents  map[string]*AgentMember
+	// newest holds the newest incarnation of each name.
+	newestEntry map[string]string
+	newestAgent map[string]string
+	shards      [gypsumtide.ShardCount]Home
+	tenures     [gypsumtide.ShardCount][]Tenure
+	next        uint64
+	illFormed   uint64
+	invalid     uint64
+	rosterTurn  uint64
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	s := &State{}
+	s.reset()
+	return s
+}
+
+func (s *State) reset() {
+	s.entries = map[string]*EntryMember{}
+	s.agents = map[string]*AgentMember{}
+	s.newestEntry = map[string]string{}
+	s.newestAgent = map[string]string{}
+}
+
+// Apply folds one record. A record that is ill-formed or invalid changes
+// nothing but a counter.
+func (s *State) Apply(offset uint64, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.version.Add(1)
+	if offset+1 > s.next {
+		s.next = offset + 1
+	}
+	r, err := DecodeRecord(data)
+	if err != nil {
+		s.illFormed++
+		return
+	}
+	if !s.apply(offset, r) {
+		s.invalid++
+	}
+}
+
+func (s *State) apply(offset uint64, r *Record) bool {
+	switch r.Kind {
+	case EntryJoined:
+		return s.joinEntry(offset, r)
+	case EntryLeft:
+		return s.leaveEntry(offset, r)
+	case AgentJoined:
+		return s.joinAgents(offset, r)
+	case AgentLeft:
+		return s.departAgents(offset, r, Left)
+	case AgentRetired:
+		return s.departAgents(offset, r, Retired)
+	case Claim:
+		return s.claim(offset, r)
+	case SuccessorNamed:
+		return s.name(offset, r)
+	}
+	return false
+}
+
+// Incarnations of one name are ordered as text, so a join that takes effect
+// after the join of a newer incarnation cannot pass the newer one off as dead.
+func (s *State) joinEntry(offset uint64, r *Record) bool {
+	if _, ok := s.entries[r.Entry.Incarnation]; ok {
+		return false
+	}
+	s.prune(r.Time)
+	e := &EntryMember{EntryInfo: *r.Entry, Member: Member{Joined: offset, JoinedAt: r.Time}}
+	s.entries[e.Incarnation] = e
+	newest := s.newestEntry[e.Name]
+	if newest > e.Incarnation {
+		depart(&e.Member, offset, r.Time, Replaced)
+		return true
+	}
+	if old := s.entries[newest]; old != nil && old.Member.Present() {
+		depart(&old.Member, offset, r.Time, Replaced)
+	}
+	s.newestEntry[e.Name] = e.Incarnation
+	return true
+}
+
+func (s *State) leaveEntry(offset uint64, r *Record) bool {
+	e := s.entries[r.Author]
+	if e == nil || !e.Member.Present() {
+		return false
+	}
+	depart(&e.Member, offset, r.Time, Left)
+	return true
+}
+
+func (s *State) joinAgents(offset uint64, r *Record) bool {
+	changed := false
+	for i := range r.Agents {
+		rec := r.Agents[i]
+		if _, ok := s.agents[rec.Incarnation]; ok {
+			continue
+		}
+		changed = true
+		a := &AgentMember{AgentRecord: rec, Member: Member{Joined: offset, JoinedAt: r.Time}}
+		s.agents[a.Incarnation] = a
+		newest := s.newestAgent[a.Name]
+		if newest > a.Incarnation {
+			depart(&a.Member, offset, r.Time, Replaced)
+			continue
+		}
+		if old := s.agents[newest]; old != nil && old.Member.Present() {
+			depart(&old.Member, offset, r.Time, Replaced)
+		}
+		s.newestAgent[a.Name] = a.Incarnation
+	}
+	if changed {
+		s.rosterTurn++
+		s.prune(r.Time)
+	}
+	return changed
+}
+
+// A departure of an unknown agent is kept, so that a join which takes effect
+// later does not bring the agent back.
+func (s *State) departAgents(offset uint64, r *Record, how Departure) bool {
+	changed := false
+	for i := range r.Agents {
+		rec := r.Agents[i]
+		a := s.agents[rec.Incarnation]
+		if a == nil {
+			a = &AgentMember{AgentRecord: wire.AgentRecord{Incarnation: rec.Incarnation}}
+			a.Member = Member{Joined: offset, JoinedAt: r.Time}
+			s.agents[rec.Incarnation] = a
+		}
+		if a.Member.Present() {
+			depart(&a.Member, offset, r.Time, how)
+			changed = true
+		}
+	}
+	if changed {
+		s.rosterTurn++
+	}
+	return changed
+}
+
+func depart(m *Member, offset uint64, at gypsumtide.Millis, how Departure) {
+	m.Departed, m.DepartedAt, m.Departure = offset, at, how
+}
+
+func (s *State) claim(offset uint64, r *Record) bool {
+	if !s.presentEntry(r.Author) || !s.presentEntry(r.Home) || !s.validSuccessor(r.Home, r.Successor) {
+		return false
+	}
+	changed := false
+	for _, ref := range r.Shards {
+		h := &s.shards[ref.Shard]
+		if ref.Epoch != h.Epoch+1 || ref.Base != h.Offset {
+			continue
+		}
+		orphan := h.Epoch > 0 && r.Author != h.Home && r.Author != h.Successor
+		t := Tenure{Home: r.Home, Epoch: ref.Epoch, Offset: offset, Time: r.Time, Claimer: r.Author, Previous: *h}
+		t.Gap = orphan && h.Successor != "" && !s.leftInOrder(h.Home)
+		*h = Home{Home: r.Home, Epoch: ref.Epoch, Successor: r.Successor, Offset: offset}
+		s.tenures[ref.Shard] = append(s.recentTenures(ref.Shard, r.Time), t)
+		changed = true
+	}
+	return changed
+}
+
+// recentTenures drops the tenures whose successor tenure is older than keepDeparted.
+func (s *State) recentTenures(id gypsumtide.ShardID, now gypsumtide.Millis) []Tenure {
+	ts := s.tenures[id]
+	for len(ts) > 1 && ts[1].Time < now-keepDeparted {
+		ts = ts[1:]
+	}
+	return slices.Clone(ts)
+}
+
+func (s *State) name(offset uint64, r *Record) bool {
+	if !s.presentEntry(r.Author) || !s.validSuccessor(r.Author, r.Successor) {
+		return false
+	}
+	changed := false
+	for _, ref := range r.Shards {
+		h := &s.shards[ref.Shard]
+		if h.Home != r.Author || ref.Epoch != h.Epoch || ref.Base != h.Offset {
+			continue
+		}
+		h.Successor, h.Offset = r.Successor, offset
+		changed = true
+	}
+	return changed
+}
+
+func (s *State) presentEntry(incarnation string) bool {
+	e := s.entries[incarnation]
+	return e != nil && e.Member.Present()
+}
+
+func (s *State) leftInOrder(incarnation string) bool {
+	e := s.entries[incarnation]
+	return e != nil && e.Member.Departure == Left
+}
+
+// A successor that left since the author looked is accepted; the home names another one.
+func (s *State) validSuccessor(home, successor string) bool {
+	return successor == "" || successor != home && s.entries[successor] != nil
+}
+
+// prune forgets members that departed long ago.
+func (s *State) prune(now gypsumtide.Millis) {
+	pruned := false
+	for k, a := range s.agents {
+		if !a.Member.Present() && a.Member.DepartedAt < now-keepDeparted {
+			delete(s.agents, k)
+			pruned = true
+		}
+	}
+	for k, e := range s.entries {
+		if !e.Member.Present() && e.Member.DepartedAt < now-keepDeparted && !s.owns(k) {
+			delete(s.entries, k)
+			pruned = true
+		}
+	}
+	if pruned {
+		s.findNewest()
+	}
+}
+
+// findNewest depends on the members only, so that a restored state equals the
+// one that wrote the snapshot.
+func (s *State) findNewest() {
+	clear(s.newestEntry)
+	clear(s.newestAgent)
+	for _, e := range s.entries {
+		s.newestEntry[e.Name] = max(s.newestEntry[e.Name], e.Incarnation)
+	}
+	for _, a := range s.agents {
+		if a.Name != "" {
+			s.newestAgent[a.Name] = max(s.newestAgent[a.Name], a.Incarnation)
+		}
+	}
+}
+
+func (s *State) owns(incarnation string) bool {
+	for i := range s.shards {
+		if s.shards[i].Home == incarnation || s.shards[i].Successor == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// snapshot is the encoded form of a State.
+type snapshot struct {
+	Next    uint64        `cbor:"1,keyasint"`
+	Entries []EntryMember `cbor:"2,keyasint,omitempty"`
+	Agents  []AgentMember `cbor:"3,keyasint,omitempty"`
+	Shards  []Home        `cbor:"4,keyasint"`
+	Tenures [][]Tenure    `cbor:"5,keyasint"`
+}
+
+// Snapshot encodes the state. Equal states have equal snapshots.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	snap := snapshot{Next: s.next, Shards: s.shards[:], Tenures: s.tenures[:]}
+	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
+		snap.Entries = append(snap.Entries, *s.entries[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.agents)) {
+		snap.Agents = append(snap.Agents, *s.agents[k])
+	}
+	return wire.Marshal(&snap)
+}
+
+// Restore replaces the state by a snapshot. On an error the state is unchanged.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if err := wire.Unmarshal(data, &snap); err != nil {
+		return fmt.Errorf("shard: restore: %w", err)
+	}
+	if len(snap.Shards) != gypsumtide.ShardCount || len(snap.Tenures) != gypsumtide.ShardCount {
+		return fmt.Errorf("shard: restore: %d shards, want %d", len(snap.Shards), gypsumtide.ShardCount)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.version.Add(1)
+	s.reset()
+	s.next = snap.Next
+	copy(s.shards[:], snap.Shards)
+	copy(s.tenures[:], snap.Tenures)
+	for i := range snap.Entries {
+		e := &snap.Entries[i]
+		s.entries[e.Incarnation] = e
+	}
+	for i := range snap.Agents {
+		a := &snap.Agents[i]
+		s.agents[a.Incarnation] = a
+	}
+	s.findNewest()
+	s.rosterTurn++
+	return nil
+}
+
+// Home returns the ownership of a shard.
+func (s *State) Home(id gypsumtide.ShardID) Home {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.shards[id]
+}
+
+// Tenures returns the recent epochs of a shard, the oldest first.
+func (s *State) Tenures(id gypsumtide.ShardID) []Tenure {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.tenures[id])
+}
+
+// Entries returns the known entries, departed ones included, by incarnation.
+func (s *State) Entries() []EntryMember {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	es := make([]EntryMember, 0, len(s.entries))
+	for _, e := range s.entries {
+		es = append(es, *e)
+	}
+	slices.SortFunc(es, func(a, b EntryMember) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return es
+}
+
+// Entry returns an entry by its incarnation.
+func (s *State) Entry(incarnation string) (EntryMember, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e := s.entries[incarnation]
+	if e == nil {
+		return EntryMember{}, false
+	}
+	return *e, true
+}
+
+// Agents returns the roster with the departed agents, by incarnation.
+func (s *State) Agents() []AgentMember {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	as := make([]AgentMember, 0, len(s.agents))
+	for _, a := range s.agents {
+		as = append(as, *a)
+	}
+	slices.SortFunc(as, func(a, b AgentMember) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return as
+}
+
+// Agent returns an agent by its incarnation.
+func (s *State) Agent(incarnation string) (AgentMember, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a := s.agents[incarnation]
+	if a == nil {
+		return AgentMember{}, false
+	}
+	return *a, true
+}
+
+// Next returns the offset after the last record applied.
+func (s *State) Next() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.next
+}
+
+// IllFormed returns the number of records that could not be decoded.
+func (s *State) IllFormed() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.illFormed
+}
+
+// Invalid returns the number of records that the validity rules rejected.
+func (s *State) Invalid() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.invalid
+}
