Add the shard manager of an entry

Cause: an entry must know which shards it may serve. Change: a network-free state machine with leases, takeover, orphan claims, handover, rebalancing, naming of successors, the roster rule and candidate sets.

--- /dev/null
+++ b/internal/shard/manager.go
@@ -0,0 +1,418 @@
+package shard
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"gypsumtide"
+	"gypsumtide/internal/chart"
+	"gypsumtide/internal/wire"
+)
+
+// Config holds the identity of an entry and the constants of section 5 of the
+// design page.
+type Config struct {
+	Self wire.EntryInfo
+	// Suspicion is the time without a frame after which a peer counts as lost.
+	Suspicion gypsumtide.Millis
+	// Lease is L, Credit is C.
+	Lease  gypsumtide.Millis
+	Credit gypsumtide.Millis
+	// Orphan is how long a home and its successor must be lost before any entry claims.
+	Orphan gypsumtide.Millis
+	// SuccessorLost is the time without a counted acknowledgement after which
+	// the home names another successor.
+	SuccessorLost gypsumtide.Millis
+	// Stable is how long the preferred entry must be ready before a shard moves to it.
+	Stable gypsumtide.Millis
+	// MoveBatch is the number of shards that rebalancing moves at once, and
+	// MovePause the time between two batches.
+	MoveBatch int
+	MovePause gypsumtide.Millis
+	// Retry is the time between two attempts of an append, and Ask between two
+	// promise requests or roster notes.
+	Retry gypsumtide.Millis
+	Ask   gypsumtide.Millis
+	// Stagger is the time that each entry waits for the one that ranks before
+	// it, so that not all of them claim or log the same thing.
+	Stagger gypsumtide.Millis
+	// MaxSkew bounds the difference of the wall clocks of entries.
+	MaxSkew gypsumtide.Millis
+}
+
+// DefaultConfig returns the constants of the design page.
+func DefaultConfig(self wire.EntryInfo) Config {
+	return Config{
+		Self: self, Suspicion: 800, Lease: 800, Credit: 1000, Orphan: 5000, SuccessorLost: 1000, Stable: 5000,
+		MoveBatch: 4, MovePause: 500, Retry: 1000, Ask: 400, Stagger: 1000, MaxSkew: 500,
+	}
+}
+
+// ActionKind says what the owner of a Manager must do.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// ActionAppend appends Record to the shards stream and reports the result
+	// with Appended(ID, ...). Appends of one Tick may run in any order.
+	ActionAppend ActionKind = iota + 1
+	// ActionPromise sends Promises to the agent incarnation Peer.
+	ActionPromise
+	// ActionNote sends Notes as roster notes to the entry incarnation Peer.
+	ActionNote
+)
+
+// Action is something that a Manager asks its owner to do.
+type Action struct {
+	Kind     ActionKind
+	ID       uint64
+	Record   []byte
+	Peer     string
+	Promises []wire.Promise
+	Notes    []wire.AgentRecord
+}
+
+// public is what Serving reads without a lock.
+type public struct {
+	epoch atomic.Uint64
+	until atomic.Int64
+}
+
+// local is what one entry holds about a shard.
+type local struct {
+	home    Home
+	machine chart.Machine
+	// lease is the monotonic time until which this home may serve.
+	lease gypsumtide.Millis
+	// readBack is when this entry read the claim that made it the home.
+	readBack gypsumtide.Millis
+	// tookOver is the Unix time at which the earlier homes could start nothing more.
+	tookOver gypsumtide.Millis
+	// proven is when the end of the earlier home or its successor was known, after readBack.
+	proven gypsumtide.Millis
+	tenure Tenure
+	// settledEpoch is the epoch whose home told this successor that it had
+	// settled the homes before it.
+	settledEpoch uint64
+	// lastAck is when the named successor last acknowledged or was named.
+	lastAck gypsumtide.Millis
+	askedAt gypsumtide.Millis
+	// lostSince is when the home was first seen lost, orphanSince when the
+	// successor was lost as well. 0 means not lost.
+	lostSince   gypsumtide.Millis
+	orphanSince gypsumtide.Millis
+	goneSince   gypsumtide.Millis
+	op          *operation
+}
+
+// peer is what an entry knows of another entry.
+type peer struct {
+	info      wire.EntryInfo
+	lastHeard gypsumtide.Millis
+	ready     bool
+	// readySince is when the peer became live and ready; 0 if it is not.
+	readySince gypsumtide.Millis
+	departure  Departure
+	skew       gypsumtide.Millis
+	skewKnown  bool
+	// reports holds the offsets of the peer's heartbeats by its Unix time.
+	reports []report
+}
+
+type report struct {
+	wall   gypsumtide.Millis
+	offset uint64
+}
+
+// sentHeartbeat remembers a heartbeat until it is acknowledged.
+type sentHeartbeat struct {
+	sequence uint64
+	at       gypsumtide.Millis
+	wall     gypsumtide.Millis
+	shards   []wire.Promise
+}
+
+// sentWindow is the number of heartbeats whose acknowledgements are awaited:
+// 6 s at one every 200 ms. Older ones could extend no lease.
+const sentWindow = 32
+
+// Manager decides for one entry incarnation which shards it owns and serves.
+// It does no input or output: its owner reports events, calls Tick about every
+// 50 ms, and executes the returned actions. It is safe for concurrent use.
+type Manager struct {
+	cfg    Config
+	clock  gypsumtide.Clock
+	state  *State
+	public [gypsumtide.ShardCount]public
+
+	mu        sync.Mutex
+	version   uint64
+	next      uint64
+	shards    [gypsumtide.ShardCount]local
+	peers     map[string]*peer
+	joined    bool
+	departed  bool
+	draining  bool
+	leaving   bool
+	startedAt gypsumtide.Millis
+	lastTick  gypsumtide.Millis
+	logRead   gypsumtide.Millis
+	lastMove  gypsumtide.Millis
+	sequence  uint64
+	sent      [sentWindow]sentHeartbeat
+
+	lastID   uint64
+	appends  map[uint64]*operation
+	joining  *operation
+	left     *operation
+	agents   roster
+	rejected int
+
+	// mutation switches off a rule, so that tests can prove that they notice.
+	mutation mutation
+}
+
+type mutation struct {
+	noTimeRule bool
+	noRoster   bool
+	noStopAcks bool
+}
+
+// New returns the manager of the entry incarnation cfg.Self. The state must be
+// the one that the owner folds the shards stream into.
+func New(cfg Config, state *State, clock gypsumtide.Clock) *Manager {
+	m := &Manager{cfg: cfg, clock: clock, state: state, peers: map[string]*peer{}, appends: map[uint64]*operation{}}
+	m.agents = newRoster()
+	m.startedAt = clock.Now()
+	m.lastTick = m.startedAt
+	for i := range m.shards {
+		m.shards[i].machine = chart.Shard.Start()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version = ^uint64(0)
+	m.sync()
+	return m
+}
+
+// Self returns the entry that the manager decides for.
+func (m *Manager) Self() wire.EntryInfo { return m.cfg.Self }
+
+// LogRead reports that a read of the shards stream, sent at the monotonic time
+// sentAt, reached the end, and that all its records have been applied.
+func (m *Manager) LogRead(sentAt gypsumtide.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	m.logRead = max(m.logRead, sentAt)
+	for i := range m.shards {
+		m.extend(i, sentAt+m.cfg.Lease)
+	}
+}
+
+// Heard reports a frame from an entry.
+func (m *Manager) Heard(incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard(incarnation)
+}
+
+func (m *Manager) heard(incarnation string) *peer {
+	p := m.peers[incarnation]
+	if p == nil {
+		p = &peer{}
+		m.peers[incarnation] = p
+	}
+	p.lastHeard = m.clock.Now()
+	return p
+}
+
+// SessionDown reports that the session with an entry broke. The entry is no
+// target for shards until its next heartbeat; suspicion still needs silence.
+func (m *Manager) SessionDown(incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[incarnation]; p != nil {
+		p.ready, p.readySince = false, 0
+	}
+}
+
+// Drain starts to hand over all shards. When none is left, the entry leaves.
+func (m *Manager) Drain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.draining = true
+}
+
+// Left reports that the entry has no shard and its departure has been read back.
+func (m *Manager) Left() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	return m.departed || m.draining && !m.joined && m.joining == nil
+}
+
+// Ready reports whether this entry can be a home.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	return m.ready()
+}
+
+func (m *Manager) ready() bool {
+	return m.joined && !m.departed && !m.draining && !m.leaving && m.logRead > 0
+}
+
+// logFresh reports whether the log answered recently, so that an append is
+// likely to be settled.
+func (m *Manager) logFresh() bool {
+	return m.logRead > 0 && m.clock.Now()-m.logRead < m.cfg.Suspicion
+}
+
+// Route returns the home of a shard, its epoch, whether this entry is the home,
+// and whether the home is believed to serve. The home is empty if the shard was
+// never owned.
+func (m *Manager) Route(id gypsumtide.ShardID) (home wire.EntryInfo, epoch uint64, self, serving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	sh := &m.shards[id]
+	if sh.home.Home == "" {
+		return wire.EntryInfo{}, 0, false, false
+	}
+	if sh.home.Home == m.cfg.Self.Incarnation {
+		_, ok := m.Serving(id)
+		return m.cfg.Self, sh.home.Epoch, true, ok
+	}
+	if e, ok := m.state.Entry(sh.home.Home); ok {
+		home = e.EntryInfo
+	}
+	return home, sh.home.Epoch, false, !m.lost(sh.home.Home)
+}
+
+// Serving returns the epoch of a shard that this entry may serve now. A
+// dispatch must read the credit echo of its frame before it calls Serving, so
+// that a pause between the two makes the echo too old.
+func (m *Manager) Serving(id gypsumtide.ShardID) (epoch uint64, ok bool) {
+	p := &m.public[id]
+	epoch = p.epoch.Load()
+	until := gypsumtide.Millis(p.until.Load())
+	return epoch, m.clock.Now() < until && p.epoch.Load() == epoch
+}
+
+func (m *Manager) publish(i int, until gypsumtide.Millis) {
+	p := &m.public[i]
+	if e := m.shards[i].home.Epoch; p.epoch.Load() != e {
+		p.until.Store(0)
+		p.epoch.Store(e)
+	}
+	p.until.Store(int64(until))
+}
+
+// TookOverAt returns the Unix time at which the homes of earlier epochs could
+// start nothing more. It is not known before this home has settled them.
+func (m *Manager) TookOverAt(id gypsumtide.ShardID) (wall gypsumtide.Millis, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	sh := &m.shards[id]
+	return sh.tookOver, sh.home.Home == m.cfg.Self.Incarnation && sh.tookOver > 0
+}
+
+// Fresh reports whether no earlier home can have accepted the id. An earlier
+// home accepts stamps up to MaxSkew ahead of its clock, which may itself be
+// MaxSkew ahead of this one.
+func (m *Manager) Fresh(id gypsumtide.SubmissionID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	sh := &m.shards[id.Shard()]
+	if sh.home.Home != m.cfg.Self.Incarnation || sh.tookOver == 0 {
+		return false
+	}
+	return sh.home.Epoch == 1 || id.Stamp() > sh.tookOver+2*m.cfg.MaxSkew
+}
+
+// HomelessSince returns the Unix time since which a shard provably had no home,
+// up to the monotonic time asOf. A request that arrived before asOf with a
+// stamp later than since + max-skew has not run. The time is 0 if the shard was
+// never owned. A home that is only silent proves nothing.
+func (m *Manager) HomelessSince(id gypsumtide.ShardID) (since, asOf gypsumtide.Millis, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	if m.logRead == 0 {
+		return 0, 0, false
+	}
+	h := m.shards[id].home
+	if h.Home == "" {
+		return 0, m.logRead, true
+	}
+	e, known := m.state.Entry(h.Home)
+	if !known || e.Member.Present() {
+		return 0, 0, false
+	}
+	return e.Member.DepartedAt, m.logRead, true
+}
+
+// Skew returns the measured difference of this entry's wall clock from the
+// others': the median of the differences, its own 0 included. With an even
+// number of entries the larger of the middle two counts.
+func (m *Manager) Skew() gypsumtide.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ds := []gypsumtide.Millis{0}
+	for _, p := range m.peers {
+		if p.skewKnown && !m.silent(p) && p.departure == Present {
+			ds = append(ds, p.skew)
+		}
+	}
+	slices.Sort(ds)
+	lo, hi := ds[(len(ds)-1)/2], ds[len(ds)/2]
+	if abs(lo) > abs(hi) {
+		return lo
+	}
+	return hi
+}
+
+// SkewExceeded reports whether this entry must refuse submissions because its
+// clock differs too much from the others'.
+func (m *Manager) SkewExceeded() bool { return abs(m.Skew()) > m.cfg.MaxSkew }
+
+func abs(d gypsumtide.Millis) gypsumtide.Millis { return max(d, -d) }
+
+// ShardState returns the state of a shard in the chart at this entry.
+func (m *Manager) ShardState(id gypsumtide.ShardID) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	return m.shards[id].machine.State()
+}
+
+// Appended reports the result of ActionAppend. The offset counts only without
+// an error. An error that wraps gypsumtide.ErrAppendUnsettled means that the
+// record may be in the log or may still reach it; any other error means that it
+// is not and never will be.
+func (m *Manager) Appended(id, offset uint64, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	op := m.appends[id]
+	if op == nil {
+		return
+	}
+	delete(m.appends, id)
+	op.outstanding = false
+	switch {
+	case err == nil:
+		op.appended, op.offset = true, offset
+	case errors.Is(err, gypsumtide.ErrAppendUnsettled):
+		op.uncertain = true
+	default:
+		op.failed = true
+	}
+	m.sync()
+	m.settleOperation(op)
+}
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -13,8 +13,12 @@
 
 // The kinds of records.
 const (
-	EntryJoined    Kind = "entry-joined"
-	EntryLeft      Kind = "entry-left"
+	EntryJoined Kind = "entry-joined"
+	// EntryLeft is appended by the entry itself after it has stopped serving
+	// and logged every agent that it knows.
+	EntryLeft Kind = "entry-left"
+	// EntryRetired is an operator's statement that the host of an entry is gone.
+	EntryRetired   Kind = "entry-retired"
 	AgentJoined    Kind = "agent-joined"
 	AgentLeft      Kind = "agent-left"
 	AgentRetired   Kind = "agent-retired"
@@ -39,7 +43,7 @@
 	// agent-left and agent-retired.
 	Agents []wire.AgentRecord `cbor:"4,keyasint,omitempty"`
 	// Author is the incarnation of the claimer, of the home that names a
-	// successor, or of the entry that leaves.
+	// successor, or of the entry that leaves or is retired.
 	Author string `cbor:"5,keyasint,omitempty"`
 	// Home is the incarnation that a claim makes the home.
 	Home string `cbor:"6,keyasint,omitempty"`
@@ -57,6 +61,9 @@
 	// knew. The record is invalid for the shard if another one came between,
 	// so an append that takes effect late cannot undo a newer decision.
 	Base uint64 `cbor:"3,keyasint,omitempty"`
+	// Settled is set in the claim of a successor that knows from a heartbeat
+	// that the home before had settled all homes before it.
+	Settled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the record as it is appended to the log.
@@ -85,7 +92,7 @@
 		if r.Entry == nil || r.Entry.Name == "" || !validIncarnation(r.Entry.Incarnation) {
 			return errIllFormed
 		}
-	case EntryLeft:
+	case EntryLeft, EntryRetired:
 		if !validIncarnation(r.Author) {
 			return errIllFormed
 		}
--- /dev/null
+++ b/internal/shard/roster.go
@@ -0,0 +1,617 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// joinBatch bounds the agents in one record, so that an append stays small.
+const joinBatch = 256
+
+// roster is what an entry knows of the agents.
+type roster struct {
+	turn    uint64
+	present map[string]AgentMember
+	members []member
+	// up holds the agents with a session here.
+	up map[string]wire.AgentRecord
+	// unlogged holds the agents whose join has not been read.
+	unlogged map[string]*unlogged
+	// leaving holds the agents that announced their end.
+	leaving map[string]*operation
+	// promised holds the highest epoch of each shard that an agent promised.
+	promised map[string]*[gypsumtide.ShardCount]uint64
+	// urgent means that a claim or naming waits for the log to know all agents.
+	urgent bool
+}
+
+// unlogged is an agent that no record names yet.
+type unlogged struct {
+	record wire.AgentRecord
+	since  gypsumtide.Millis
+	op     *operation
+	// noted means that this entry acknowledged a roster note about it.
+	noted bool
+	// acked holds the successors that acknowledged a note of this entry.
+	acked  map[string]bool
+	noteAt map[string]gypsumtide.Millis
+}
+
+func newRoster() roster {
+	return roster{
+		present:  map[string]AgentMember{},
+		up:       map[string]wire.AgentRecord{},
+		unlogged: map[string]*unlogged{},
+		leaving:  map[string]*operation{},
+		promised: map[string]*[gypsumtide.ShardCount]uint64{},
+		turn:     ^uint64(0),
+	}
+}
+
+func (m *Manager) syncRoster() {
+	r := &m.agents
+	agents, turn, changed := m.state.roster(r.turn)
+	if !changed {
+		return
+	}
+	r.turn = turn
+	clear(r.present)
+	r.members = r.members[:0]
+	for _, a := range agents {
+		r.present[a.Incarnation] = a
+		r.members = append(r.members, newMember(a.AgentRecord))
+	}
+	for k := range r.unlogged {
+		if m.state.knowsAgent(k) {
+			delete(r.unlogged, k)
+		}
+	}
+	for k := range r.promised {
+		if _, ok := r.present[k]; !ok && r.unlogged[k] == nil {
+			delete(r.promised, k)
+		}
+	}
+	for k := range r.leaving {
+		if _, ok := r.present[k]; !ok && m.state.knowsAgent(k) {
+			delete(r.leaving, k)
+		}
+	}
+}
+
+func (r *roster) add(rec wire.AgentRecord, now gypsumtide.Millis) *unlogged {
+	u := r.unlogged[rec.Incarnation]
+	if u == nil {
+		u = &unlogged{record: rec, since: now, acked: map[string]bool{}, noteAt: map[string]gypsumtide.Millis{}}
+		r.unlogged[rec.Incarnation] = u
+	}
+	return u
+}
+
+func (r *roster) unloggedNoted() bool {
+	for _, u := range r.unlogged {
+		if u.noted {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *roster) unloggedAcked(successor string) bool {
+	for _, u := range r.unlogged {
+		if u.acked[successor] {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *roster) unloggedAny() bool {
+	for _, u := range r.unlogged {
+		if u.noted || len(u.acked) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// allPromised reports whether no present agent starts a task of the shard
+// under an epoch below the given one.
+func (r *roster) allPromised(i int, epoch uint64) bool {
+	for k := range r.present {
+		if p := r.promised[k]; p == nil || p[i] < epoch {
+			return false
+		}
+	}
+	for k, u := range r.unlogged {
+		if p := r.promised[k]; u.noted && (p == nil || p[i] < epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// unsettled adds the shard to the requests of each connected agent that has not promised.
+func (r *roster) unsettled(i int, epoch uint64, ask map[string][]gypsumtide.ShardID) {
+	for k := range r.up {
+		if p := r.promised[k]; p == nil || p[i] < epoch {
+			ask[k] = append(ask[k], gypsumtide.ShardID(i))
+		}
+	}
+}
+
+func (m *Manager) promiseRequests(ask map[string][]gypsumtide.ShardID) []Action {
+	var out []Action
+	for _, k := range slices.Sorted(maps.Keys(ask)) {
+		a := Action{Kind: ActionPromise, Peer: k}
+		for _, id := range ask[k] {
+			a.Promises = append(a.Promises, wire.Promise{Shard: id, Epoch: m.shards[id].home.Epoch})
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// AgentUp reports a session with an agent.
+func (m *Manager) AgentUp(rec wire.AgentRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	m.agents.up[rec.Incarnation] = rec
+	if !m.state.knowsAgent(rec.Incarnation) {
+		m.agents.add(rec, m.clock.Now())
+	}
+}
+
+// AgentDown reports the end of a session with an agent.
+func (m *Manager) AgentDown(incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	delete(m.agents.up, incarnation)
+	if u := m.agents.unlogged[incarnation]; u != nil && !u.noted && len(u.acked) == 0 {
+		delete(m.agents.unlogged, incarnation)
+	}
+}
+
+// AgentLeft reports that an agent announced its end: it has no task and starts
+// none. The manager appends agent-left.
+func (m *Manager) AgentLeft(incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	if _, ok := m.agents.leaving[incarnation]; ok {
+		return
+	}
+	if _, ok := m.agents.present[incarnation]; ok || !m.state.knowsAgent(incarnation) {
+		m.agents.leaving[incarnation] = nil
+	}
+}
+
+// Promised takes an agent's promise. Its epoch is the highest that the agent
+// knows, so it also settles lower ones.
+func (m *Manager) Promised(agent string, p wire.Promise) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.Shard >= gypsumtide.ShardCount {
+		return
+	}
+	e := m.agents.promised[agent]
+	if e == nil {
+		e = &[gypsumtide.ShardCount]uint64{}
+		m.agents.promised[agent] = e
+	}
+	e[p.Shard] = max(e[p.Shard], p.Epoch)
+}
+
+// Usable reports whether a home may send tasks of the shard to the agent: its
+// join has been read, or the named successor acknowledged it.
+func (m *Manager) Usable(agent string, id gypsumtide.ShardID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	return m.usable(agent, id)
+}
+
+func (m *Manager) usable(agent string, id gypsumtide.ShardID) bool {
+	if _, ok := m.agents.present[agent]; ok {
+		return true
+	}
+	u := m.agents.unlogged[agent]
+	if u == nil {
+		return false
+	}
+	if m.mutation.noRoster {
+		return true
+	}
+	sh := &m.shards[id]
+	return sh.op == nil && sh.home.Successor != "" && u.acked[sh.home.Successor]
+}
+
+// HandleNotes takes the roster notes of a home and returns those to
+// acknowledge. It acknowledges nothing to a home whose shards this entry takes
+// over or took over so recently that the home's lease may last: the home could
+// use an agent that has promised nothing.
+func (m *Manager) HandleNotes(from string, notes []wire.AgentRecord) []wire.AgentRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	m.heard(from)
+	if m.departed || m.leaving || m.takesOver(from) {
+		return nil
+	}
+	now := m.clock.Now()
+	var acks []wire.AgentRecord
+	for _, rec := range notes {
+		if !m.state.knowsAgent(rec.Incarnation) {
+			m.agents.add(rec, now).noted = true
+		} else if _, ok := m.agents.present[rec.Incarnation]; !ok {
+			continue
+		}
+		acks = append(acks, rec)
+	}
+	return acks
+}
+
+func (m *Manager) takesOver(from string) bool {
+	now := m.clock.Now()
+	self := m.cfg.Self.Incarnation
+	for i := range m.shards {
+		sh := &m.shards[i]
+		if sh.op != nil && sh.op.takeover(self) && sh.home.Home == from {
+			return true
+		}
+		if sh.home.Home == self && sh.tenure.Previous.Home == from && now-sh.readBack < m.cfg.Lease+m.cfg.Credit {
+			return true
+		}
+	}
+	return false
+}
+
+// HandleNoteAcks takes a successor's acknowledgement of roster notes.
+func (m *Manager) HandleNoteAcks(from string, acks []wire.AgentRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	m.heard(from)
+	for _, rec := range acks {
+		if u := m.agents.unlogged[rec.Incarnation]; u != nil {
+			u.acked[from] = true
+		}
+	}
+}
+
+// notes tells the successors of agents that are not logged. In normal
+// operation the log is faster than the delay, and no note is sent.
+func (m *Manager) notes(now gypsumtide.Millis) []Action {
+	r := &m.agents
+	if len(r.unlogged) == 0 {
+		return nil
+	}
+	var out []Action
+	for _, succ := range m.successors() {
+		a := Action{Kind: ActionNote, Peer: succ}
+		for _, k := range slices.Sorted(maps.Keys(r.unlogged)) {
+			u := r.unlogged[k]
+			if _, up := r.up[k]; !up || u.acked[succ] || now-u.since < m.cfg.Ask/2 {
+				continue
+			}
+			if at, sent := u.noteAt[succ]; sent && now-at < m.cfg.Ask {
+				continue
+			}
+			u.noteAt[succ] = now
+			a.Notes = append(a.Notes, u.record)
+		}
+		if len(a.Notes) > 0 {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (m *Manager) successors() []string {
+	var out []string
+	for i := range m.shards {
+		h := &m.shards[i].home
+		if h.Home == m.cfg.Self.Incarnation && h.Successor != "" && !slices.Contains(out, h.Successor) {
+			out = append(out, h.Successor)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// logAgents appends the joins and departures that the log lacks. Entries wait
+// by rank, so that normally one of them appends.
+func (m *Manager) logAgents(now gypsumtide.Millis, live []candidate) []Action {
+	r := &m.agents
+	urgent := r.urgent
+	r.urgent = false
+	if !m.logFresh() || len(r.unlogged) == 0 && len(r.leaving) == 0 {
+		return nil
+	}
+	var out []Action
+	var op *operation
+	for _, k := range slices.Sorted(maps.Keys(r.unlogged)) {
+		u := r.unlogged[k]
+		if !m.due(u.op, now) {
+			continue
+		}
+		used := u.noted || len(u.acked) > 0
+		if !(urgent && used) && now-u.since < m.agentDelay(k, live) {
+			continue
+		}
+		if op == nil || len(op.record.Agents) == joinBatch {
+			out = m.sendAgents(out, op)
+			op = &operation{record: Record{Kind: AgentJoined}}
+		}
+		op.record.Agents = append(op.record.Agents, u.record)
+		u.op = op
+	}
+	out = m.sendAgents(out, op)
+	return m.logDepartures(out, now)
+}
+
+func (m *Manager) logDepartures(out []Action, now gypsumtide.Millis) []Action {
+	r := &m.agents
+	var op *operation
+	for _, k := range slices.Sorted(maps.Keys(r.leaving)) {
+		if !m.due(r.leaving[k], now) {
+			continue
+		}
+		if op == nil || len(op.record.Agents) == joinBatch {
+			out = m.sendAgents(out, op)
+			op = &operation{record: Record{Kind: AgentLeft}}
+		}
+		op.record.Agents = append(op.record.Agents, wire.AgentRecord{Incarnation: k})
+		r.leaving[k] = op
+	}
+	return m.sendAgents(out, op)
+}
+
+func (m *Manager) due(op *operation, now gypsumtide.Millis) bool {
+	return op == nil || !op.outstanding && now-op.sentAt >= m.cfg.Retry
+}
+
+func (m *Manager) sendAgents(out []Action, op *operation) []Action {
+	if op == nil {
+		return out
+	}
+	if a, ok := m.send(op); ok {
+		out = append(out, a)
+	}
+	return out
+}
+
+func (m *Manager) agentDelay(agent string, live []candidate) gypsumtide.Millis {
+	for k, c := range ranked(xxhash.Sum64String(agent), live) {
+		if c.incarnation == m.cfg.Self.Incarnation {
+			return gypsumtide.Millis(k) * m.cfg.Stagger
+		}
+	}
+	return gypsumtide.Millis(len(live)) * m.cfg.Stagger
+}
+
+// RetireRecord returns the record by which an operator states that the hosts
+// of agents are gone.
+func RetireRecord(wall gypsumtide.Millis, incarnations ...string) Record {
+	r := Record{Kind: AgentRetired, Time: wall}
+	for _, k := range incarnations {
+		r.Agents = append(r.Agents, wire.AgentRecord{Incarnation: k})
+	}
+	return r
+}
+
+// RetireEntryRecord returns the record by which an operator states that the
+// host of an entry is gone.
+func RetireEntryRecord(wall gypsumtide.Millis, incarnation string) Record {
+	return Record{Kind: EntryRetired, Time: wall, Author: incarnation}
+}
+
+// member is an agent prepared for ranking.
+type member struct {
+	incarnation string
+	zone        string
+	rack        string
+	hash        uint64
+}
+
+func newMember(rec wire.AgentRecord) member {
+	return member{incarnation: rec.Incarnation, zone: rec.Zone, rack: rec.Rack, hash: xxhash.Sum64String(rec.Name)}
+}
+
+// place is the place of an agent in the order of candidates: round robin over
+// the availability zones, within a zone over the racks, within a rack by
+// rendezvous hash. An agent that joins never improves the place of another one.
+type place struct {
+	incarnation string
+	zone        string
+	rack        string
+	score       uint64
+	rackRank    int
+	zoneRank    int
+}
+
+func compareInRack(a, b *place) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.incarnation, b.incarnation)
+}
+
+func compareInZone(a, b *place) int {
+	if c := cmp.Compare(a.rackRank, b.rackRank); c != 0 {
+		return c
+	}
+	return compareInRack(a, b)
+}
+
+func comparePlaces(a, b *place) int {
+	if c := cmp.Compare(a.zoneRank, b.zoneRank); c != 0 {
+		return c
+	}
+	return compareInZone(a, b)
+}
+
+func score(id uint64, m *member) uint64 { return mix(m.hash ^ mix(id)) }
+
+// rankPlaces returns the members in the order of candidates for an id.
+func rankPlaces(id uint64, members []member) []*place {
+	store := make([]place, len(members))
+	ps := make([]*place, len(members))
+	for i := range members {
+		m := &members[i]
+		store[i] = place{incarnation: m.incarnation, zone: m.zone, rack: m.rack, score: score(id, m)}
+		ps[i] = &store[i]
+	}
+	slices.SortFunc(ps, compareInRack)
+	racks := map[[2]string]int{}
+	for _, p := range ps {
+		k := [2]string{p.zone, p.rack}
+		p.rackRank = racks[k]
+		racks[k]++
+	}
+	slices.SortFunc(ps, compareInZone)
+	zones := map[string]int{}
+	for _, p := range ps {
+		p.zoneRank = zones[p.zone]
+		zones[p.zone]++
+	}
+	slices.SortFunc(ps, comparePlaces)
+	return ps
+}
+
+// position returns how many of the ranked places would be before a member that joins them.
+func position(id uint64, m *member, ps []*place) int {
+	a := &place{incarnation: m.incarnation, zone: m.zone, rack: m.rack, score: score(id, m)}
+	for _, p := range ps {
+		if p.zone == a.zone && p.rack == a.rack && compareInRack(p, a) < 0 {
+			a.rackRank++
+		}
+	}
+	for _, p := range ps {
+		if p.zone == a.zone && compareInZone(p, a) < 0 {
+			a.zoneRank++
+		}
+	}
+	n := 0
+	for _, p := range ps {
+		if comparePlaces(p, a) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// candidateCount returns how many agents a submission of n tasks may use.
+func candidateCount(n int) int { return max(16, (n+7)/8) }
+
+// Candidates returns the agents that a submission of n tasks may use now, the
+// preferred first.
+func (m *Manager) Candidates(id gypsumtide.SubmissionID, n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	members := m.agents.members
+	for k, u := range m.agents.unlogged {
+		if m.usable(k, id.Shard()) {
+			members = append(slices.Clip(members), newMember(u.record))
+		}
+	}
+	ps := rankPlaces(xxhash.Sum64(id[:]), members)
+	out := make([]string, 0, min(len(ps), candidateCount(n)))
+	for _, p := range ps[:min(len(ps), candidateCount(n))] {
+		out = append(out, p.incarnation)
+	}
+	return out
+}
+
+// RecoveryCandidate is an agent that may have started tasks of an id.
+type RecoveryCandidate struct {
+	Incarnation string
+	// CanAnswer is false if the agent departed.
+	CanAnswer bool
+}
+
+// RecoveryCandidates returns the agents that earlier homes may have used for a
+// submission of n tasks. If complete is false, they may have used others that
+// nobody can name, and the outcome of an unknown id is unknown.
+//
+// The rosters in force since the stamp are not known one by one. All of them
+// contain the core: the agents that joined at an offset that every home in
+// question had read, and are present now. All of them lie within the agents
+// present at some time since the stamp. Since a join never improves the place
+// of another agent, each agent that was ever among the first k is among the
+// first k of the core and itself.
+func (m *Manager) RecoveryCandidates(id gypsumtide.SubmissionID, n int) (candidates []RecoveryCandidate, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sync()
+	ts := m.state.Tenures(id.Shard())
+	if len(ts) == 0 || ts[len(ts)-1].Epoch == 1 {
+		return nil, true
+	}
+	bound := m.oldestOffset(ts, id.Stamp())
+	since := id.Stamp() - 4*m.cfg.MaxSkew
+	var core, all []member
+	var answers []bool
+	for _, a := range m.state.Agents() {
+		if !a.Member.Present() && a.Member.DepartedAt < since {
+			continue
+		}
+		mb := newMember(a.AgentRecord)
+		all = append(all, mb)
+		answers = append(answers, a.Member.Present())
+		if a.Member.Present() && a.Member.Joined < bound {
+			core = append(core, mb)
+		}
+	}
+	for _, k := range slices.Sorted(maps.Keys(m.agents.unlogged)) {
+		all = append(all, newMember(m.agents.unlogged[k].record))
+		answers = append(answers, true)
+	}
+	hash, k := xxhash.Sum64(id[:]), candidateCount(n)
+	ps := rankPlaces(hash, core)
+	for i := range all {
+		if len(core) < k || position(hash, &all[i], ps) < k {
+			candidates = append(candidates, RecoveryCandidate{Incarnation: all[i].incarnation, CanAnswer: answers[i]})
+		}
+	}
+	return candidates, m.complete(ts, id.Stamp())
+}
+
+// oldestOffset returns an offset below which every earlier home that can have
+// accepted an id with the stamp had read all records.
+func (m *Manager) oldestOffset(ts []Tenure, stamp gypsumtide.Millis) uint64 {
+	margin := m.cfg.Lease + 4*m.cfg.MaxSkew
+	lo := len(ts) - 2
+	for lo > 0 && (!ts[lo].Timed || ts[lo].Time+margin >= stamp) {
+		lo--
+	}
+	if lo < 0 {
+		return 0
+	}
+	bound := ts[lo].Offset + 1
+	if p := m.peers[ts[lo].Home]; p != nil && lo == len(ts)-2 {
+		bound = max(bound, p.offsetAt(stamp-2*m.cfg.MaxSkew))
+	}
+	return bound
+}
+
+// complete reports whether all agents that can have started tasks of the id are known.
+func (m *Manager) complete(ts []Tenure, stamp gypsumtide.Millis) bool {
+	for i := range ts {
+		if len(ts[i].Gaps) == 0 {
+			continue
+		}
+		if i == len(ts)-1 || stamp <= ts[i+1].Time+4*m.cfg.MaxSkew {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -94,10 +94,20 @@
 	// Claimer appended the claim. Previous is the ownership that it replaced.
 	Claimer  string `cbor:"5,keyasint"`
 	Previous Home   `cbor:"6,keyasint"`
-	// Gap means that the home before may have used agents that no record and
-	// no living entry names: the claim was an orphan claim, the home before
-	// had a successor and did not leave in order.
-	Gap bool `cbor:"7,keyasint,omitempty"`
+	// Timed means that no home before Previous can serve, so that the earlier
+	// homes are settled when lease and credit have expired after the claim.
+	Timed bool `cbor:"7,keyasint,omitempty"`
+	// Gaps lists the earlier homes that may have used agents which no record
+	// and no living entry names.
+	Gaps []Gap `cbor:"8,keyasint,omitempty"`
+}
+
+// Gap is a home that lost its shard by an orphan claim while it had a
+// successor and had not left in order. As long as both may live, they can serve
+// each other with agents that only they know.
+type Gap struct {
+	Home      string `cbor:"1,keyasint"`
+	Successor string `cbor:"2,keyasint"`
 }
 
 // State is the fold of the shards stream. It is safe for concurrent use, but
@@ -157,7 +167,9 @@
 	case EntryJoined:
 		return s.joinEntry(offset, r)
 	case EntryLeft:
-		return s.leaveEntry(offset, r)
+		return s.departEntry(offset, r, Left)
+	case EntryRetired:
+		return s.departEntry(offset, r, Retired)
 	case AgentJoined:
 		return s.joinAgents(offset, r)
 	case AgentLeft:
@@ -193,12 +205,12 @@
 	return true
 }
 
-func (s *State) leaveEntry(offset uint64, r *Record) bool {
+func (s *State) departEntry(offset uint64, r *Record, how Departure) bool {
 	e := s.entries[r.Author]
 	if e == nil || !e.Member.Present() {
 		return false
 	}
-	depart(&e.Member, offset, r.Time, Left)
+	depart(&e.Member, offset, r.Time, how)
 	return true
 }
 
@@ -266,9 +278,11 @@
 		if ref.Epoch != h.Epoch+1 || ref.Base != h.Offset {
 			continue
 		}
-		orphan := h.Epoch > 0 && r.Author != h.Home && r.Author != h.Successor
+		if r.Home == h.Home || r.Author != r.Home && r.Author != h.Home {
+			continue
+		}
 		t := Tenure{Home: r.Home, Epoch: ref.Epoch, Offset: offset, Time: r.Time, Claimer: r.Author, Previous: *h}
-		t.Gap = orphan && h.Successor != "" && !s.leftInOrder(h.Home)
+		s.judge(ref.Shard, &t, ref.Settled)
 		*h = Home{Home: r.Home, Epoch: ref.Epoch, Successor: r.Successor, Offset: offset}
 		s.tenures[ref.Shard] = append(s.recentTenures(ref.Shard, r.Time), t)
 		changed = true
@@ -276,6 +290,31 @@
 	return changed
 }
 
+// judge tells by which rules the home of t may settle the homes before it.
+func (s *State) judge(id gypsumtide.ShardID, t *Tenure, settled bool) {
+	old := t.Previous
+	var last Tenure
+	if ts := s.tenures[id]; len(ts) > 0 {
+		last = ts[len(ts)-1]
+	}
+	switch t.Claimer {
+	case old.Home:
+		// A home hands over only after it has settled the homes before it.
+		t.Timed = true
+	case old.Successor:
+		t.Timed = settled || last.Timed
+		if !t.Timed {
+			t.Gaps = last.Gaps
+		}
+	default:
+		t.Timed = old.Epoch == 0
+		t.Gaps = slices.Clone(last.Gaps)
+		if old.Successor != "" && !s.leftInOrder(old.Home) {
+			t.Gaps = append(t.Gaps, Gap{Home: old.Home, Successor: old.Successor})
+		}
+	}
+}
+
 // recentTenures drops the tenures whose successor tenure is older than keepDeparted.
 func (s *State) recentTenures(id gypsumtide.ShardID, now gypsumtide.Millis) []Tenure {
 	ts := s.tenures[id]
@@ -472,6 +511,36 @@
 	return *a, true
 }
 
+// roster returns the present agents if the roster changed since turn.
+func (s *State) roster(turn uint64) (agents []AgentMember, now uint64, changed bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.rosterTurn == turn {
+		return nil, turn, false
+	}
+	for _, a := range s.agents {
+		if a.Member.Present() {
+			agents = append(agents, *a)
+		}
+	}
+	slices.SortFunc(agents, func(a, b AgentMember) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return agents, s.rosterTurn, true
+}
+
+// knowsAgent reports whether the agent joined or departed.
+func (s *State) knowsAgent(incarnation string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.agents[incarnation] != nil
+}
+
+// homes returns the ownership of all shards and the next offset.
+func (s *State) homes() ([gypsumtide.ShardCount]Home, uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.shards, s.next
+}
+
 // Next returns the offset after the last record applied.
 func (s *State) Next() uint64 {
 	s.mu.RLock()
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -215,6 +215,12 @@
 	Usage []TeamUsage `cbor:"4,keyasint,omitempty"`
 	// Ready means that the sender has read the control streams and can be a home.
 	Ready bool `cbor:"5,keyasint,omitempty"`
+	// Offset is the next offset of the shards stream that the sender has not
+	// read. It bounds the roster that the sender uses.
+	Offset uint64 `cbor:"6,keyasint,omitempty"`
+	// Unsettled lists the shards among Shards whose earlier homes the sender
+	// still waits for.
+	Unsettled []gypsumtide.ShardID `cbor:"7,keyasint,omitempty"`
 }
 
 // TeamUsage tells how much of a team's quota a home uses.
