Add fault schedules, the demo and deployment tests

Cause: the promises must hold while faults meet, on real processes, and a reader needs one command that shows the system. Change: internal/standin/schedule runs a seeded plan of kills, pauses, graceful stops, link and log faults, bursts, cancel waves, resubmissions and racing publishes beside load, and checks the histories; gypsumtide-demo and make demo run a small deployment and compare a 50 ms task with direct calls; make faults runs many seeds. The deployment announces an entry through its own proxy, since peers learn that address from the log, and has an upstream without an agent for direct calls, since an upstream refuses tasks without a lease. Conclusion: demo and schedules have not been run yet.

--- /dev/null
+++ b/internal/standin/demo/demo.go
@@ -0,0 +1,139 @@
+// Package demo runs a small deployment under a mixed load and reports what it did.
+package demo
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"gypsumtide"
+	"gypsumtide/internal/standin/deployment"
+	"gypsumtide/internal/standin/history"
+	"gypsumtide/internal/standin/load"
+)
+
+// Config describes a demo.
+type Config struct {
+	Bin string
+	// Dir receives settings, logs, histories and the plot; the default is a new temporary directory.
+	Dir    string
+	Seed   uint64
+	Quiet  gypsumtide.Millis
+	Mixed  gypsumtide.Millis
+	Output io.Writer
+}
+
+// Default returns the demo of make demo.
+func Default() *Config {
+	return &Config{Bin: "./bin", Seed: 1, Quiet: 5_000, Mixed: 15_000, Output: os.Stdout}
+}
+
+// ErrViolated means that the histories break a promise.
+var ErrViolated = errors.New("promises violated")
+
+const (
+	workers = 3
+	slots   = 8
+	taskRun = 50
+)
+
+// Run runs two entries, the log stand-in, and three upstreams with an agent each.
+func Run(ctx context.Context, cfg *Config) (err error) {
+	d, err := deployment.Start(ctx, deployment.Config{Bin: cfg.Bin, Dir: cfg.Dir, Entries: 2, Workers: workers, Slots: slots,
+		Services: []string{"stock-check", "order-batch", "price-report"}, Direct: true})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	fmt.Fprintf(cfg.Output, "running in %s\n\n", d.Dir())
+	quiet, err := phase(ctx, cfg, d, "quiet", quietLoad(cfg))
+	if err != nil {
+		return err
+	}
+	mixed, err := phase(ctx, cfg, d, "mixed", mixedLoad(cfg))
+	if err != nil {
+		return err
+	}
+	if err := writeCost(cfg.Output, "without other load", quiet); err != nil {
+		return err
+	}
+	if err := writeCost(cfg.Output, "beside batches and stragglers", mixed); err != nil {
+		return err
+	}
+	return check(cfg.Output, d)
+}
+
+func stockChecks(rate float64) load.Class {
+	return load.Class{Name: "stock-check", Service: "stock-check", Team: "shop", Rate: rate, TasksMin: 1, TasksMax: 1,
+		Run: load.RunTime{Kind: "fixed", Mean: taskRun}, Deadline: 5_000, Hints: "right"}
+}
+
+func quietLoad(cfg *Config) *load.Config {
+	return &load.Config{Seed: cfg.Seed, Duration: cfg.Quiet, Arrivals: "poisson", Classes: []load.Class{stockChecks(60)}}
+}
+
+// mixedLoad uses about half of the 24 slots: stock checks 5, batches 6.5, reports 0.6.
+func mixedLoad(cfg *Config) *load.Config {
+	return &load.Config{Seed: cfg.Seed + 1, Duration: cfg.Mixed, Arrivals: "poisson", Classes: []load.Class{
+		stockChecks(100),
+		{Name: "order-batch", Service: "order-batch", Team: "orders", Rate: 0.5, TasksMin: 100, TasksMax: load.MaxTasks,
+			Run: load.RunTime{Kind: "exponential", Mean: 20}, Deadline: 30_000, Hints: "off"},
+		{Name: "price-report", Service: "price-report", Team: "reports", Rate: 1, TasksMin: 1, TasksMax: 4,
+			Run: load.RunTime{Kind: "stragglers", Mean: 100, StragglerShare: 0.1, StragglerFactor: 20}, Deadline: 30_000, Hints: "absent", NonIdempotent: 0.5},
+	}}
+}
+
+// phase runs one load and prints its report.
+func phase(ctx context.Context, cfg *Config, d *deployment.Deployment, name string, l *load.Config) (*load.Report, error) {
+	url, lease := d.DirectURL()
+	l.Targets, l.Metrics, l.Slots, l.RetryBroken = d.EntryURLs(), d.MetricsURLs()[len(d.EntryURLs()):], workers*slots, true
+	l.Direct = load.Direct{URLs: []string{url}, Lease: lease, Rate: 60, Run: taskRun}
+	l.History = filepath.Join(d.Dir(), "callers-"+name+".jsonl")
+	rep, err := load.RunFile(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(cfg.Output, "== %s load, %d ms\n", name, l.Duration)
+	if err := rep.WriteText(cfg.Output); err != nil {
+		return nil, err
+	}
+	fmt.Fprintln(cfg.Output)
+	var svg bytes.Buffer
+	if err := rep.WritePlot(&svg); err != nil {
+		return nil, err
+	}
+	return rep, os.WriteFile(filepath.Join(d.Dir(), name+".svg"), svg.Bytes(), 0o600)
+}
+
+// writeCost compares a task of 50 ms through the dispatcher with direct calls of the same run.
+func writeCost(w io.Writer, when string, rep *load.Report) error {
+	via, direct := rep.Classes["stock-check"].Response, rep.Direct.Response
+	_, err := fmt.Fprintf(w, "cost of the path for a task of %d ms, %s: median %+.2f ms (%.2f, direct %.2f), p99 %+.2f ms (%.2f, direct %.2f)\n",
+		taskRun, when, via.P50-direct.P50, via.P50, direct.P50, via.P99-direct.P99, via.P99, direct.P99)
+	return err
+}
+
+// check reads the histories of all phases.
+func check(w io.Writer, d *deployment.Deployment) error {
+	attempts, err := history.Read[history.Attempt](filepath.Join(d.Dir(), "callers-quiet.jsonl"), filepath.Join(d.Dir(), "callers-mixed.jsonl"))
+	if err != nil {
+		return err
+	}
+	events, err := history.Read[history.Event](d.HistoryFiles()...)
+	if err != nil {
+		return err
+	}
+	violations := history.Check(attempts, events, nil)
+	for _, v := range violations {
+		fmt.Fprintln(w, v)
+	}
+	fmt.Fprintf(w, "histories checked: %d requests, %d upstream events, %d violations\n", len(attempts), len(events), len(violations))
+	if len(violations) > 0 {
+		return ErrViolated
+	}
+	return nil
+}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -30,6 +30,8 @@
 	Zones    int
 	Slots    int
 	Services []string
+	// Direct adds an upstream without an agent, for calls past the dispatcher.
+	Direct bool
 	// Proxies puts a fault proxy on every link between entries, agents, the log and callers.
 	Proxies bool
 	// ZoneDelay is the one-way delay between availability zones; it needs Proxies.
@@ -47,8 +49,13 @@
 // of callers is Callers.
 type Link struct{ From, To string }
 
-// Callers is the From of links that callers use.
-const Callers = "callers"
+// The From of links that several processes use.
+const (
+	// Callers submit jobs.
+	Callers = "callers"
+	// Peers have learned the announced address of an entry.
+	Peers = "peers"
+)
 
 // Deployment is a set of running processes.
 type Deployment struct {
@@ -57,6 +64,8 @@
 	entries   []*Process
 	agents    []*Process
 	upstreams []*Process
+	direct    *Process
+	lessor    *lessor
 
 	mu    sync.Mutex
 	links map[Link]*faultproxy.Proxy
@@ -132,7 +141,9 @@
 		return err
 	}
 	d.log = d.newProcess("log", "standin-log", addr, d.zone(0))
-	d.log.args = func(int) []string { return []string{"--listen", addr} }
+	if err := d.writeSettings(d.log, map[string]any{"listen": addr}, nil); err != nil {
+		return err
+	}
 	for i := range d.cfg.Entries {
 		if addr, err = ports.pick(); err != nil {
 			return err
@@ -154,7 +165,10 @@
 	if err := d.planEntries(); err != nil {
 		return err
 	}
-	return d.planWorkers()
+	if err := d.planWorkers(); err != nil {
+		return err
+	}
+	return d.planDirect(ports)
 }
 
 func (d *Deployment) zone(i int) string { return fmt.Sprintf("zone-%d", i%d.cfg.Zones+1) }
@@ -165,11 +179,14 @@
 		if err != nil {
 			return err
 		}
-		announced, err := d.link(Callers, e, d.cfg.CallerDelay)
+		if e.callerURL, err = d.link(Callers, e, d.cfg.CallerDelay); err != nil {
+			return err
+		}
+		// Others learn this address from the log, so it cannot differ by link.
+		announced, err := d.link(Peers, e, d.farthest(e))
 		if err != nil {
 			return err
 		}
-		e.callerURL = announced
 		peers := []string{}
 		for _, o := range d.entries {
 			if o == e {
@@ -203,18 +220,30 @@
 		if err := d.writeSettings(a, set, d.cfg.AgentSettings); err != nil {
 			return err
 		}
-		u := d.upstreams[i]
-		u.args = func(run int) []string {
-			args := []string{"--listen", u.addr, "--agent", a.URL(), "--name", u.name, "--slots", fmt.Sprint(d.cfg.Slots), "--history", u.historyFile(run)}
-			for _, s := range d.cfg.Services {
-				args = append(args, "--service", s)
-			}
-			return args
-		}
+		d.setUpstreamArgs(d.upstreams[i], a.URL(), d.cfg.Slots)
 	}
 	return nil
 }
 
+func (d *Deployment) setUpstreamArgs(u *Process, agent string, slots int) {
+	u.args = func(run int) []string {
+		args := []string{"--listen", u.addr, "--agent", agent, "--name", u.name, "--slots", fmt.Sprint(slots), "--history", u.historyFile(run)}
+		for _, s := range d.cfg.Services {
+			args = append(args, "--service", s)
+		}
+		return args
+	}
+}
+
+// farthest returns the longest delay between e and another entry.
+func (d *Deployment) farthest(e *Process) time.Duration {
+	var longest time.Duration
+	for _, o := range d.entries {
+		longest = max(longest, d.delay(e, o))
+	}
+	return longest
+}
+
 func (d *Deployment) delay(a, b *Process) time.Duration {
 	if a.zone == b.zone {
 		return 0
@@ -262,7 +291,11 @@
 	}
 	all = append(all, d.entries...)
 	all = append(all, d.agents...)
-	return append(all, d.upstreams...)
+	all = append(all, d.upstreams...)
+	if d.direct != nil {
+		all = append(all, d.direct)
+	}
+	return all
 }
 
 // Log returns the platform's log.
@@ -332,6 +365,9 @@
 	}
 	ends.Wait()
 	var errs []error
+	if d.lessor != nil {
+		errs = append(errs, d.lessor.close())
+	}
 	for _, p := range d.Links() {
 		errs = append(errs, p.Close())
 	}
--- /dev/null
+++ b/internal/standin/deployment/deployment_test.go
@@ -0,0 +1,116 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.yaml.in/yaml/v3"
+
+	"gypsumtide/internal/standin/faultproxy"
+)
+
+// readSettings returns the settings file that a process gets.
+func readSettings(p *Process) map[string]any {
+	data, err := os.ReadFile(p.args(1)[1])
+	So(err, ShouldBeNil)
+	set := map[string]any{}
+	So(yaml.Unmarshal(data, set), ShouldBeNil)
+	return set
+}
+
+func TestPlan(t *testing.T) {
+	Convey("With 3 entries and 11 workers in 4 zones", t, func() {
+		cfg := Config{Dir: t.TempDir(), Entries: 3, Workers: 11, Zones: 4, Proxies: true, ZoneDelay: time.Millisecond, AgentSettings: map[string]any{"drain-timeout-ms": 5}}
+		cfg.setDefaults()
+		d := &Deployment{cfg: cfg, links: map[Link]*faultproxy.Proxy{}}
+		So(d.plan(), ShouldBeNil)
+		Reset(func() { So(d.Close(), ShouldBeNil) })
+
+		// A link without a proxy stays whole when the schedule isolates a process.
+		Convey("every address that a process dials is a proxy", func() {
+			proxies := map[string]bool{}
+			for _, p := range d.Links() {
+				proxies[p.URL()] = true
+			}
+			// Per entry: log, callers, peers, 2 other entries, 11 agents.
+			So(len(proxies), ShouldEqual, 3*(3+2+11))
+			for _, e := range d.Entries() {
+				set := readSettings(e)
+				So(proxies[set["url"].(string)] && proxies[set["log-url"].(string)] && proxies[e.CallerURL()], ShouldBeTrue)
+				So(len(set["peers"].([]any)), ShouldEqual, 2)
+			}
+			for _, a := range d.Agents() {
+				set := readSettings(a)
+				So(set["drain-timeout-ms"], ShouldEqual, 5)
+				for _, u := range set["entries"].([]any) {
+					So(proxies[u.(string)], ShouldBeTrue)
+				}
+			}
+		})
+		Convey("workers spread over zones in racks of at most 3", func() {
+			racks := map[string]int{}
+			zones := map[string]int{}
+			for _, a := range d.Agents() {
+				racks[a.rack]++
+				zones[a.Zone()]++
+			}
+			So(zones, ShouldResemble, map[string]int{"zone-1": 3, "zone-2": 3, "zone-3": 3, "zone-4": 2})
+			for _, n := range racks {
+				So(n, ShouldBeLessThanOrEqualTo, 3)
+			}
+			So(d.delay(d.Agents()[0], d.Entries()[0]), ShouldEqual, 0)
+			So(d.delay(d.Agents()[0], d.Entries()[1]), ShouldEqual, time.Millisecond)
+		})
+	})
+	Convey("A missing program is named", t, func() {
+		_, err := Start(context.Background(), Config{Bin: t.TempDir()})
+		So(errors.Is(err, ErrNoProgram), ShouldBeTrue)
+	})
+}
+
+// Guards against processes that outlive a test, or a restart that hits another process.
+func TestProcess(t *testing.T) {
+	sleep, err := exec.LookPath("sleep")
+	if err != nil {
+		t.Skip("no sleep command")
+	}
+	Convey("With a running process", t, func() {
+		d := &Deployment{cfg: Config{Bin: filepath.Dir(sleep), Dir: t.TempDir()}}
+		p := d.newProcess("p", "sleep", "127.0.0.1:1", "zone-1")
+		p.args = func(int) []string { return []string{"60"} }
+		d.upstreams = []*Process{p}
+		So(p.start(), ShouldBeNil)
+		Reset(func() { So(d.Close(), ShouldBeNil) })
+		pid := p.PID()
+		So(pid, ShouldBeGreaterThan, 0)
+		So(p.start(), ShouldNotBeNil)
+
+		Convey("kill ends it, and restart makes a new one", func() {
+			So(p.Kill(), ShouldBeNil)
+			So(p.PID(), ShouldEqual, 0)
+			So(errors.Is(p.Pause(), ErrNotRunning), ShouldBeTrue)
+			So(p.Restart(), ShouldBeNil)
+			So(p.PID(), ShouldNotEqual, pid)
+			So(p.Runs(), ShouldEqual, 2)
+		})
+		Convey("terminate waits for the end", func() {
+			So(p.Terminate(context.Background()), ShouldBeNil)
+			So(p.PID(), ShouldEqual, 0)
+		})
+		Convey("a paused process does not end by terminate, and Close ends it", func() {
+			So(p.Pause(), ShouldBeNil)
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			So(errors.Is(p.Terminate(ctx), context.DeadlineExceeded), ShouldBeTrue)
+			So(d.Close(), ShouldBeNil)
+			So(errors.Is(syscall.Kill(pid, 0), syscall.ESRCH), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/standin/deployment/ready.go
+++ b/internal/standin/deployment/ready.go
@@ -23,6 +23,11 @@
 			return fmt.Errorf("deployment: wait for %s: %w", p.name, err)
 		}
 	}
+	if d.direct != nil {
+		if err := poll(ctx, func() error { return d.probeDirect(ctx) }); err != nil {
+			return fmt.Errorf("deployment: probe direct upstream: %w", err)
+		}
+	}
 	for _, e := range d.entries {
 		for _, s := range d.cfg.Services {
 			if err := poll(ctx, func() error { return probe(ctx, e.URL(), s) }); err != nil {
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -23,6 +23,7 @@
 const (
 	HeaderSubmission = "Gypsumtide-Submission"
 	HeaderTask       = "Gypsumtide-Task"
+	HeaderLease      = "Gypsumtide-Lease"
 )
 
 // Payload is a task of the stand-in upstream.
@@ -201,6 +202,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderSubmission, id)
 	req.Header.Set(HeaderTask, "0")
+	req.Header.Set(HeaderLease, r.cfg.Direct.Lease)
 	return r.discard(req)
 }
 
--- a/internal/standin/load/config.go
+++ b/internal/standin/load/config.go
@@ -91,6 +91,8 @@
 	URLs []string          `yaml:"urls"`
 	Rate float64           `yaml:"rate"`
 	Run  gypsumtide.Millis `yaml:"run-ms"`
+	// Lease is the lease generation that the upstreams expect.
+	Lease string `yaml:"lease"`
 }
 
 // Default returns a Config that needs only targets.
--- /dev/null
+++ b/internal/standin/schedule/schedule_test.go
@@ -0,0 +1,127 @@
+package schedule
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide/internal/standin/deployment"
+	"gypsumtide/internal/standin/load"
+)
+
+// root is the directory of the module.
+const root = "../../.."
+
+// buildPrograms returns a directory with the programs of the tree.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for _, name := range deployment.Programs {
+		if _, err := os.Stat(filepath.Join(root, "cmd", name)); errors.Is(err, fs.ErrNotExist) {
+			t.Skipf("the command %s does not exist yet", name)
+		}
+		out, err := exec.Command("go", "build", "-o", dir+"/", "gypsumtide/cmd/"+name).CombinedOutput()
+		if err != nil {
+			t.Fatalf("build %s: %v\n%s", name, err, out)
+		}
+	}
+	return dir
+}
+
+// background is about half of the slots: stock checks, batches, and reports with stragglers.
+func background() load.Config {
+	return load.Config{Arrivals: "poisson", Rate: 60, ResubmitShare: 0.1, ResubmitAfter: 30, CancelShare: 0.02, CancelAfter: 40, Classes: []load.Class{
+		{Name: "stock-check", Service: "stock-check", Team: "shop", Share: 0.94, TasksMin: 1, TasksMax: 3,
+			Run: load.RunTime{Kind: "fixed", Mean: 50}, Deadline: 3_000, Hints: "off", NonIdempotent: 0.2},
+		{Name: "order-batch", Service: "order-batch", Team: "orders", Share: 0.02, TasksMin: 50, TasksMax: 300,
+			Run: load.RunTime{Kind: "exponential", Mean: 20}, Deadline: 6_000, Hints: "right"},
+		{Name: "report", Service: "stock-check", Team: "reports", Share: 0.04, TasksMin: 1, TasksMax: 4,
+			Run: load.RunTime{Kind: "stragglers", Mean: 60, StragglerShare: 0.1, StragglerFactor: 20}, Deadline: 6_000, Hints: "absent", NonIdempotent: 1},
+	}}
+}
+
+// runSeed runs one schedule on a new deployment.
+func runSeed(t *testing.T, bin string, seed uint64, duration time.Duration, kinds []Kind) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), duration+3*time.Minute)
+	defer cancel()
+	dir, err := os.MkdirTemp("", fmt.Sprintf("gypsumtide-seed-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := deployment.Start(ctx, deployment.Config{Bin: bin, Dir: dir, Entries: 3, Workers: 4, Zones: 2, Slots: 4, Proxies: true,
+		ZoneDelay: time.Millisecond, CallerDelay: time.Millisecond, Services: []string{"stock-check", "order-batch"}})
+	if err != nil {
+		t.Fatalf("start in %s: %v", dir, err)
+	}
+	res, err := Run(ctx, d, Config{Seed: seed, Duration: duration, MeanGap: 500 * time.Millisecond, Kinds: kinds, Load: background(), Output: t.Output()})
+	if cerr := d.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		t.Fatalf("seed %d in %s: %v", seed, dir, err)
+	}
+	if err := res.WriteText(t.Output()); err != nil {
+		t.Fatal(err)
+	}
+	if !res.OK() {
+		t.Fatalf("seed %d: %d violations, %d problems, logs in %s", seed, len(res.Violations), len(res.Problems), dir)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against broken promises when faults of all kinds meet.
+func TestFaults(t *testing.T) { runSeed(t, buildPrograms(t), 1, 12*time.Second, AllKinds) }
+
+// Guards against shutdowns that interrupt requests: without other faults every
+// broken request counts.
+func TestGracefulStops(t *testing.T) {
+	runSeed(t, buildPrograms(t), 2, 10*time.Second, GracefulKinds)
+}
+
+// TestSeeds runs as many seeds as GYPSUMTIDE_SEEDS says, every third with
+// graceful stops only.
+func TestSeeds(t *testing.T) {
+	n, err := strconv.Atoi(os.Getenv("GYPSUMTIDE_SEEDS"))
+	if err != nil || n < 1 {
+		t.Skip("GYPSUMTIDE_SEEDS is not set")
+	}
+	bin := buildPrograms(t)
+	for seed := range n {
+		t.Run(fmt.Sprint("seed-", seed+1), func(t *testing.T) {
+			kinds := AllKinds
+			if seed%3 == 2 {
+				kinds = GracefulKinds
+			}
+			runSeed(t, bin, uint64(seed+1), 30*time.Second, kinds)
+		})
+	}
+}
+
+// A plan that differs between runs makes a seed useless for finding a fault again.
+func TestPlan(t *testing.T) {
+	Convey("A seed determines the plan, and the end of the run is free of faults", t, func() {
+		const duration = 60 * time.Second
+		steps := plan(7, AllKinds, duration, 300*time.Millisecond)
+		So(reflect.DeepEqual(steps, plan(7, AllKinds, duration, 300*time.Millisecond)), ShouldBeTrue)
+		So(reflect.DeepEqual(steps, plan(8, AllKinds, duration, 300*time.Millisecond)), ShouldBeFalse)
+		seen := map[Kind]bool{}
+		for _, s := range steps {
+			seen[s.kind] = true
+			So(s.at+s.length, ShouldBeLessThanOrEqualTo, duration-settle/2)
+		}
+		So(len(seen), ShouldEqual, len(AllKinds))
+	})
+}
