--- /dev/null
+++ b/internal/journal/client_test.go
@@ -0,0 +1,77 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+)
+
+// TestClientAnswers guards against an append that is taken for settled, or a
+// read that is taken for complete, on an answer that does not say so.
+func TestClientAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		status    int
+		body      string
+		appendErr bool
+		unsettled bool
+		readErr   bool
+		first     uint64
+	}{
+		{"append accepted", 200, `{"offset":3}`, false, false, true, 0},
+		{"append without offset", 200, `{}`, true, true, true, 0},
+		{"not JSON", 200, `<html>`, true, true, true, 0},
+		{"truncated", 200, `{"offset":`, true, true, true, 0},
+		{"server error", 500, ``, true, true, true, 0},
+		{"bad gateway", 502, ``, true, true, true, 0},
+		{"unavailable", 503, ``, true, true, true, 0},
+		{"rate limit", 429, ``, true, false, true, 0},
+		{"bad request", 400, ``, true, false, true, 0},
+		{"trimmed", 410, `{"first":9}`, true, false, true, 9},
+		{"trimmed without first", 410, `{}`, true, false, true, 0},
+		{"empty read", 200, `{"records":[],"next":5}`, true, true, false, 0},
+		{"next before from", 200, `{"records":[],"next":4}`, true, true, true, 0},
+		{"offset before from", 200, `{"records":[{"offset":4}],"next":6}`, true, true, true, 0},
+		{"offset not before next", 200, `{"records":[{"offset":6}],"next":6}`, true, true, true, 0},
+		{"offsets out of order", 200, `{"records":[{"offset":6},{"offset":5}],"next":7}`, true, true, true, 0},
+	} {
+		Convey("Answer: "+c.name, t, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer server.Close()
+			client := NewClient(server.URL+"/", server.Client(), 0)
+			_, err := client.Append(context.Background(), "s", []byte("x"))
+			So(err != nil, ShouldEqual, c.appendErr)
+			So(errors.Is(err, gypsumtide.ErrAppendUnsettled), ShouldEqual, c.unsettled)
+			_, _, err = client.Read(context.Background(), "s", 5, 0)
+			So(err != nil, ShouldEqual, c.readErr)
+			var trimmed *gypsumtide.TrimmedError
+			So(errors.As(err, &trimmed), ShouldEqual, c.first > 0)
+			if c.first > 0 {
+				So(trimmed.First, ShouldEqual, c.first)
+			}
+		})
+	}
+	Convey("A log that does not answer ends both calls in time", t, func() {
+		release := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+		defer server.Close()
+		defer close(release)
+		client := NewClient(server.URL, server.Client(), 50)
+		began := time.Now()
+		_, err := client.Append(context.Background(), "s", []byte("x"))
+		So(errors.Is(err, gypsumtide.ErrAppendUnsettled), ShouldBeTrue)
+		_, _, err = client.Read(context.Background(), "s", 0, 50)
+		So(err, ShouldNotBeNil)
+		So(time.Since(began), ShouldBeLessThan, time.Second)
+	})
+}
--- /dev/null
+++ b/internal/journal/example_test.go
@@ -0,0 +1,51 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/go-logr/logr"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/journal"
+	"gypsumtide/internal/standin/platformlog"
+)
+
+// lines is a Fold that counts records.
+type lines struct{ n int }
+
+func (l *lines) Apply(uint64, []byte)      { l.n++ }
+func (l *lines) Snapshot() ([]byte, error) { return fmt.Append(nil, l.n), nil }
+func (l *lines) Restore(data []byte) error {
+	_, err := fmt.Sscan(string(data), &l.n)
+	return err
+}
+
+func ExampleFollower() {
+	log := platformlog.New(platformlog.DefaultSettings(), gypsumtide.NewSystemClock())
+	server := httptest.NewServer(log.Handler())
+	defer server.Close()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	fold := &lines{}
+	client := journal.NewClient(server.URL, http.DefaultClient, 0)
+	follower := journal.New(client, "events", fold, gypsumtide.NewSystemClock(), logr.Discard())
+	done := group.Go(ctx, follower.Run)
+
+	id := journal.NewID()
+	fmt.Println(follower.Append(ctx, id, []byte("hello")))
+	// A writer that is in doubt may append again under the same id.
+	fmt.Println(follower.Append(ctx, id, []byte("hello")))
+	follower.View(func() { fmt.Println(fold.n, "record") })
+
+	cancel()
+	fmt.Println(<-done)
+	// Output:
+	// <nil>
+	// <nil>
+	// 1 record
+	// context canceled
+}
