--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -136,7 +136,7 @@
 func (e *Entry) entryList() []wire.EntryInfo {
 	infos := []wire.EntryInfo{e.owner.Self()}
 	for _, m := range e.state.Entries() {
-		if m.Present() && m.Incarnation != e.incarnation {
+		if m.Member.Present() && m.Incarnation != e.incarnation {
 			infos = append(infos, m.EntryInfo)
 		}
 	}
@@ -151,9 +151,6 @@
 	if r.ShardsAsOf, r.Shards, err = e.shards.SnapshotState(); err != nil {
 		return nil
 	}
-	if r.ConfigurationAsOf, r.Configuration, err = e.configs.SnapshotState(); err != nil {
-		return nil
-	}
 	return r
 }
 
@@ -163,10 +160,6 @@
 	if err != nil {
 		return gypsumtide.NewError("adopt shards stream", peer, err)
 	}
-	configs, err := e.configs.Adopt(r.ConfigurationAsOf, r.Configuration)
-	if err != nil {
-		return gypsumtide.NewError("adopt configuration stream", peer, err)
-	}
-	e.log.Info("control streams received from a peer", "peer", peer, "shards-adopted", shards, "configuration-adopted", configs)
+	e.log.Info("control streams received from a peer", "peer", peer, "shards-adopted", shards)
 	return nil
 }
