--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -120,16 +120,18 @@
 	})
 }
 
-// agentDown records that the session s of an agent broke.
-func (h *home) agentDown(c *agentConn, s *wire.Session) {
+// agentDown records that the session s of an agent broke. It reports false if a
+// newer session has replaced it.
+func (h *home) agentDown(c *agentConn, s *wire.Session) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if c.session != s {
-		return
+		return false
 	}
 	c.session = nil
 	c.lostAt = h.clock.Now()
 	h.invalidate()
+	return true
 }
 
 // loseAgent gives up an incarnation: what it started is unknown.
@@ -292,14 +294,16 @@
 	}
 }
 
-// serveAgent runs the session of an agent until it breaks.
+// serveAgent runs the session of an agent until it breaks. The agent counts as
+// connected from its first frame on: an agent that dialled two addresses of
+// this entry closes the second session without sending one.
 func (e *Entry) serveAgent(ctx context.Context, hello *wire.Hello, s *wire.Session) error {
 	rec := wire.AgentRecord{Name: hello.Name, Incarnation: hello.Incarnation, Zone: hello.Zone, Rack: hello.Rack}
-	c := e.home.agentUp(rec, s)
-	e.owner.AgentUp(rec)
-	e.log.Info("agent connected", "agent", rec.Name, "incarnation", rec.Incarnation, "zone", rec.Zone)
-	e.sendConfig(s)
+	var c *agentConn
 	err := s.Run(ctx, func(f *wire.Frame) error {
+		if c == nil {
+			c = e.agentUp(rec, s)
+		}
 		for _, p := range f.Promised {
 			e.owner.Promised(rec.Incarnation, p)
 		}
@@ -308,8 +312,21 @@
 		}
 		return nil
 	})
-	e.home.agentDown(c, s)
-	e.owner.AgentDown(rec.Incarnation)
-	e.log.Info("agent session ended", "agent", rec.Name, "incarnation", rec.Incarnation, "error", errorText(err))
+	if c == nil {
+		return err
+	}
+	if e.home.agentDown(c, s) {
+		e.owner.AgentDown(rec.Incarnation)
+		e.log.Info("agent session ended", "agent", rec.Name, "incarnation", rec.Incarnation, "error", errorText(err))
+	}
 	return err
 }
+
+// agentUp registers an agent's session.
+func (e *Entry) agentUp(rec wire.AgentRecord, s *wire.Session) *agentConn {
+	c := e.home.agentUp(rec, s)
+	e.owner.AgentUp(rec)
+	e.log.Info("agent connected", "agent", rec.Name, "incarnation", rec.Incarnation, "zone", rec.Zone)
+	e.sendConfig(s)
+	return c
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -173,6 +173,7 @@
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.handleCancel)
 	mux.HandleFunc("POST /v1/submission-ids", e.handleIssue)
 	mux.HandleFunc("GET /v1/session", e.handleSession)
+	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.metrics.set.WritePrometheus(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.handleReady)
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -132,6 +132,9 @@
 	if f.Welcome.Incarnation == e.incarnation {
 		return gypsumtide.NewError("open link", url, errSelf)
 	}
+	if l.find(f.Welcome.Incarnation) != nil {
+		return gypsumtide.NewError("open link", url, errSecondLink)
+	}
 	e.learn(f.Welcome.Entries)
 	k := &link{
 		session: s, incarnation: f.Welcome.Incarnation, name: f.Welcome.Name,
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -13,9 +13,10 @@
 )
 
 var (
-	errNoWelcome = errors.New("no welcome received")
-	errSelf      = errors.New("the address leads back to this entry")
-	errNoHello   = errors.New("no hello received")
+	errNoWelcome  = errors.New("no welcome received")
+	errSelf       = errors.New("the address leads back to this entry")
+	errSecondLink = errors.New("another link to the same entry exists")
+	errNoHello    = errors.New("no hello received")
 )
 
 // handleSession accepts the sessions of agents and other entries.
