--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -17,6 +17,9 @@
 // gypsumtide.ErrAppendUnsettled if the record may be in the stream or may
 // still arrive there; any other error means that it is not.
 func (f *Follower) Append(ctx context.Context, id ID, record []byte) error {
+	if f.contains(id) {
+		return nil
+	}
 	data, err := encodeEnvelope(envelope{ID: id, Kind: kindRecord, Body: record})
 	if err != nil {
 		return fmt.Errorf("journal: append: %w", err)
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -21,41 +21,55 @@
 type batchLimiter interface{ BatchLimit() int }
 
 func (f *Follower) tail(ctx context.Context) error {
-	limit := 1
-	if l, ok := f.log.(batchLimiter); ok {
-		limit = l.BatchLimit()
-	}
 	backoff := minBackoff
 	failing := false
 	for {
-		from := f.readFrom()
-		sent := f.clock.Now()
-		records, next, err := f.log.Read(ctx, f.stream, from, pollWait)
+		err := f.poll(ctx, pollWait)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		var trimmed *gypsumtide.TrimmedError
-		if errors.As(err, &trimmed) && trimmed.First > from {
-			f.startSeek(trimmed.First)
-			continue
-		}
-		if err != nil {
-			if !failing {
-				f.logger.Error(err, "read failed, retrying")
+		if err == nil {
+			if failing {
+				f.logger.Info("read succeeded again")
 			}
-			failing = true
-			if err := pause(ctx, backoff); err != nil {
-				return err
-			}
-			backoff = min(2*backoff, maxBackoff)
+			failing, backoff = false, minBackoff
 			continue
 		}
-		if failing {
-			f.logger.Info("read succeeded again")
+		if !failing {
+			f.logger.Error(err, "read failed, retrying")
+		}
+		failing = true
+		if err := pause(ctx, backoff); err != nil {
+			return err
 		}
-		failing, backoff = false, minBackoff
-		f.take(from, records, next, sent, len(records) < limit)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// poll reads and applies one batch of records.
+func (f *Follower) poll(ctx context.Context, wait gypsumtide.Millis) error {
+	from := f.readFrom()
+	sent := f.clock.Now()
+	records, next, err := f.log.Read(ctx, f.stream, from, wait)
+	var trimmed *gypsumtide.TrimmedError
+	if errors.As(err, &trimmed) && trimmed.First > from {
+		f.startSeek(trimmed.First)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.take(from, records, next, sent, len(records) < f.batchLimit())
+	return nil
+}
+
+// batchLimit returns the number of records that proves that the end of the
+// stream was not reached.
+func (f *Follower) batchLimit() int {
+	if l, ok := f.log.(batchLimiter); ok {
+		return l.BatchLimit()
 	}
+	return 1
 }
 
 // readFrom returns the offset to read next.
--- /dev/null
+++ b/internal/object/parse.go
@@ -0,0 +1,314 @@
+package object
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// File is a named text with any number of YAML documents.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Join returns the text that is published for the files.
+func Join(files []File) []byte {
+	var out bytes.Buffer
+	for i, f := range files {
+		if i > 0 {
+			out.WriteString("---\n")
+		}
+		out.Write(f.Data)
+		if len(f.Data) > 0 && f.Data[len(f.Data)-1] != '\n' {
+			out.WriteByte('\n')
+		}
+	}
+	return out.Bytes()
+}
+
+// Parse reads the files and checks their objects as one set. The error is of
+// type Errors and lists every fault.
+func Parse(files ...File) (*Set, error) {
+	p := &parser{set: newSet(), at: map[ref]position{}}
+	for _, f := range files {
+		p.file(f)
+	}
+	p.checkReferences()
+	if len(p.errs) > 0 {
+		return nil, p.errs.sorted(files)
+	}
+	p.set.indexRoutes()
+	return p.set, nil
+}
+
+// ref names an object.
+type ref struct{ kind, name string }
+
+// position tells where an object and its keys are defined.
+type position struct {
+	file string
+	line int
+	keys map[string]int
+}
+
+// key returns the line of a key, or of the object.
+func (p position) key(key string) int {
+	if line, ok := p.keys[key]; ok {
+		return line
+	}
+	return p.line
+}
+
+type parser struct {
+	set  *Set
+	at   map[ref]position
+	errs Errors
+}
+
+func (p *parser) fail(file string, line int, format string, args ...any) {
+	p.errs = append(p.errs, Error{File: file, Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) file(f File) {
+	dec := yaml.NewDecoder(bytes.NewReader(f.Data))
+	for {
+		var doc yaml.Node
+		err := dec.Decode(&doc)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			line, text := syntaxError(err)
+			p.fail(f.Name, line, "%s", text)
+			return
+		}
+		for _, n := range doc.Content {
+			p.document(f.Name, n)
+		}
+	}
+}
+
+var linePattern = regexp.MustCompile(`^line (\d+): `)
+
+// syntaxError takes the line out of the text of a YAML error.
+func syntaxError(err error) (int, string) {
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	if m := linePattern.FindStringSubmatch(text); m != nil {
+		line, _ := strconv.Atoi(m[1])
+		return line, "not valid YAML: " + text[len(m[0]):]
+	}
+	return 1, "not valid YAML: " + text
+}
+
+// document reads one object.
+func (p *parser) document(file string, n *yaml.Node) {
+	if n.Kind == yaml.ScalarNode && n.ShortTag() == "!!null" {
+		return
+	}
+	if n.Kind != yaml.MappingNode {
+		p.fail(file, n.Line, "an object must be a mapping with kind and name")
+		return
+	}
+	values, lines := p.keys(file, n)
+	kind, ok := p.kind(file, n, values)
+	if !ok {
+		return
+	}
+	o := newDraft(kind)
+	before := len(p.errs)
+	keys := []string{"kind"}
+	for _, f := range o.fields {
+		keys = append(keys, f.key)
+		value, ok := values[f.key]
+		if !ok {
+			if f.required {
+				p.fail(file, n.Line, "%s: key %q is missing", kind, f.key)
+			}
+			continue
+		}
+		delete(values, f.key)
+		if err := f.set(value); err != nil {
+			p.fail(file, value.Line, "%s %s: %s: %v", kind, o.name(), f.key, err)
+		}
+	}
+	for key := range values {
+		p.fail(file, lines[key], "%s %s: unknown key %q%s", kind, o.name(), key, hint(key, keys))
+	}
+	// Errors that only follow from another one are not reported.
+	if o.check != nil && len(p.errs) == before {
+		if err := o.check(); err != nil {
+			p.fail(file, n.Line, "%s %s: %v", kind, o.name(), err)
+		}
+	}
+	if o.name() == "" {
+		return
+	}
+	r := ref{kind, o.name()}
+	if first, ok := p.at[r]; ok {
+		p.fail(file, n.Line, "%s %s: already defined at %s:%d", kind, r.name, first.file, first.line)
+		return
+	}
+	p.at[r] = position{file: file, line: n.Line, keys: lines}
+	o.store(p.set)
+}
+
+// keys returns the values and lines of a mapping by key.
+func (p *parser) keys(file string, n *yaml.Node) (map[string]*yaml.Node, map[string]int) {
+	values, lines := map[string]*yaml.Node{}, map[string]int{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		if key.Kind != yaml.ScalarNode {
+			p.fail(file, key.Line, "a key must be a single word")
+			continue
+		}
+		if _, ok := values[key.Value]; ok {
+			p.fail(file, key.Line, "key %q is given twice", key.Value)
+			continue
+		}
+		values[key.Value], lines[key.Value] = n.Content[i+1], key.Line
+	}
+	return values, lines
+}
+
+func (p *parser) kind(file string, n *yaml.Node, values map[string]*yaml.Node) (string, bool) {
+	value, ok := values["kind"]
+	if !ok {
+		p.fail(file, n.Line, "key \"kind\" is missing")
+		return "", false
+	}
+	delete(values, "kind")
+	kind, err := scalar(value)
+	if err != nil {
+		p.fail(file, value.Line, "kind: %v", err)
+		return "", false
+	}
+	if newDraft(kind) == nil {
+		p.fail(file, value.Line, "unknown kind %q%s", kind, hint(kind, kinds))
+		return "", false
+	}
+	return kind, true
+}
+
+// The kinds of objects.
+const (
+	KindService = "service"
+	KindPool    = "pool"
+	KindLimit   = "limit"
+	KindRoute   = "route"
+	KindTeam    = "team"
+)
+
+var kinds = []string{KindService, KindPool, KindLimit, KindRoute, KindTeam}
+
+// draft is an object while it is read.
+type draft struct {
+	fields []field
+	name   func() string
+	check  func() error
+	store  func(s *Set)
+}
+
+const (
+	// maxPayload leaves room for a frame's other content below wire.MaxFrameBytes.
+	maxPayload = 32 << 20
+	maxRunTime = 10 * time.Minute
+	maxCount   = 1_000_000_000
+	maxRate    = 1e9
+)
+
+// newDraft returns an object with its defaults, or nil if the kind is unknown.
+func newDraft(kind string) *draft {
+	switch kind {
+	case KindService:
+		o := defaultService("")
+		return &draft{
+			fields: []field{
+				nameField("name", true, &o.Name),
+				nameField("pool", false, &o.Pool),
+				durationField("run-time", &o.RunTime, time.Millisecond, maxRunTime),
+				bytesField("max-payload-bytes", &o.MaxPayloadBytes, 1, maxPayload),
+			},
+			name:  func() string { return o.Name },
+			store: func(s *Set) { s.services[o.Name] = o },
+		}
+	case KindPool:
+		o := defaultPool("")
+		return &draft{
+			fields: []field{
+				nameField("name", true, &o.Name),
+				namesField("availability-zones", &o.AvailabilityZones),
+				intField("overcommit", &o.Overcommit, 0, 8),
+				intField("reserve-short-percent", &o.ReserveShortPercent, 0, 90),
+				intField("max-ejected-percent", &o.MaxEjectedPercent, 0, 100),
+				enumField("placement", &o.Placement, Placements()),
+				enumField("queue", &o.Queue, Queues()),
+			},
+			name:  func() string { return o.Name },
+			store: func(s *Set) { s.pools[o.Name] = o },
+		}
+	case KindLimit:
+		var o Limit
+		return &draft{
+			fields: []field{
+				nameField("name", true, &o.Name),
+				floatField("rate", &o.Rate, 0.001, maxRate),
+				intField("burst", &o.Burst, 1, maxCount),
+				intField("concurrency", &o.Concurrency, 1, maxCount),
+				intField("queue-length", &o.QueueLength, 1, maxCount),
+				nameField("parent", false, &o.Parent),
+			},
+			name:  func() string { return o.Name },
+			check: func() error { return finishLimit(&o) },
+			store: func(s *Set) { s.limits[o.Name] = o },
+		}
+	case KindRoute:
+		o := Route{Limits: []string{}}
+		return &draft{
+			fields: []field{
+				nameField("name", true, &o.Name),
+				nameField("service", true, &o.Service),
+				nameField("team", false, &o.Team),
+				nameField("pool", false, &o.Pool),
+				namesField("limits", &o.Limits),
+				intField("priority", &o.Priority, -1000, 1000),
+			},
+			name:  func() string { return o.Name },
+			store: func(s *Set) { s.routes[o.Name] = o },
+		}
+	case KindTeam:
+		o := defaultTeam("")
+		return &draft{
+			fields: []field{
+				nameField("name", true, &o.Name),
+				floatField("weight", &o.Weight, 0.001, 1000),
+				namesField("limits", &o.Limits),
+			},
+			name:  func() string { return o.Name },
+			store: func(s *Set) { s.teams[o.Name] = o },
+		}
+	}
+	return nil
+}
+
+// finishLimit checks a limit on its own and sets the default of burst.
+func finishLimit(o *Limit) error {
+	if o.Rate == 0 && o.Concurrency == 0 && o.QueueLength == 0 {
+		return errors.New("needs at least one of rate, concurrency and queue-length")
+	}
+	if o.Burst > 0 && o.Rate == 0 {
+		return errors.New("burst needs a rate")
+	}
+	if o.Rate > 0 && o.Burst == 0 {
+		o.Burst = int(min(math.Ceil(o.Rate), maxCount))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/object/set.go
@@ -0,0 +1,134 @@
+package object
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is a checked set of objects. It does not change.
+type Set struct {
+	services map[string]Service
+	pools    map[string]Pool
+	limits   map[string]Limit
+	routes   map[string]Route
+	teams    map[string]Team
+	// byService holds the routes of each service, the most specific first and
+	// then by priority. Routes are looked up for every job.
+	byService map[string][]Route
+}
+
+func newSet() *Set {
+	return &Set{
+		services: map[string]Service{},
+		pools:    map[string]Pool{DefaultPool: defaultPool(DefaultPool)},
+		limits:   map[string]Limit{},
+		routes:   map[string]Route{},
+		teams:    map[string]Team{},
+
+		byService: map[string][]Route{},
+	}
+}
+
+func (s *Set) indexRoutes() {
+	for _, r := range s.Routes() {
+		s.byService[r.Service] = append(s.byService[r.Service], r)
+	}
+	for _, routes := range s.byService {
+		slices.SortStableFunc(routes, func(a, b Route) int {
+			return cmp.Or(cmp.Compare(specificity(b), specificity(a)), cmp.Compare(b.Priority, a.Priority))
+		})
+	}
+}
+
+// Default returns the set in force before anything is published: any service
+// is served from the pool "default" without limits.
+func Default() *Set { return newSet() }
+
+// Service returns the service, or one with the defaults if no object defines it.
+func (s *Set) Service(name string) Service {
+	if o, ok := s.services[name]; ok {
+		return o
+	}
+	return defaultService(name)
+}
+
+// Team returns the team, or one with the defaults if no object defines it.
+func (s *Set) Team(name string) Team {
+	if o, ok := s.teams[name]; ok {
+		return o
+	}
+	return defaultTeam(name)
+}
+
+// Pool returns the pool and whether it exists.
+func (s *Set) Pool(name string) (Pool, bool) {
+	o, ok := s.pools[name]
+	return o, ok
+}
+
+// Limit returns the limit and whether it exists.
+func (s *Set) Limit(name string) (Limit, bool) {
+	o, ok := s.limits[name]
+	return o, ok
+}
+
+// Services returns the services by name.
+func (s *Set) Services() []Service { return sorted(s.services) }
+
+// Pools returns the pools by name.
+func (s *Set) Pools() []Pool { return sorted(s.pools) }
+
+// Limits returns the limits by name.
+func (s *Set) Limits() []Limit { return sorted(s.limits) }
+
+// Routes returns the routes by name.
+func (s *Set) Routes() []Route { return sorted(s.routes) }
+
+// Teams returns the teams by name.
+func (s *Set) Teams() []Team { return sorted(s.teams) }
+
+func sorted[T any](objects map[string]T) []T {
+	out := make([]T, 0, len(objects))
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		out = append(out, objects[name])
+	}
+	return out
+}
+
+// names returns the names of the objects of a kind.
+func (s *Set) names(kind string) []string {
+	switch kind {
+	case KindService:
+		return slices.Sorted(maps.Keys(s.services))
+	case KindPool:
+		return slices.Sorted(maps.Keys(s.pools))
+	case KindLimit:
+		return slices.Sorted(maps.Keys(s.limits))
+	case KindRoute:
+		return slices.Sorted(maps.Keys(s.routes))
+	case KindTeam:
+		return slices.Sorted(maps.Keys(s.teams))
+	}
+	return nil
+}
+
+func (s *Set) has(kind, name string) bool { return slices.Contains(s.names(kind), name) }
+
+// LimitChain returns the limits with the given names and their parents, each once.
+func (s *Set) LimitChain(names ...string) []Limit {
+	var out []Limit
+	seen := map[string]bool{}
+	for _, name := range names {
+		for name != "" && !seen[name] {
+			seen[name] = true
+			o, ok := s.limits[name]
+			if !ok {
+				break
+			}
+			out = append(out, o)
+			name = o.Parent
+		}
+	}
+	return out
+}
