--- /dev/null
+++ b/internal/object/publication_test.go
@@ -0,0 +1,188 @@
+package object
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/journal"
+	"gypsumtide/internal/standin/platformlog"
+)
+
+const poolP = "kind: pool\nname: p\n"
+
+func encoded(p Publish) []byte {
+	data, err := p.Encode()
+	So(err, ShouldBeNil)
+	return data
+}
+
+// TestPublication guards the rules by which all readers agree on the revision.
+func TestPublication(t *testing.T) {
+	first := Publish{ID: journal.ID{1}, Base: 0, Objects: []byte(poolP), Author: "ann", Time: 7}
+	for _, c := range []struct {
+		name     string
+		record   Publish
+		revision uint64
+		accepted bool
+		unread   bool
+		pools    int
+	}{
+		{"follows", Publish{ID: journal.ID{2}, Base: 1}, 2, true, false, 1},
+		{"same base", Publish{ID: journal.ID{2}, Base: 0}, 1, false, false, 2},
+		{"base ahead", Publish{ID: journal.ID{2}, Base: 2}, 1, false, false, 2},
+		{"repeat", Publish{ID: journal.ID{1}, Base: 1}, 1, true, false, 2},
+		{"text that this version cannot read", Publish{ID: journal.ID{2}, Base: 1, Objects: []byte("kind: new\n")}, 2, true, true, 2},
+	} {
+		Convey("Publish: "+c.name, t, func() {
+			p := NewPublication()
+			p.Apply(0, encoded(first))
+			p.Apply(1, encoded(c.record))
+			So(p.Current().Number(), ShouldEqual, c.revision)
+			So(p.Current().Err() != nil, ShouldEqual, c.unread)
+			So(p.Current().Set().Pools(), ShouldHaveLength, c.pools)
+			result, ok := p.Result(c.record.ID)
+			So(ok, ShouldBeTrue)
+			So(result.Accepted, ShouldEqual, c.accepted)
+			So(result.Revision, ShouldEqual, c.revision)
+		})
+	}
+	Convey("Given a publication with a long history", t, func() {
+		p := NewPublication()
+		for i := range historyLength + 10 {
+			p.Apply(uint64(i), encoded(Publish{ID: journal.ID{byte(i), 1}, Base: uint64(i), Objects: fmt.Appendf(nil, "# %d\n", i)}))
+		}
+		Convey("it keeps the newest publishes", func() {
+			h := p.History()
+			So(h, ShouldHaveLength, historyLength)
+			So(h[len(h)-1].Revision, ShouldEqual, historyLength+10)
+			_, ok := p.Result(journal.ID{0, 1})
+			So(ok, ShouldBeFalse)
+		})
+		Convey("a restored snapshot is the same state", func() {
+			data, err := p.Snapshot()
+			So(err, ShouldBeNil)
+			q := NewPublication()
+			So(q.Restore(data), ShouldBeNil)
+			So(q.History(), ShouldResemble, p.History())
+			So(q.Current().Number(), ShouldEqual, p.Current().Number())
+			So(string(q.Current().Objects()), ShouldEqual, "# 109\n")
+		})
+		Convey("it rejects", func() {
+			older, err := NewPublication().Snapshot()
+			So(err, ShouldBeNil)
+			other := NewPublication()
+			other.current = Revision{number: p.Current().Number(), objects: []byte("# other\n"), set: Default()}
+			sameNumber, err := other.Snapshot()
+			So(err, ShouldBeNil)
+			for name, data := range map[string][]byte{"an older state": older, "another text": sameNumber, "garbage": []byte("garbage")} {
+				Convey(name, func() {
+					So(p.Restore(data), ShouldNotBeNil)
+					So(p.Current().Number(), ShouldEqual, historyLength+10)
+					So(p.History(), ShouldHaveLength, historyLength)
+				})
+			}
+		})
+	})
+}
+
+// FuzzPublication guards against records that crash a reader, and against
+// states that change when they pass through a snapshot.
+func FuzzPublication(f *testing.F) {
+	for i, base := range []uint64{0, 0, 1} {
+		data, err := Publish{ID: journal.ID{byte(i + 1)}, Base: base, Objects: []byte(poolP)}.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data, data)
+	}
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		p := NewPublication()
+		p.Apply(0, a)
+		before := p.Current().Number()
+		p.Apply(1, b)
+		if n := p.Current().Number(); n < before || n > before+1 || p.Current().Set() == nil {
+			t.Fatalf("revision went from %d to %d", before, n)
+		}
+		data, err := p.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		q := NewPublication()
+		if err := q.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		again, err := q.Snapshot()
+		if err != nil || string(again) != string(data) {
+			t.Fatalf("snapshot changed: %x, %x, %v", data, again, err)
+		}
+		_ = NewPublication().Restore(a)
+	})
+}
+
+// TestPublisher guards against a publish whose result is told wrongly to its
+// author, over HTTP and under faults of the log.
+func TestPublisher(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults platformlog.Faults
+		base   uint64
+		text   string
+		// race publishes over the same base first, unseen by the publisher.
+		race     bool
+		revision uint64
+		want     error
+	}{
+		{name: "accepted", text: poolP, revision: 1},
+		{name: "accepted, answer lost", text: poolP, faults: platformlog.Faults{LoseAnswers: 1}, revision: 1},
+		{name: "lost the race", text: poolP, race: true, want: ErrConflict},
+		{name: "base ahead", text: poolP, base: 4, want: ErrConflict},
+		{name: "log hangs", text: poolP, faults: platformlog.Faults{Hang: true}, want: gypsumtide.ErrAppendUnsettled},
+		{name: "invalid", text: "kind: x\n", want: Errors{}},
+	} {
+		Convey("Publisher: "+c.name, t, func() {
+			log := platformlog.New(platformlog.Settings{MaxRecordBytes: 1 << 20}, gypsumtide.NewSystemClock())
+			server := httptest.NewServer(log.Handler())
+			defer server.Close()
+			defer log.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			p := NewPublication()
+			clock := gypsumtide.NewSystemClock()
+			follower := journal.New(journal.NewClient(server.URL, &http.Client{}, 200), "configuration", p, clock, logr.Discard())
+			publisher := NewPublisher(follower, p, clock)
+			if c.race {
+				// The publisher's node has not read the other publish yet.
+				racer := NewPublication()
+				other := journal.New(journal.NewClient(server.URL, &http.Client{}, 200), "configuration", racer, clock, logr.Discard())
+				done := group.Go(ctx, other.Run)
+				_, err := NewPublisher(other, racer, clock).Publish(ctx, 0, nil, "first")
+				So(err, ShouldBeNil)
+				defer func() { <-done }()
+			}
+			done := group.Go(ctx, follower.Run)
+			defer func() { cancel(); <-done }()
+			So(log.SetFaults(c.faults), ShouldBeNil)
+			pctx, pcancel := context.WithTimeout(ctx, 500*time.Millisecond)
+			defer pcancel()
+			revision, err := publisher.Publish(pctx, c.base, []byte(c.text), "ann")
+			So(revision, ShouldEqual, c.revision)
+			var errs Errors
+			if errors.As(c.want, &errs) {
+				So(errors.As(err, &errs), ShouldBeTrue)
+				return
+			}
+			So(errors.Is(err, c.want), ShouldBeTrue)
+			So(publisher.Current().Number() == c.revision, ShouldEqual, !c.race)
+		})
+	}
+}
