Give each dispatch at most one promise and test the ledger

Cause: the answer to a recall could reach a home after it had dispatched the task again, and would count as an answer to the new dispatch. Change: a recall or cancel answers only for a queued task or a state that is news; queries are separate.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,6 +25,10 @@
 // expireInterval is the time between two sweeps of the ledger.
 const expireInterval = 5 * time.Second
 
+// maxBody bounds the answer to a task. The answers of 8 slots together stay
+// below the bound of a frame.
+const maxBody = 4 << 20
+
 // Agent is one incarnation of the daemon.
 type Agent struct {
 	cfg         *settings.Agent
@@ -111,7 +115,7 @@
 		DefaultTTL:         cfg.LeaseTTL,
 		ReserveShort:       cfg.ReserveShort,
 		MaxRunTime:         cfg.MaxRunTime,
-		MaxBody:            wire.MaxFrameBytes / 4,
+		MaxBody:            maxBody,
 		Key:                key,
 		Health:             upstream.HealthConfig(cfg.Ejection),
 	}, func() { notify(a.offer); notify(a.wake) })
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -13,7 +13,8 @@
 const stopTimeout = 2 * time.Second
 
 // handle acts on a frame from an entry. Promises go first: a frame that carries
-// a promise and a dispatch comes from the home of the higher epoch.
+// a promise and a dispatch comes from the home of the higher epoch. Recalls and
+// cancels go after dispatches, because they may name a task of the same frame.
 func (a *Agent) handle(l *link, f *wire.Frame) error {
 	if f.Config != nil {
 		a.configure(f.Config)
@@ -30,17 +31,17 @@
 	a.promises(l, f.Promises)
 	a.recovers(l, f.Recovers)
 	for _, ref := range f.Queries {
-		a.settle(l, ref, wire.ReasonUnknown)
+		a.settle(l, ref, wire.ReasonUnknown, a.ledger.Query(ref, l.number))
+	}
+	if len(f.Dispatches) > 0 {
+		a.dispatches(l, f)
 	}
 	for _, ref := range f.Recalls {
-		a.settle(l, ref, wire.ReasonRecalled)
+		a.settle(l, ref, wire.ReasonRecalled, a.ledger.Withdraw(ref, l.number, wire.ReasonRecalled))
 	}
 	for _, ref := range f.Cancels {
 		a.cancel(l, ref)
 	}
-	if len(f.Dispatches) > 0 {
-		a.dispatches(l, f)
-	}
 	a.scheduleLocked()
 	notify(a.wake)
 	return nil
@@ -67,9 +68,9 @@
 	}
 }
 
-// settle answers a query or a recall.
-func (a *Agent) settle(l *link, ref wire.TaskRef, reason string) {
-	r := a.ledger.Withdraw(ref, l.number, reason)
+// settle sends the answer to a query, recall or cancel, and drops the task from
+// the queue if the answer promises that it does not start.
+func (a *Agent) settle(l *link, ref wire.TaskRef, reason string, r wire.Result) {
 	if r.State == wire.TaskNotStarted && r.Reason == reason {
 		a.queue.remove(keyOf(ref))
 	}
@@ -79,9 +80,10 @@
 
 // cancel withdraws a queued task or asks the upstream to stop a running one, at most once.
 func (a *Agent) cancel(l *link, ref wire.TaskRef) {
-	a.settle(l, ref, wire.ReasonCancelled)
+	r := a.ledger.Withdraw(ref, l.number, wire.ReasonCancelled)
+	a.settle(l, ref, wire.ReasonCancelled, r)
 	it := a.running[keyOf(ref)]
-	if it == nil || it.stopped {
+	if r.State != wire.TaskRunning || it == nil || it.stopped {
 		return
 	}
 	it.stopped = true
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -126,6 +126,11 @@
 	return e.state == stateRunning || e.state == stateDone || e.state == stateUnknown
 }
 
+// promisedOn reports whether the promise was given to this home on this session.
+func (e *entry) promisedOn(session, epoch uint64) bool {
+	return e.state == statePromised && e.epoch == epoch && e.asker == Asker{session: session, epoch: epoch}
+}
+
 func notStarted(ref wire.TaskRef, reason string) wire.Result {
 	return wire.Result{TaskRef: ref, State: wire.TaskNotStarted, Reason: reason}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,6 +15,11 @@
 //
 // A dispatch that is refused at receipt leaves no entry, because the only copy
 // of the message is consumed by the refusal.
+//
+// Each dispatch and each first query on a session receives at most one promise.
+// A recall or cancel of a task that is not queued receives none. Otherwise the
+// answer to a recall could reach the home after it has dispatched the task
+// again, and the home would take it for the answer to the new dispatch.
 package ledger
 
 import (
--- /dev/null
+++ b/internal/ledger/rapid_test.go
@@ -0,0 +1,322 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// init raises the defaults of rapid, which the command line still overrides:
+// 100 runs of 30 steps do not reach the sequences of ten given steps that break
+// a ledger without the session rule.
+func init() {
+	for name, value := range map[string]string{"rapid.checks": "3000", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(fmt.Sprintf("ledger: %v", err))
+		}
+	}
+}
+
+// message is what a home sends to the agent.
+type message struct {
+	op  string
+	ref wire.TaskRef
+}
+
+// channel is a session: messages keep their order, and those sent to the agent
+// may arrive long after the home has opened a newer session.
+type channel struct {
+	number  uint64
+	toAgent []message
+	toHome  []wire.Result
+	broken  bool
+}
+
+type taskID struct {
+	submission gypsumtide.SubmissionID
+	task       uint32
+}
+
+// view is what a home believes about a task.
+type view uint8
+
+const (
+	viewIdle view = iota // never sent, or promised not to start
+	viewOpen             // sent and not settled
+	viewSettled
+)
+
+// home follows the rules of the design page, also after it was replaced.
+type home struct {
+	epoch   uint64
+	current *channel
+	views   map[taskID]view
+}
+
+// model checks the ledger from the homes' side.
+type model struct {
+	l        *Ledger
+	clock    *testClock
+	tasks    []taskID
+	homes    []*home
+	channels []*channel
+	number   uint64
+	// promised is the epoch below which no start may follow.
+	promised uint64
+	accepted []wire.TaskRef
+	running  map[taskID]bool
+	started  map[taskID]bool
+}
+
+func newModel(clock *testClock) *model {
+	m := &model{l: New(clock, testLimits), clock: clock, running: map[taskID]bool{}, started: map[taskID]bool{}}
+	// Ids of one shard share their epochs.
+	first := testID(testWall, 0)
+	ids := []gypsumtide.SubmissionID{first}
+	for n := uint32(1); len(ids) < 2; n++ {
+		if id := testID(testWall, n); id.Shard() == first.Shard() {
+			ids = append(ids, id)
+		}
+	}
+	m.tasks = []taskID{{ids[0], 0}, {ids[0], 1}, {ids[1], 0}}
+	m.homes = []*home{{epoch: 1, views: map[taskID]view{}}}
+	m.open(m.homes[0])
+	return m
+}
+
+// open gives the home a new session. It queries what is open, as the design asks.
+func (m *model) open(h *home) {
+	if h.current != nil {
+		h.current.broken = true
+		h.current.toHome = nil
+	}
+	m.number++
+	h.current = &channel{number: m.number}
+	m.channels = append(m.channels, h.current)
+	for id, v := range h.views {
+		if v == viewOpen {
+			h.current.toAgent = append(h.current.toAgent, message{"query", wire.TaskRef{Submission: id.submission, Task: id.task, Epoch: h.epoch}})
+		}
+	}
+}
+
+func (m *model) home(t *rapid.T) *home { return rapid.SampledFrom(m.homes).Draw(t, "home") }
+
+func (m *model) task(t *rapid.T) taskID { return rapid.SampledFrom(m.tasks).Draw(t, "task") }
+
+// send lets a home dispatch an idle task, or recall or cancel an open one.
+func (m *model) send(t *rapid.T) {
+	h, id := m.home(t), m.task(t)
+	ref := wire.TaskRef{Submission: id.submission, Task: id.task, Epoch: h.epoch}
+	op := "dispatch"
+	switch h.views[id] {
+	case viewSettled:
+		return
+	case viewOpen:
+		op = "recall"
+	default:
+		h.views[id] = viewOpen
+	}
+	h.current.toAgent = append(h.current.toAgent, message{op, ref})
+}
+
+// deliver hands the next message of a session to the ledger.
+func (m *model) deliver(t *rapid.T) {
+	c := rapid.SampledFrom(m.channels).Draw(t, "session")
+	if len(c.toAgent) == 0 {
+		return
+	}
+	msg := c.toAgent[0]
+	c.toAgent = c.toAgent[1:]
+	var r wire.Result
+	var discarded []Answer
+	switch msg.op {
+	case "dispatch":
+		refuse := rapid.SampledFrom([]string{"", "", wire.ReasonQueueFull}).Draw(t, "refuse")
+		var accepted bool
+		accepted, r, discarded = m.l.Accept(msg.ref, c.number, refuse)
+		if accepted {
+			m.accepted = append(m.accepted, msg.ref)
+		}
+	case "query":
+		r = m.l.Query(msg.ref, c.number)
+	case "recall":
+		r = m.l.Withdraw(msg.ref, c.number, wire.ReasonRecalled)
+	}
+	m.answer(c.number, r)
+	m.deliverAnswers(discarded)
+}
+
+func (m *model) deliverAnswers(answers []Answer) {
+	for _, a := range answers {
+		m.answer(a.Asker().Session(), a.Result())
+	}
+}
+
+func (m *model) answer(session uint64, r wire.Result) {
+	for _, c := range m.channels {
+		if c.number == session && !c.broken && r.State != 0 {
+			c.toHome = append(c.toHome, r)
+		}
+	}
+}
+
+// read lets a home read the next answer on its session.
+func (m *model) read(t *rapid.T) {
+	h := m.home(t)
+	c := h.current
+	if len(c.toHome) == 0 {
+		return
+	}
+	r := c.toHome[0]
+	c.toHome = c.toHome[1:]
+	id := taskID{r.Submission, r.Task}
+	if r.Epoch != h.epoch {
+		t.Fatalf("home of epoch %d reads a result of epoch %d", h.epoch, r.Epoch)
+	}
+	if r.State == wire.TaskNotStarted {
+		// A promise is true at the time of reading, and no dispatch that the
+		// home sent before may start the task later. The check is in start.
+		if m.running[id] && h == m.homes[len(m.homes)-1] && m.startedBy(id) == h.epoch {
+			t.Fatalf("home reads not-started for a running task %v", id)
+		}
+		h.views[id] = viewIdle
+		return
+	}
+	h.views[id] = viewSettled
+}
+
+func (m *model) startedBy(id taskID) uint64 {
+	e := m.l.find(id.submission, id.task)
+	return e.epoch
+}
+
+// start lets the agent start an accepted task.
+func (m *model) start(t *rapid.T) {
+	if len(m.accepted) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.accepted)-1).Draw(t, "accepted")
+	ref := m.accepted[i]
+	if !m.l.Start(ref) {
+		return
+	}
+	id := taskID{ref.Submission, ref.Task}
+	if m.started[id] {
+		t.Fatalf("task %v starts twice", id)
+	}
+	if ref.Epoch < m.promised {
+		t.Fatalf("task %v starts under epoch %d after a promise for %d", id, ref.Epoch, m.promised)
+	}
+	for _, h := range m.homes {
+		if h.epoch == ref.Epoch && h.views[id] == viewIdle {
+			t.Fatalf("task %v starts after its home read the promise that it does not", id)
+		}
+	}
+	m.started[id], m.running[id] = true, true
+}
+
+// finish ends a running task. An upstream that proves that it did not start the
+// task makes it startable again.
+func (m *model) finish(t *rapid.T) {
+	for _, id := range m.tasks {
+		if !m.running[id] {
+			continue
+		}
+		s := rapid.SampledFrom([]wire.TaskState{wire.TaskDone, wire.TaskUnknown, wire.TaskNotStarted}).Draw(t, "state")
+		answer, err := m.l.Finish(wire.Result{TaskRef: wire.TaskRef{Submission: id.submission, Task: id.task}, State: s})
+		if err != nil {
+			t.Fatal(err)
+		}
+		delete(m.running, id)
+		if s == wire.TaskNotStarted {
+			delete(m.started, id)
+		}
+		m.deliverAnswers([]Answer{answer})
+		return
+	}
+}
+
+// drop lets the agent give up a queued task, for its deadline.
+func (m *model) drop(t *rapid.T) {
+	if len(m.accepted) == 0 {
+		return
+	}
+	ref := rapid.SampledFrom(m.accepted).Draw(t, "accepted")
+	if answer, ok := m.l.Drop(ref, wire.ReasonDeadline); ok {
+		m.deliverAnswers([]Answer{answer})
+	}
+}
+
+// rare keeps events that end many others from hiding the longer sequences.
+func rare(t *rapid.T) bool { return rapid.IntRange(0, 3).Draw(t, "rare") == 3 }
+
+func (m *model) breakSession(t *rapid.T) {
+	if rare(t) {
+		m.open(m.home(t))
+	}
+}
+
+// takeOver adds a home of the next epoch, which collects the promise and
+// recovers every submission. The old home goes on as if it knew nothing.
+func (m *model) takeOver(t *rapid.T) {
+	if len(m.homes) > 3 || !rare(t) {
+		return
+	}
+	epoch := m.homes[len(m.homes)-1].epoch + 1
+	h := &home{epoch: epoch, views: map[taskID]view{}}
+	m.open(h)
+	shard := m.tasks[0].submission.Shard()
+	if rapid.Bool().Draw(t, "promise first") {
+		highest, discarded := m.l.Promise(shard, epoch)
+		if highest != epoch {
+			t.Fatalf("promise returns epoch %d, want %d", highest, epoch)
+		}
+		m.promised = epoch
+		m.deliverAnswers(discarded)
+	}
+	for _, id := range m.tasks {
+		rec, discarded := m.l.Recover(wire.Recover{Submission: id.submission, Shard: shard, Epoch: epoch}, h.current.number)
+		m.deliverAnswers(discarded)
+		if rec.Fenced {
+			t.Fatalf("recovery under the highest epoch is fenced")
+		}
+		for _, r := range rec.Tasks {
+			h.views[taskID{r.Submission, r.Task}] = viewSettled
+		}
+	}
+	m.promised = epoch
+	for _, id := range m.tasks {
+		if m.started[id] != (h.views[id] == viewSettled) {
+			t.Fatalf("recovery of %v: listed %v, started %v", id, h.views[id] == viewSettled, m.started[id])
+		}
+	}
+	m.homes = append(m.homes, h)
+}
+
+// Guards against a second start of a task, a start under an epoch below a
+// promise, and a start after a home has read the promise that the task does not
+// start, with late messages of old sessions and of replaced homes.
+func TestLedgerStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &testClock{now: 1, wall: testWall}
+		m := newModel(clock)
+		t.Repeat(map[string]func(*rapid.T){
+			"send":     m.send,
+			"send2":    m.send,
+			"deliver":  m.deliver,
+			"deliver2": m.deliver,
+			"read":     m.read,
+			"start":    m.start,
+			"finish":   m.finish,
+			"drop":     m.drop,
+			"break":    m.breakSession,
+			"takeover": m.takeOver,
+		})
+	})
+}
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -6,19 +6,10 @@
 // never to start under the epoch of the query, even if it is queued: the answer
 // "running" would be false, and a home settles open tasks only after a broken
 // session.
+//
+// A result without a state means that there is nothing to answer: the promise
+// was given on this session before, or the query came late on an old session.
 func (l *Ledger) Query(ref wire.TaskRef, session uint64) wire.Result {
-	return l.Withdraw(ref, session, wire.ReasonUnknown)
-}
-
-// Recall takes back a task that has not started.
-func (l *Ledger) Recall(ref wire.TaskRef, session uint64) wire.Result {
-	return l.Withdraw(ref, session, wire.ReasonRecalled)
-}
-
-// Withdraw promises that a task does not start under the epoch of ref, or
-// returns its state if it has started. A result without a state means that the
-// request came late on an older session than the dispatch and has no effect.
-func (l *Ledger) Withdraw(ref wire.TaskRef, session uint64, reason string) wire.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advanceHorizon()
@@ -33,7 +24,7 @@
 	if e == nil && ref.Submission.Stamp() < l.horizon {
 		return wire.Result{TaskRef: ref, State: wire.TaskUnknown, Reason: ReasonIDExpired}
 	}
-	if e != nil && e.state == stateQueued && promiseCovers(e, ref.Epoch, session) {
+	if e != nil && promiseCovers(e, ref.Epoch, session) || e != nil && e.promisedOn(session, ref.Epoch) {
 		return wire.Result{TaskRef: ref}
 	}
 	if e == nil {
@@ -42,7 +33,38 @@
 	e.epoch = ref.Epoch
 	e.ask(session, ref.Epoch)
 	l.move(e, statePromised)
-	return notStarted(ref, reason)
+	return notStarted(ref, wire.ReasonUnknown)
+}
+
+// Withdraw takes a queued task back, for a recall or a cancel. It answers only
+// if the task is queued or its state is news for the session. For any other
+// task the answer to its dispatch or query is on its way, and a second promise
+// could meet the home after it has dispatched the task again, which would then
+// count as not started although it may run.
+func (l *Ledger) Withdraw(ref wire.TaskRef, session uint64, reason string) wire.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	silent := wire.Result{TaskRef: ref}
+	e := l.find(ref.Submission, ref.Task)
+	switch {
+	case e == nil || e.state == statePromised:
+		return silent
+	case e.state == stateQueued:
+		if promiseCovers(e, ref.Epoch, session) {
+			return silent
+		}
+		e.epoch = ref.Epoch
+		e.ask(session, ref.Epoch)
+		l.move(e, statePromised)
+		return notStarted(ref, reason)
+	case ref.Epoch < e.asker.epoch:
+		// A home that was replaced does not stop a task of its follower.
+		return silent
+	case e.state != stateRunning && e.asker == (Asker{session: session, epoch: ref.Epoch}):
+		return silent
+	}
+	e.ask(session, ref.Epoch)
+	return e.report(ref.Epoch)
 }
 
 // Drop promises that a queued task does not start, for a reason of the agent
