--- a/internal/shard/doc.go
+++ b/internal/shard/doc.go
@@ -39,9 +39,10 @@
 //     they like. So time alone settles nothing: every present agent must have
 //     promised. Agents that joined while the log was away may be known to H and
 //     S only. They exist only if H had a successor and did not leave in order.
-//     In that case (Gap) N also waits until H or S provably ended and for L + C
-//     after that, since the other one then needs the log for its lease; and N
-//     declares unknown ids that are not fresh outcome-unknown.
+//     In that case (Gap) N also waits until H or S provably ended, or told in a
+//     heartbeat that it has read the claim, and for L + C after that, since the
+//     other one then needs the log for its lease; and N declares unknown ids
+//     that are not fresh outcome-unknown.
 //  6. Chains. A successor may use the time rule only if the home before it had
 //     settled the homes before that one, or could itself use the time rule. The
 //     fold keeps this in Tenure.Timed.
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -40,6 +40,7 @@
 	m.sync()
 	p := m.heard(from)
 	p.ready = hb.Ready
+	p.offset = max(p.offset, hb.Offset)
 	p.report(hb.Wall, hb.Offset)
 	ack := wire.HeartbeatAck{Sequence: hb.Sequence, Wall: m.clock.Wall(), Ready: m.ready()}
 	for _, s := range hb.Shards {
@@ -59,7 +60,7 @@
 	if m.departed || m.leaving || sh.home.Home != from || sh.home.Epoch != s.Epoch || sh.home.Successor != m.cfg.Self.Incarnation {
 		return false
 	}
-	return sh.op == nil || m.mutation.noStopAcks
+	return sh.op == nil
 }
 
 // HandleAck takes the acknowledgement of one of the last heartbeats. The lease
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -117,6 +117,8 @@
 	departure  Departure
 	skew       gypsumtide.Millis
 	skewKnown  bool
+	// offset is the highest next offset that a heartbeat reported.
+	offset uint64
 	// reports holds the offsets of the peer's heartbeats by its Unix time.
 	reports []report
 }
@@ -177,7 +179,6 @@
 type mutation struct {
 	noTimeRule bool
 	noRoster   bool
-	noStopAcks bool
 }
 
 // New returns the manager of the entry incarnation cfg.Self. The state must be
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -375,23 +375,31 @@
 	if len(sh.tenure.Gaps) == 0 {
 		return true
 	}
-	if sh.proven == 0 && m.closed(sh.tenure.Gaps) {
+	if sh.proven == 0 && m.closed(&sh.tenure) {
 		sh.proven = now
 	}
 	return sh.proven > 0 && now-sh.proven >= wait
 }
 
-// closed reports whether of each pair one entry provably ended, so that the
-// other one cannot renew its lease without reading the newer claim.
-func (m *Manager) closed(gaps []Gap) bool {
-	for _, g := range gaps {
-		if !m.gone(g.Home) && !m.gone(g.Successor) {
+// closed reports whether of each pair one entry provably ended or read the
+// claim, so that the other one cannot renew its lease without reading it too.
+func (m *Manager) closed(t *Tenure) bool {
+	for _, g := range t.Gaps {
+		if !m.closedFor(g.Home, t.Offset) && !m.closedFor(g.Successor, t.Offset) {
 			return false
 		}
 	}
 	return true
 }
 
+func (m *Manager) closedFor(incarnation string, claim uint64) bool {
+	if m.gone(incarnation) {
+		return true
+	}
+	p := m.peers[incarnation]
+	return incarnation == m.cfg.Self.Incarnation || p != nil && p.offset > claim
+}
+
 // nameSuccessor replaces a successor that is lost. The agents that only the
 // old one acknowledged are logged first. From then on until the record is read
 // back, no acknowledgement counts, because op is set.
