Add queue tests and serve small jobs of a team first

Cause: within a team and class a job of few tasks must not wait behind a batch of 1,200. The model test found that a deadline given again after an expiry was missed; the entry is now added again.

--- a/internal/queue/fair.go
+++ b/internal/queue/fair.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"math"
+	"math/bits"
 
 	"gypsumtide"
 )
@@ -12,6 +14,14 @@
 // short work bound what long work gains by it.
 const longEvery = 16
 
+// oldestEvery serves the longest waiting job of a team and class after this
+// many tasks, so that a steady stream of small jobs cannot starve a batch. In
+// BenchmarkJobOrder it costs small jobs little.
+const oldestEvery = 16
+
+// costGain is the weight of a new task in the mean cost of a team's tasks.
+const costGain = 0.1
+
 // fair is weighted fair queueing between teams within each class, with the
 // short class before the long one. Within a team and class the jobs take turns.
 type fair struct {
@@ -34,8 +44,11 @@
 const (
 	// takeTurns serves one task of each job in turn.
 	takeTurns jobOrder = iota
-	// fewestFirst serves the job with the fewest waiting tasks.
+	// fewestFirst serves the job with the fewest waiting tasks, and every so
+	// often the one that has waited longest.
 	fewestFirst
+	// fewestOnly always serves the job with the fewest waiting tasks.
+	fewestOnly
 )
 
 // classQueue holds the flows of a class that have waiting tasks.
@@ -43,7 +56,9 @@
 	active flowHeap
 	// virtual is the largest start tag served so far.
 	virtual float64
-	n       int
+	// cost is the recent mean cost of the tasks pushed.
+	cost float64
+	n    int
 }
 
 // flow holds the waiting tasks of a team and class. Its start tag is the
@@ -52,11 +67,53 @@
 	class  *classQueue
 	weight float64
 	start  float64
+	// cost is the recent mean cost of the tasks pushed.
+	cost   float64
 	seq    uint64
 	jobs   jobHeap
+	oldest *list.List
+	served int
 	turn   float64
 	n      int
 	pos    int
+	// bySize counts the waiting tasks by the size range of their job.
+	bySize [sizeRanges]int
+}
+
+// first returns the job to serve next.
+func (f *flow) first(o jobOrder) *job {
+	if o == fewestFirst && f.served%oldestEvery == oldestEvery-1 {
+		return f.oldest.Front().Value.(*job)
+	}
+	return f.jobs[0]
+}
+
+// resize counts a change of a job's waiting tasks.
+func (f *flow) resize(from, to int) {
+	f.bySize[sizeRange(from)] -= from
+	f.bySize[sizeRange(to)] += to
+	f.n += to - from
+	f.class.n += to - from
+}
+
+// notLarger returns the waiting tasks of jobs with at most n waiting tasks, and
+// of those larger ones that are in the same size range.
+func (f *flow) notLarger(n int) int {
+	sum := 0
+	for _, tasks := range f.bySize[:sizeRange(n)+1] {
+		sum += tasks
+	}
+	return sum
+}
+
+// sizeRanges holds sizes up to 65,535; larger ones share the last range.
+const sizeRanges = 16 + 12*8
+
+// sizeRange returns the range of a size. Sizes below 16 have their own range,
+// and there are 8 ranges to each power of two above.
+func sizeRange(n int) int {
+	e := max(0, bits.Len(uint(n))-4)
+	return min(e<<3+n>>e, sizeRanges-1)
 }
 
 type jobKey struct {
@@ -72,6 +129,7 @@
 	key      float64
 	seq      uint64
 	pos      int
+	age      *list.Element
 	deadline gypsumtide.Millis
 }
 
@@ -80,7 +138,7 @@
 func newFair(cost Cost) *fair {
 	return &fair{
 		cost:    cost,
-		order:   takeTurns,
+		order:   fewestFirst,
 		flows:   map[flowKey]*flow{},
 		weights: map[string]float64{},
 		jobs:    map[jobKey]*job{},
@@ -130,14 +188,16 @@
 	j.tasks = append(j.tasks, t)
 	q.n++
 	f := j.flow
-	f.class.n++
-	f.n++
+	f.resize(j.len()-1, j.len())
+	f.cost += costGain * (q.cost(t) - f.cost)
+	f.class.cost += costGain * (q.cost(t) - f.class.cost)
 	if j.len() == 1 {
 		q.seq++
 		j.seq = q.seq
 		j.key = q.jobKey(j)
 		heap.Push(&f.jobs, j)
-	} else if q.order == fewestFirst {
+		j.age = f.oldest.PushBack(j)
+	} else if q.order != takeTurns {
 		j.key = q.jobKey(j)
 		heap.Fix(&f.jobs, j.pos)
 	}
@@ -157,7 +217,10 @@
 func (q *fair) flow(t *gypsumtide.Task) *flow {
 	f := q.flows[keyOf(t)]
 	if f == nil {
-		f = &flow{class: &q.classes[t.Class()], weight: q.weight(t.Team())}
+		if c := &q.classes[t.Class()]; c.cost == 0 {
+			c.cost = q.cost(t)
+		}
+		f = &flow{cost: q.cost(t), class: &q.classes[t.Class()], weight: q.weight(t.Team()), oldest: list.New()}
 		q.flows[keyOf(t)] = f
 	}
 	return f
@@ -165,7 +228,7 @@
 
 // jobKey returns the rank of a job that begins to wait or has changed.
 func (q *fair) jobKey(j *job) float64 {
-	if q.order == fewestFirst {
+	if q.order != takeTurns {
 		return float64(j.len())
 	}
 	return j.flow.turn
@@ -202,7 +265,7 @@
 	var taken *gypsumtide.Task
 	for len(c.active) > 0 && taken == nil {
 		f := c.active[0]
-		j := f.jobs[0]
+		j := f.first(q.order)
 		t := j.tasks[j.head]
 		if place(t) {
 			taken = t
@@ -225,32 +288,30 @@
 	f.class.virtual = max(f.class.virtual, f.start)
 	f.start += q.cost(t) / f.weight
 	f.turn = max(f.turn, j.key)
+	f.served++
 	j.tasks[j.head] = nil
 	j.head++
-	q.removed(f, 1)
-	switch {
-	case j.len() == 0:
+	if q.order == takeTurns {
+		j.key++
+	}
+	q.settle(j, jobKey{id: t.Submission(), class: t.Class()}, j.len()+1)
+}
+
+// settle restores the order after a job lost some of its tasks.
+func (q *fair) settle(j *job, key jobKey, before int) {
+	f := j.flow
+	q.n -= before - j.len()
+	f.resize(before, j.len())
+	if j.len() == 0 {
 		heap.Remove(&f.jobs, j.pos)
-		delete(q.jobs, jobKey{id: t.Submission(), class: t.Class()})
-	default:
-		if q.order == fewestFirst {
+		f.oldest.Remove(j.age)
+		delete(q.jobs, key)
+	} else {
+		if q.order != takeTurns {
 			j.key = q.jobKey(j)
-		} else {
-			j.key++
 		}
 		heap.Fix(&f.jobs, j.pos)
 	}
-	q.settle(f)
-}
-
-func (q *fair) removed(f *flow, n int) {
-	q.n -= n
-	f.n -= n
-	f.class.n -= n
-}
-
-// settle restores the flow's place among the active ones.
-func (q *fair) settle(f *flow) {
 	if f.n == 0 {
 		heap.Remove(&f.class.active, f.pos)
 		return
@@ -281,7 +342,7 @@
 		if j == nil {
 			continue
 		}
-		before := len(dropped)
+		before := j.len()
 		kept := j.tasks[:0]
 		for _, t := range j.tasks[j.head:] {
 			if match(t) {
@@ -291,17 +352,9 @@
 			}
 		}
 		clear(j.tasks[len(kept):])
-		j.tasks, j.head = kept, 0
-		f := j.flow
-		q.removed(f, len(dropped)-before)
-		if j.len() == 0 {
-			heap.Remove(&f.jobs, j.pos)
-			delete(q.jobs, key)
-		} else if q.order == fewestFirst {
-			j.key = q.jobKey(j)
-			heap.Fix(&f.jobs, j.pos)
-		}
-		q.settle(f)
+		// The entry of the last deadline may have been used up.
+		j.tasks, j.head, j.deadline = kept, 0, 0
+		q.settle(j, key, before)
 	}
 	return dropped
 }
@@ -314,20 +367,21 @@
 func (q *fair) AheadOfJob(team string, class gypsumtide.Class, n int) int {
 	c := &q.classes[class]
 	own := q.flows[flowKey{team: team, class: class}]
-	ahead, start := 0, c.virtual
+	ahead, start, cost := 0, c.virtual, c.cost
 	if own != nil {
-		ahead = min(own.n, n*len(own.jobs))
-		start = max(start, own.start)
+		ahead = own.notLarger(n)
+		ahead = min(own.n, ahead+(ahead+n)/oldestEvery)
+		start, cost = max(start, own.start), own.cost
 	}
-	finish := start + float64(ahead+n-1)/q.weight(team)
+	finish := start + float64(ahead+n-1)*cost/q.weight(team)
 	for _, f := range c.active {
 		if f == own || f.start > finish {
 			continue
 		}
-		ahead += min(f.n, int((finish-f.start)*f.weight)+1)
+		ahead += min(f.n, int((finish-f.start)*f.weight/f.cost)+1)
 	}
 	if class == gypsumtide.ClassLong {
-		ahead += min(q.classes[gypsumtide.ClassShort].n, longEvery*(ahead+n))
+		ahead += min(q.classes[gypsumtide.ClassShort].n, longEvery*(ahead+n)-q.shortRun)
 	}
 	return ahead
 }
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,310 @@
+package queue
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"gypsumtide"
+)
+
+func job1(n uint64) gypsumtide.SubmissionID {
+	var id gypsumtide.SubmissionID
+	binary.BigEndian.PutUint64(id[8:], n)
+	return id
+}
+
+func newTask(id uint64, index int, team string, class gypsumtide.Class, deadline gypsumtide.Millis) *gypsumtide.Task {
+	t := gypsumtide.NewTask(job1(id), uint32(index), "check", team, 1, deadline)
+	t.SetClass(class)
+	return t
+}
+
+func pushJob(q gypsumtide.Queue, id uint64, team string, class gypsumtide.Class, n int) {
+	for i := range n {
+		q.Push(newTask(id, i, team, class, 0))
+	}
+}
+
+func always(*gypsumtide.Task) bool { return true }
+
+// Guards against a typing error in the configuration that silently selects another policy.
+func TestNew(t *testing.T) {
+	Convey("New", t, func() {
+		for _, name := range append(Names(), "") {
+			q, err := New(name)
+			So(err, ShouldBeNil)
+			So(q.Len(), ShouldEqual, 0)
+			So(q.Pop(0, always), ShouldBeNil)
+		}
+		_, err := New("lifo")
+		So(err, ShouldNotBeNil)
+	})
+}
+
+// queues returns an empty queue of every policy and job order.
+func queues() map[string]func() gypsumtide.Queue {
+	return map[string]func() gypsumtide.Queue{
+		"fifo": func() gypsumtide.Queue { return newFIFO() },
+		"fair": func() gypsumtide.Queue { q, _ := New(Fair); return q },
+		"fair, turns": func() gypsumtide.Queue {
+			q := newFair(func(*gypsumtide.Task) float64 { return 1 })
+			q.order = takeTurns
+			return q
+		},
+	}
+}
+
+// Guards against lost or duplicated tasks, tasks returned before their
+// deadline, missed deadlines, and repeated place calls, under any sequence of operations.
+func TestQueueModel(t *testing.T) {
+	for name, create := range queues() {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) { checkModel(rt, create()) })
+		})
+	}
+}
+
+func checkModel(rt *rapid.T, q gypsumtide.Queue) {
+	waiting := map[*gypsumtide.Task]bool{}
+	take := func(tasks ...*gypsumtide.Task) {
+		for _, task := range tasks {
+			if !waiting[task] {
+				rt.Fatalf("task %d of %s was not waiting", task.Index(), task.Submission())
+			}
+			delete(waiting, task)
+		}
+	}
+	now := gypsumtide.Millis(1)
+	for i := range rapid.IntRange(1, 200).Draw(rt, "steps") {
+		id := rapid.Uint64Range(0, 11).Draw(rt, "job")
+		switch rapid.IntRange(0, 9).Draw(rt, "operation") {
+		case 0, 1, 2, 3, 4:
+			class := gypsumtide.Class(rapid.IntRange(0, 1).Draw(rt, "class"))
+			deadline := gypsumtide.Millis(rapid.IntRange(0, 40).Draw(rt, "deadline"))
+			task := newTask(id, i, fmt.Sprint("team-", id%3), class, deadline)
+			waiting[task] = true
+			q.Push(task)
+		case 5, 6, 7:
+			tried := map[flowKey]bool{}
+			task := q.Pop(now, func(task *gypsumtide.Task) bool {
+				if tried[keyOf(task)] {
+					rt.Fatalf("placed twice for %v", keyOf(task))
+				}
+				tried[keyOf(task)] = true
+				return rapid.Bool().Draw(rt, "placed")
+			})
+			if task != nil {
+				take(task)
+			}
+		case 8:
+			removed := q.Remove(job1(id))
+			take(removed...)
+			for task := range waiting {
+				if task.Submission() == job1(id) {
+					rt.Fatalf("task %d is left of a removed job", task.Index())
+				}
+			}
+		case 9:
+			now += gypsumtide.Millis(rapid.IntRange(0, 10).Draw(rt, "time"))
+			take(q.Expired(now)...)
+			for task := range waiting {
+				if passed(task, now) {
+					rt.Fatalf("task with deadline %d is left at %d", task.Deadline(), now)
+				}
+			}
+		}
+		if q.Len() != len(waiting) {
+			rt.Fatalf("length is %d, want %d", q.Len(), len(waiting))
+		}
+	}
+	for task := q.Pop(now, always); task != nil; task = q.Pop(now, always) {
+		take(task)
+	}
+	if len(waiting) > 0 {
+		rt.Fatalf("%d tasks lost", len(waiting))
+	}
+}
+
+// Guards against a team that takes more than its share while others wait. The
+// bound between two teams with waiting tasks is one task of each, by weight.
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		q, _ := New(Fair)
+		class := gypsumtide.Class(rapid.IntRange(0, 1).Draw(rt, "class"))
+		weights := rapid.SliceOfN(rapid.Float64Range(0.1, 10), 2, 8).Draw(rt, "weights")
+		served := make([]float64, len(weights))
+		for i, w := range weights {
+			q.SetWeight(fmt.Sprint(i), w)
+			for j := range uint64(rapid.IntRange(1, 4).Draw(rt, "jobs")) {
+				pushJob(q, uint64(i)*10+j, fmt.Sprint(i), class, 200)
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(rt, "pops") {
+			task := q.Pop(0, always)
+			served[slices.Index(names(len(weights)), task.Team())]++
+		}
+		for i := range weights {
+			for j := range weights {
+				gap := served[i]/weights[i] - served[j]/weights[j]
+				if bound := 1/weights[i] + 1/weights[j]; math.Abs(gap) > bound+1e-9 {
+					rt.Fatalf("teams %d and %d are %v apart, bound %v", i, j, gap, bound)
+				}
+			}
+		}
+	})
+}
+
+func names(n int) []string {
+	s := make([]string, n)
+	for i := range s {
+		s[i] = fmt.Sprint(i)
+	}
+	return s
+}
+
+// Guards against long work that starves beside endless short work, and against
+// long work that goes before short work otherwise.
+func TestLongDoesNotStarve(t *testing.T) {
+	Convey("One long task leaves after each run of short ones", t, func() {
+		q, _ := New(Fair)
+		pushJob(q, 1, "batch", gypsumtide.ClassLong, 10)
+		pushJob(q, 2, "stock", gypsumtide.ClassShort, 1000)
+		longs := 0
+		for range 5 * (longEvery + 1) {
+			if q.Pop(0, always).Class() == gypsumtide.ClassLong {
+				longs++
+			}
+		}
+		So(longs, ShouldEqual, 5)
+	})
+	Convey("Short tasks leave while no slot takes the long one that is due", t, func() {
+		q, _ := New(Fair)
+		pushJob(q, 1, "batch", gypsumtide.ClassLong, 10)
+		pushJob(q, 2, "stock", gypsumtide.ClassShort, 100)
+		for range 100 {
+			task := q.Pop(0, func(t *gypsumtide.Task) bool { return t.Class() == gypsumtide.ClassShort })
+			So(task.Class(), ShouldEqual, gypsumtide.ClassShort)
+		}
+	})
+}
+
+// Guards against a small job that waits behind a batch of its own team.
+func TestSmallJobPassesBatch(t *testing.T) {
+	Convey("Jobs of a team take turns", t, func() {
+		q, _ := New(Fair)
+		pushJob(q, 1, "stock", gypsumtide.ClassShort, 1200)
+		for range 100 {
+			q.Pop(0, always)
+		}
+		pushJob(q, 2, "stock", gypsumtide.ClassShort, 3)
+		pops := 0
+		for left := 3; left > 0; pops++ {
+			if q.Pop(0, always).Submission() == job1(2) {
+				left--
+			}
+		}
+		So(pops, ShouldBeLessThanOrEqualTo, 6)
+	})
+}
+
+// Guards against a team that saves up service while it is idle and then shuts out the others.
+func TestIdleTeamSavesNothing(t *testing.T) {
+	Convey("A team that returns gets its share and no more", t, func() {
+		q, _ := New(Fair)
+		pushJob(q, 1, "busy", gypsumtide.ClassShort, 600)
+		pushJob(q, 2, "idle", gypsumtide.ClassShort, 1)
+		for range 300 {
+			q.Pop(0, always)
+		}
+		pushJob(q, 3, "idle", gypsumtide.ClassShort, 100)
+		idle := 0
+		for range 100 {
+			if q.Pop(0, always).Team() == "idle" {
+				idle++
+			}
+		}
+		So(idle, ShouldEqual, 50)
+	})
+}
+
+// Guards against teams with long run times that take more than their share of the slots.
+func TestCost(t *testing.T) {
+	Convey("A team whose tasks cost four times as much starts a quarter as many", t, func() {
+		q, _ := New(Fair, WithCost(func(t *gypsumtide.Task) float64 {
+			if t.Team() == "slow" {
+				return 4
+			}
+			return 1
+		}))
+		pushJob(q, 1, "slow", gypsumtide.ClassShort, 100)
+		pushJob(q, 2, "quick", gypsumtide.ClassShort, 100)
+		slow := 0
+		for range 100 {
+			if q.Pop(0, always).Team() == "slow" {
+				slow++
+			}
+		}
+		So(slow, ShouldAlmostEqual, 20, 1)
+	})
+}
+
+// Guards against a forecast for admission that counts a team's own batch, or
+// the batches of others, in full.
+func TestAhead(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cost := rapid.Float64Range(0.01, 100).Draw(rt, "cost")
+		q := newFair(func(*gypsumtide.Task) float64 { return cost })
+		class := gypsumtide.Class(rapid.IntRange(0, 1).Draw(rt, "class"))
+		for i := range uint64(rapid.IntRange(0, 6).Draw(rt, "jobs")) {
+			team := fmt.Sprint("team-", rapid.IntRange(0, 3).Draw(rt, "team"))
+			pushJob(q, i+1, team, gypsumtide.Class(rapid.IntRange(0, 1).Draw(rt, "class of job")), rapid.IntRange(1, 60).Draw(rt, "tasks"))
+		}
+		for range rapid.IntRange(0, 30).Draw(rt, "pops") {
+			q.Pop(0, always)
+		}
+		n := rapid.IntRange(1, 30).Draw(rt, "n")
+		predicted := q.AheadOfJob("team-0", class, n)
+		// A job that is little larger may go before or after, since the longest
+		// waiting one shrinks meanwhile. The forecast is not exact then.
+		for _, j := range q.jobs {
+			if j.flow == q.flows[flowKey{team: "team-0", class: class}] && j.len() > n &&
+				(sizeRange(j.len()) == sizeRange(n) || j.len() <= n+1+q.n/oldestEvery) {
+				rt.Skip("a job is little larger")
+			}
+		}
+		pushJob(q, 100, "team-0", class, n)
+		actual := -n
+		for left := n; left > 0; actual++ {
+			if q.Pop(0, always).Submission() == job1(100) {
+				left--
+			}
+		}
+		// Ties between teams and equal jobs account for a few tasks, and for as
+		// many runs of short tasks if the job is long.
+		slack := 10
+		if class == gypsumtide.ClassLong {
+			slack *= longEvery + 1
+		}
+		if predicted < actual-slack || predicted > actual+slack {
+			rt.Fatalf("predicted %d tasks ahead, were %d", predicted, actual)
+		}
+	})
+}
+
+// Guards against deadline entries of finished jobs that fill the memory.
+func TestDeadlineEntriesAreBounded(t *testing.T) {
+	Convey("The heap follows the waiting jobs", t, func() {
+		q := newFair(func(*gypsumtide.Task) float64 { return 1 })
+		for i := range uint64(100_000) {
+			q.Push(newTask(i, 0, "stock", gypsumtide.ClassShort, 1_000_000))
+			q.Pop(0, always)
+		}
+		So(len(q.deadlines.entries), ShouldBeLessThanOrEqualTo, minCompact)
+	})
+}
