Keep one job order in the fair queue

Cause: the comparison of job orders is done. Change: turns and always-fewest are removed; the benchmark compares with fifo.

--- a/internal/queue/bench_test.go
+++ b/internal/queue/bench_test.go
@@ -62,20 +62,17 @@
 	}
 }
 
-// Compares the orders between jobs of one team: a batch of 1,200 tasks beside
-// jobs of 10 tasks, one pop for each step. The metrics are the steps from the
-// arrival of a job to its last pop. With turns the small jobs may arrive
-// faster than the pops and the batch still ends; with the fewest waiting tasks
-// first it does not.
+// Measures a batch of 1,200 tasks beside jobs of 10 tasks of the same team,
+// one pop for each step. The metrics are the steps from the arrival of a job to
+// its last pop.
 func BenchmarkJobOrder(b *testing.B) {
-	orders := map[string]jobOrder{"turns": takeTurns, "fewest-first": fewestFirst, "fewest-only": fewestOnly}
-	for _, name := range []string{"turns", "fewest-first", "fewest-only"} {
+	for _, name := range Names() {
 		for _, gap := range []int{20, 12, 9} {
 			b.Run(fmt.Sprintf("%s/small-job-load=%d%%", name, 1000/gap), func(b *testing.B) {
 				var small []int
 				var batch int
 				for range b.N {
-					small, batch = runJobOrder(orders[name], gap)
+					small, batch = runJobOrder(name, gap)
 				}
 				slices.Sort(small)
 				sum := 0
@@ -90,10 +87,9 @@
 	}
 }
 
-func runJobOrder(order jobOrder, gap int) (small []int, batch int) {
+func runJobOrder(name string, gap int) (small []int, batch int) {
 	const steps = 20_000
-	q := newFair(func(*gypsumtide.Task) float64 { return 1 })
-	q.order = order
+	q, _ := New(name)
 	pushJob(q, 0, "team", gypsumtide.ClassShort, 1200)
 	left, arrived := map[gypsumtide.SubmissionID]int{job1(0): 1200}, map[gypsumtide.SubmissionID]int{}
 	batch = steps
--- a/internal/queue/fair.go
+++ b/internal/queue/fair.go
@@ -16,17 +16,17 @@
 
 // oldestEvery serves the longest waiting job of a team and class after this
 // many tasks, so that a steady stream of small jobs cannot starve a batch. In
-// BenchmarkJobOrder it costs small jobs little.
+// BenchmarkJobOrder it costs small jobs one step of ten at the 99th percentile.
 const oldestEvery = 16
 
 // costGain is the weight of a new task in the mean cost of a team's tasks.
 const costGain = 0.1
 
 // fair is weighted fair queueing between teams within each class, with the
-// short class before the long one. Within a team and class the jobs take turns.
+// short class before the long one. Within a team and class the job with the
+// fewest waiting tasks goes first, and every so often the longest waiting one.
 type fair struct {
 	cost      Cost
-	order     jobOrder
 	classes   [2]classQueue
 	flows     map[flowKey]*flow
 	weights   map[string]float64
@@ -38,19 +38,6 @@
 	refused   []*flow
 }
 
-// jobOrder chooses between the jobs of a team and class.
-type jobOrder int
-
-const (
-	// takeTurns serves one task of each job in turn.
-	takeTurns jobOrder = iota
-	// fewestFirst serves the job with the fewest waiting tasks, and every so
-	// often the one that has waited longest.
-	fewestFirst
-	// fewestOnly always serves the job with the fewest waiting tasks.
-	fewestOnly
-)
-
 // classQueue holds the flows of a class that have waiting tasks.
 type classQueue struct {
 	active flowHeap
@@ -73,7 +60,6 @@
 	jobs   jobHeap
 	oldest *list.List
 	served int
-	turn   float64
 	n      int
 	pos    int
 	// bySize counts the waiting tasks by the size range of their job.
@@ -81,8 +67,8 @@
 }
 
 // first returns the job to serve next.
-func (f *flow) first(o jobOrder) *job {
-	if o == fewestFirst && f.served%oldestEvery == oldestEvery-1 {
+func (f *flow) first() *job {
+	if f.served%oldestEvery == oldestEvery-1 {
 		return f.oldest.Front().Value.(*job)
 	}
 	return f.jobs[0]
@@ -126,7 +112,6 @@
 	flow     *flow
 	tasks    []*gypsumtide.Task
 	head     int
-	key      float64
 	seq      uint64
 	pos      int
 	age      *list.Element
@@ -138,7 +123,6 @@
 func newFair(cost Cost) *fair {
 	return &fair{
 		cost:    cost,
-		order:   fewestFirst,
 		flows:   map[flowKey]*flow{},
 		weights: map[string]float64{},
 		jobs:    map[jobKey]*job{},
@@ -194,11 +178,9 @@
 	if j.len() == 1 {
 		q.seq++
 		j.seq = q.seq
-		j.key = q.jobKey(j)
 		heap.Push(&f.jobs, j)
 		j.age = f.oldest.PushBack(j)
-	} else if q.order != takeTurns {
-		j.key = q.jobKey(j)
+	} else {
 		heap.Fix(&f.jobs, j.pos)
 	}
 	if f.n == 1 {
@@ -226,14 +208,6 @@
 	return f
 }
 
-// jobKey returns the rank of a job that begins to wait or has changed.
-func (q *fair) jobKey(j *job) float64 {
-	if q.order != takeTurns {
-		return float64(j.len())
-	}
-	return j.flow.turn
-}
-
 // Pop implements gypsumtide.Queue.
 func (q *fair) Pop(_ gypsumtide.Millis, place func(t *gypsumtide.Task) bool) *gypsumtide.Task {
 	short, long := &q.classes[gypsumtide.ClassShort], &q.classes[gypsumtide.ClassLong]
@@ -265,7 +239,7 @@
 	var taken *gypsumtide.Task
 	for len(c.active) > 0 && taken == nil {
 		f := c.active[0]
-		j := f.first(q.order)
+		j := f.first()
 		t := j.tasks[j.head]
 		if place(t) {
 			taken = t
@@ -287,13 +261,9 @@
 func (q *fair) serve(f *flow, j *job, t *gypsumtide.Task) {
 	f.class.virtual = max(f.class.virtual, f.start)
 	f.start += q.cost(t) / f.weight
-	f.turn = max(f.turn, j.key)
 	f.served++
 	j.tasks[j.head] = nil
 	j.head++
-	if q.order == takeTurns {
-		j.key++
-	}
 	q.settle(j, jobKey{id: t.Submission(), class: t.Class()}, j.len()+1)
 }
 
@@ -307,9 +277,6 @@
 		f.oldest.Remove(j.age)
 		delete(q.jobs, key)
 	} else {
-		if q.order != takeTurns {
-			j.key = q.jobKey(j)
-		}
 		heap.Fix(&f.jobs, j.pos)
 	}
 	if f.n == 0 {
@@ -413,13 +380,13 @@
 	return f
 }
 
-// jobHeap orders jobs by rank, then by the time at which they began to wait.
+// jobHeap orders jobs by waiting tasks, then by the time at which they began to wait.
 type jobHeap []*job
 
 func (h jobHeap) Len() int { return len(h) }
 func (h jobHeap) Less(i, j int) bool {
-	if h[i].key != h[j].key {
-		return h[i].key < h[j].key
+	if h[i].len() != h[j].len() {
+		return h[i].len() < h[j].len()
 	}
 	return h[i].seq < h[j].seq
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -52,11 +52,6 @@
 	return map[string]func() gypsumtide.Queue{
 		"fifo": func() gypsumtide.Queue { return newFIFO() },
 		"fair": func() gypsumtide.Queue { q, _ := New(Fair); return q },
-		"fair, turns": func() gypsumtide.Queue {
-			q := newFair(func(*gypsumtide.Task) float64 { return 1 })
-			q.order = takeTurns
-			return q
-		},
 	}
 }
 
@@ -196,7 +191,7 @@
 
 // Guards against a small job that waits behind a batch of its own team.
 func TestSmallJobPassesBatch(t *testing.T) {
-	Convey("Jobs of a team take turns", t, func() {
+	Convey("The job with fewer waiting tasks goes first", t, func() {
 		q, _ := New(Fair)
 		pushJob(q, 1, "stock", gypsumtide.ClassShort, 1200)
 		for range 100 {
@@ -209,7 +204,23 @@
 				left--
 			}
 		}
-		So(pops, ShouldBeLessThanOrEqualTo, 6)
+		So(pops, ShouldBeLessThanOrEqualTo, 4)
+	})
+}
+
+// Guards against a batch that starves beside an endless stream of small jobs of its own team.
+func TestBatchDoesNotStarve(t *testing.T) {
+	Convey("Each run of tasks has one of the longest waiting job", t, func() {
+		q, _ := New(Fair)
+		pushJob(q, 0, "stock", gypsumtide.ClassShort, 1200)
+		batch := 0
+		for i := range uint64(10 * oldestEvery) {
+			pushJob(q, i+1, "stock", gypsumtide.ClassShort, 1)
+			if q.Pop(0, always).Submission() == job1(0) {
+				batch++
+			}
+		}
+		So(batch, ShouldEqual, 10)
 	})
 }
 
