--- a/internal/placement/believed.go
+++ b/internal/placement/believed.go
@@ -170,20 +170,10 @@
 func (p *believedFree) believed(v *gypsumtide.AgentView, mean float64, now gypsumtide.Millis) float64 {
 	own := float64(v.Own(gypsumtide.ClassShort) + v.Own(gypsumtide.ClassLong))
 	others := float64(v.Others(gypsumtide.ClassShort) + v.Others(gypsumtide.ClassLong))
-	slots := float64(v.Slots())
-	switch p.o.Stale {
-	case StaleDecayed:
-		return own + others*fade(v, now)
-	case StaleShares:
-		return own + min(others, slots-slots/float64(p.o.Homes))
-	case StaleMean:
-		w := reportWeight * fade(v, now)
-		return own + w*others + (1-w)*mean*slots
+	if p.o.Stale == StaleRaw {
+		return own + others
 	}
-	return own + others
-}
-
-// fade returns the weight of a report by its age.
-func fade(v *gypsumtide.AgentView, now gypsumtide.Millis) float64 {
-	return fadeTime / (fadeTime + float64(now-v.ReportedAt()))
+	// The weight of the report falls with its age.
+	w := reportWeight * fadeTime / (fadeTime + float64(now-v.ReportedAt()))
+	return own + w*others + (1-w)*mean*float64(v.Slots())
 }
--- a/internal/placement/fits.go
+++ b/internal/placement/fits.go
@@ -52,3 +52,19 @@
 func sizeText(s gypsumtide.Size) string {
 	return fmt.Sprintf("%d milli-processors, %d MiB, %d accelerators", s.Processors, s.Memory, s.Accelerators)
 }
+
+// Room bounds the short and long tasks that BelievedFree can place now. It lets
+// a caller stop before it offers a task of each team in vain, which costs far
+// more than this look at each agent once.
+func Room(agents []*gypsumtide.AgentView, overcommit int) (short, long int) {
+	for _, v := range agents {
+		if v.Ejected() {
+			continue
+		}
+		room := max(0, v.Slots()+overcommit-v.Open())
+		longs := v.Own(gypsumtide.ClassLong) + v.Others(gypsumtide.ClassLong)
+		short += room
+		long += min(room, max(0, v.Slots()-v.ReservedShort()-longs))
+	}
+	return short, long
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,11 +23,9 @@
 const (
 	// StaleRaw takes the last report as it is.
 	StaleRaw = "raw"
-	// StaleDecayed lets the reported load fade with the age of the report.
-	StaleDecayed = "decayed"
-	StaleMean    = "mean"
-	// StaleShares lets the home use an equal share of each agent's slots whatever the report says.
-	StaleShares = "shares"
+	// StaleMean moves the reported load towards the mean of all agents, the
+	// further the older the report is.
+	StaleMean = "mean"
 )
 
 // Options configure a policy. The zero value of a field selects its default.
@@ -38,8 +36,6 @@
 	Overcommit int
 	// Stale is one of the Stale constants.
 	Stale string
-	// Homes is the number of homes, for StaleShares.
-	Homes int
 	// ScanLimit is the number of candidates up to which all are compared; above
 	// it, pairs are tried first.
 	ScanLimit int
@@ -66,7 +62,6 @@
 		o.ScanLimit = defaultScanLimit
 	}
 	o.ScanLimit = max(o.ScanLimit, meanSample)
-	o.Homes = max(o.Homes, 1)
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
@@ -82,7 +77,7 @@
 // policy is not safe for concurrent use.
 func New(name string, o Options) (gypsumtide.Placer, error) {
 	o = o.withDefaults()
-	if !slices.Contains([]string{StaleRaw, StaleDecayed, StaleShares, StaleMean}, o.Stale) {
+	if !slices.Contains([]string{StaleRaw, StaleMean}, o.Stale) {
 		return nil, fmt.Errorf("placement: unknown treatment of stale load %q", o.Stale)
 	}
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
