--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,10 +23,9 @@
 const (
 	// StaleRaw takes the last report as it is.
 	StaleRaw = "raw"
-	// StaleDecayed lets the reported load fade with the age of the report.
-	StaleDecayed = "decayed"
-	// StaleShares ignores reports and uses the home's equal share of the slots.
-	StaleShares = "shares"
+	// StaleMean moves the reported load towards the mean of all agents, the
+	// further the older the report is.
+	StaleMean = "mean"
 )
 
 // Options configure a policy. The zero value of a field selects its default.
@@ -35,19 +34,18 @@
 	Zone string
 	// Overcommit is the number of tasks that may wait at an agent; negative means none.
 	Overcommit int
-	// ReportInterval is the time between two load reports of an agent.
-	ReportInterval gypsumtide.Millis
 	// Stale is one of the Stale constants.
 	Stale string
-	// Homes is the number of homes, for StaleShares.
-	Homes int
+	// ScanLimit is the number of candidates up to which all are compared; above
+	// it, pairs are tried first.
+	ScanLimit int
 	// Seed makes the random choices repeatable; 0 takes a random seed.
 	Seed uint64
 }
 
 const (
-	defaultOvercommit     = 1
-	defaultReportInterval = gypsumtide.Millis(200)
+	defaultOvercommit = 1
+	defaultScanLimit  = 16
 )
 
 func (o Options) withDefaults() Options {
@@ -57,13 +55,13 @@
 	case o.Overcommit < 0:
 		o.Overcommit = 0
 	}
-	if o.ReportInterval <= 0 {
-		o.ReportInterval = defaultReportInterval
-	}
 	if o.Stale == "" {
-		o.Stale = StaleRaw
+		o.Stale = StaleMean
+	}
+	if o.ScanLimit <= 0 {
+		o.ScanLimit = defaultScanLimit
 	}
-	o.Homes = max(o.Homes, 1)
+	o.ScanLimit = max(o.ScanLimit, meanSample)
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
@@ -79,7 +77,7 @@
 // policy is not safe for concurrent use.
 func New(name string, o Options) (gypsumtide.Placer, error) {
 	o = o.withDefaults()
-	if !slices.Contains([]string{StaleRaw, StaleDecayed, StaleShares}, o.Stale) {
+	if !slices.Contains([]string{StaleRaw, StaleMean}, o.Stale) {
 		return nil, fmt.Errorf("placement: unknown treatment of stale load %q", o.Stale)
 	}
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
