Retry refused jobs, deal fault kinds evenly, and fix relative program directories

Cause: a schedule of 12 s drew some kinds several times and others never; a directory without a separator made the programs be looked up in PATH; a refusal with Retry-After was never followed up, as callers do. Change: kinds are dealt like cards; the directory is made absolute; retry-refused sends a refused job again under the same id; reports show at most five violations per rule; GYPSUMTIDE_BIN runs the schedule on prebuilt programs.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -81,17 +81,23 @@
 // what it started.
 func Start(ctx context.Context, cfg Config) (*Deployment, error) {
 	cfg.setDefaults()
+	var err error
+	// A path without a separator would be looked up in PATH.
+	if cfg.Bin, err = filepath.Abs(cfg.Bin); err != nil {
+		return nil, fmt.Errorf("deployment: %w", err)
+	}
 	for _, name := range Programs {
 		if _, err := os.Stat(filepath.Join(cfg.Bin, name)); err != nil {
 			return nil, fmt.Errorf("deployment: %s: %w", name, ErrNoProgram)
 		}
 	}
 	if cfg.Dir == "" {
-		dir, err := os.MkdirTemp("", "gypsumtide-")
-		if err != nil {
-			return nil, fmt.Errorf("deployment: %w", err)
-		}
-		cfg.Dir = dir
+		cfg.Dir, err = os.MkdirTemp("", "gypsumtide-")
+	} else {
+		err = os.MkdirAll(cfg.Dir, 0o700)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("deployment: %w", err)
 	}
 	d := &Deployment{cfg: cfg, links: map[Link]*faultproxy.Proxy{}}
 	if err := d.start(ctx); err != nil {
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -147,3 +147,16 @@
 		})
 	})
 }
+
+func ExampleProxy() {
+	p, err := Listen("127.0.0.1:0", "127.0.0.1:7001")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	p.SetDelay(time.Millisecond) // Both ways, as between availability zones.
+	p.Drop()                     // Callers of p.URL() now wait in vain.
+	p.Heal()
+	fmt.Println(p.Close())
+	// Output: <nil>
+}
--- a/internal/standin/load/config.go
+++ b/internal/standin/load/config.go
@@ -35,6 +35,9 @@
 	ResubmitAfter gypsumtide.Millis `yaml:"resubmit-after-ms"`
 	// RetryBroken sends a job again, once, through another entry if its connection breaks.
 	RetryBroken bool `yaml:"retry-broken"`
+	// RetryRefused sends a job again, once, through another entry after the
+	// Retry-After of a not-run refusal.
+	RetryRefused bool `yaml:"retry-refused"`
 	// CancelShare of the jobs are cancelled after CancelAfter.
 	CancelShare float64           `yaml:"cancel-share"`
 	CancelAfter gypsumtide.Millis `yaml:"cancel-after-ms"`
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.yaml.in/yaml/v3"
 
 	"gypsumtide/internal/standin/history"
 )
@@ -36,7 +37,11 @@
 			results = append(results, map[string]any{"status": 200, "body": echoBody{job.Submission, i, task.Payload.Echo}})
 		}
 		ans := map[string]any{"submission-id": job.Submission, "outcome": "complete", "results": results}
-		w.WriteHeader(change(job, ans))
+		status := change(job, ans)
+		if status == http.StatusTooManyRequests {
+			w.Header().Set("Retry-After", "1")
+		}
+		w.WriteHeader(status)
 		_ = json.NewEncoder(w).Encode(ans)
 	}))
 	t.Cleanup(srv.Close)
@@ -203,6 +208,11 @@
 			So(rep.Classes["short"].Outcomes, ShouldResemble, map[string]int{"not-run": 20})
 			So(attempts[0].Status, ShouldEqual, 429)
 			So(attempts[0].Step, ShouldEqual, "quota")
+			// A retry that ignores Retry-After adds load to a crest.
+			cfg.RetryRefused = true
+			_, attempts = run(cfg)
+			So(len(attempts), ShouldEqual, 40)
+			So(attempts[1].Sent-attempts[0].Received, ShouldBeGreaterThanOrEqualTo, 999)
 		})
 		Convey("a broken connection is told apart from a refused one, and retried once", func() {
 			var calls atomic.Int64
@@ -277,3 +287,17 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+func ExampleConfig() {
+	cfg := Default()
+	err := yaml.Unmarshal([]byte(`
+targets: [http://127.0.0.1:7001, http://127.0.0.1:7002]
+rate: 200
+swing: {factor: 3, start-ms: 5000, crest-ms: 2000}
+classes:
+  - {name: short, service: stock-check, team: shop, share: 9, tasks-min: 1, tasks-max: 1, deadline-ms: 2000, hints: right, run: {kind: fixed, mean-ms: 50}}
+  - {name: batch, service: order-batch, team: orders, share: 1, tasks-min: 100, tasks-max: 1300, deadline-ms: 9000, hints: "off", run: {kind: exponential, mean-ms: 20}}
+`), cfg)
+	fmt.Println(err, cfg.Check())
+	// Output: <nil> [classes: batch: tasks-min and tasks-max must lie in 1 to 1200]
+}
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -77,74 +77,96 @@
 	return r.stats.report(r.cfg, before, r.scrape(ctx)), nil
 }
 
+// received is the end of an attempt.
+type received struct {
+	history.Attempt
+	retryAfter time.Duration
+}
+
+// flight is a job under way with its attempts.
+type flight struct {
+	r         *Runner
+	a         *arrival
+	id        string
+	ends      chan received
+	open      int
+	resent    bool
+	cancelled bool
+	attempts  []history.Attempt
+	answered  time.Time
+}
+
+// send starts an attempt after a delay. The channel has room for every
+// attempt, so none blocks.
+func (f *flight) send(ctx context.Context, number, entry int, delay time.Duration) {
+	f.open++
+	go func() {
+		sleep(ctx, delay)
+		h, retryAfter := f.r.submit(ctx, f.a, f.id, number, entry)
+		f.ends <- received{h, retryAfter}
+	}()
+}
+
+// resend sends the job a second time, through another entry, unless that was done.
+func (f *flight) resend(ctx context.Context, delay time.Duration) {
+	if f.resent || ctx.Err() != nil {
+		return
+	}
+	f.resent = true
+	f.send(ctx, 2, f.a.other, delay)
+}
+
+// end takes an answer and decides about another attempt.
+func (f *flight) end(ctx context.Context, h received) {
+	f.open--
+	f.attempts = append(f.attempts, h.Attempt)
+	switch {
+	case h.Outcome == string(gypsumtide.OutcomeComplete):
+		if f.answered.IsZero() {
+			f.answered = time.Now()
+		}
+	case h.Status == 0 && f.r.cfg.RetryBroken:
+		f.resend(ctx, 0)
+	case h.Outcome == string(gypsumtide.OutcomeNotRun) && h.retryAfter > 0 && f.r.cfg.RetryRefused && !f.cancelled:
+		f.resend(ctx, h.retryAfter)
+	}
+}
+
 // runJob sends a job, and perhaps again or a cancellation, and records the best outcome.
 func (r *Runner) runJob(ctx context.Context, a *arrival) {
-	due := r.started.Add(a.at)
 	uid, err := uuid.NewV7()
 	if err != nil {
 		r.stats.note(err)
 		return
 	}
-	id := uid.String()
-	first := make(chan history.Attempt, 1)
-	go func() {
-		h, _ := r.submit(ctx, a, id, 1, a.entry)
-		first <- h
-	}()
-	var second, cancelled <-chan time.Time
+	f := &flight{r: r, a: a, id: uid.String(), ends: make(chan received, 2)}
+	var second, cancel <-chan time.Time
 	if a.resubmit {
 		second = time.After(r.cfg.ResubmitAfter.Duration())
 	}
 	if a.cancel {
-		cancelled = time.After(r.cfg.CancelAfter.Duration())
-	}
-	var again chan history.Attempt
-	resend := func() {
-		again = make(chan history.Attempt, 1)
-		go func() {
-			h, _ := r.submit(ctx, a, id, 2, a.other)
-			again <- h
-		}()
+		cancel = time.After(r.cfg.CancelAfter.Duration())
 	}
-	var attempts []history.Attempt
-	var answered time.Time
-	wasCancelled := false
-	for open := 1; open > 0; {
+	f.send(ctx, 1, a.entry, 0)
+	for f.open > 0 {
 		select {
 		case <-second:
-			second = nil
-			if again == nil {
-				open++
-				resend()
-			}
-			continue
-		case <-cancelled:
-			cancelled, wasCancelled = nil, true
-			r.stats.note(r.cancelJob(ctx, a.entry, id))
-			continue
-		case h := <-first:
-			first = nil
-			attempts = append(attempts, h)
-			if h.Status == 0 && r.cfg.RetryBroken && again == nil && ctx.Err() == nil {
-				open++
-				resend()
-			}
-		case h := <-again:
-			attempts = append(attempts, h)
-		}
-		open--
-		if answered.IsZero() && attempts[len(attempts)-1].Outcome == string(gypsumtide.OutcomeComplete) {
-			answered = time.Now()
+			f.resend(ctx, 0)
+		case <-cancel:
+			f.cancelled = true
+			r.stats.note(r.cancelJob(ctx, a.entry, f.id))
+		case h := <-f.ends:
+			f.end(ctx, h)
 		}
 	}
-	if answered.IsZero() {
-		answered = time.Now()
+	if f.answered.IsZero() {
+		f.answered = time.Now()
 	}
-	for i := range attempts {
-		attempts[i].Cancelled = wasCancelled
-		r.stats.note(r.hist.Write(attempts[i]))
+	for _, h := range f.attempts {
+		h.Cancelled = f.cancelled
+		r.stats.note(r.hist.Write(h))
 	}
-	r.stats.job(a, attempts, wasCancelled, due, answered)
+	r.stats.job(a, f.attempts, f.cancelled, r.started.Add(a.at), f.answered)
 }
 
 // runDirect calls upstreams at a steady rate, in turn.
--- a/internal/standin/schedule/plan.go
+++ b/internal/standin/schedule/plan.go
@@ -70,8 +70,15 @@
 func plan(seed uint64, kinds []Kind, duration, meanGap time.Duration) []step {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var steps []step
+	var deck []Kind
 	for at := time.Second; at < duration-settle; at += time.Duration(rng.ExpFloat64() * float64(meanGap)) {
-		s := step{at: at, kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(1 << 16)}
+		// Every kind occurs once before one repeats, so that a short run has most of them.
+		if len(deck) == 0 {
+			deck = slices.Clone(kinds)
+			rng.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
+		}
+		s := step{at: at, kind: deck[0], target: rng.IntN(1 << 16)}
+		deck = deck[1:]
 		// Shorter and longer than suspicion (800 ms), lease and credit (1 s).
 		s.length = 200*time.Millisecond + time.Duration(rng.ExpFloat64()*float64(1200*time.Millisecond))
 		s.length = min(s.length, duration-settle/2-at)
--- a/internal/standin/schedule/run.go
+++ b/internal/standin/schedule/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -193,6 +194,9 @@
 	}
 }
 
+// maxShown bounds the lines per rule, since one fault can break a rule for many jobs.
+const maxShown = 5
+
 // WriteText writes what the run found.
 func (r *Result) WriteText(w io.Writer) error {
 	var errs []error
@@ -208,8 +212,14 @@
 		outcomes[a.Outcome]++
 	}
 	p("%d faults, %d attempts: %v", len(r.Faults), len(r.Attempts), outcomes)
+	shown := map[history.Rule]int{}
 	for _, v := range r.Violations {
-		p("violation: %s", v)
+		if shown[v.Rule]++; shown[v.Rule] <= maxShown {
+			p("violation: %s", v)
+		}
+	}
+	for _, rule := range slices.Sorted(maps.Keys(shown)) {
+		p("%s: %d violations", rule, shown[rule])
 	}
 	for _, s := range r.Problems {
 		p("problem: %s", s)
--- a/internal/standin/schedule/schedule_test.go
+++ b/internal/standin/schedule/schedule_test.go
@@ -22,9 +22,13 @@
 // root is the directory of the module.
 const root = "../../.."
 
-// buildPrograms returns a directory with the programs of the tree.
+// buildPrograms returns a directory with the programs of the tree, or the
+// directory in GYPSUMTIDE_BIN, which may hold programs built with -race.
 func buildPrograms(t *testing.T) string {
 	t.Helper()
+	if bin := os.Getenv("GYPSUMTIDE_BIN"); bin != "" {
+		return bin
+	}
 	dir := t.TempDir()
 	for _, name := range deployment.Programs {
 		if _, err := os.Stat(filepath.Join(root, "cmd", name)); errors.Is(err, fs.ErrNotExist) {
@@ -40,7 +44,7 @@
 
 // background is about half of the slots: stock checks, batches, and reports with stragglers.
 func background() load.Config {
-	return load.Config{Arrivals: "poisson", Rate: 60, ResubmitShare: 0.1, ResubmitAfter: 30, CancelShare: 0.02, CancelAfter: 40, Classes: []load.Class{
+	return load.Config{Arrivals: "poisson", Rate: 60, ResubmitShare: 0.1, ResubmitAfter: 30, CancelShare: 0.02, CancelAfter: 40, RetryRefused: true, Classes: []load.Class{
 		{Name: "stock-check", Service: "stock-check", Team: "shop", Share: 0.94, TasksMin: 1, TasksMax: 3,
 			Run: load.RunTime{Kind: "fixed", Mean: 50}, Deadline: 3_000, Hints: "off", NonIdempotent: 0.2},
 		{Name: "order-batch", Service: "order-batch", Team: "orders", Share: 0.02, TasksMin: 50, TasksMax: 300,
@@ -64,7 +68,7 @@
 	if err != nil {
 		t.Fatalf("start in %s: %v", dir, err)
 	}
-	res, err := Run(ctx, d, Config{Seed: seed, Duration: duration, MeanGap: 500 * time.Millisecond, Kinds: kinds, Load: background(), Output: t.Output()})
+	res, err := Run(ctx, d, Config{Seed: seed, Duration: duration, MeanGap: 350 * time.Millisecond, Kinds: kinds, Load: background(), Output: t.Output()})
 	if cerr := d.Close(); err == nil {
 		err = cerr
 	}
