Put published configuration into force at homes and agents

Cause: pools, weights and limits were fixed. Change: the entry follows the configuration stream, rebuilds pools, weights and quotas, and sends each revision to its agents; a service without upstreams waits while the roster is not fully connected instead of being refused.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -21,10 +21,9 @@
 
 // openTask is a task that an agent holds for this home.
 type openTask struct {
-	task     *gypsumtide.Task
-	epoch    uint64
-	sentAt   gypsumtide.Millis
-	recalled bool
+	task   *gypsumtide.Task
+	epoch  uint64
+	sentAt gypsumtide.Millis
 }
 
 // agentConn is one incarnation of an agent. The home's mutex guards it.
@@ -130,6 +129,11 @@
 	}
 	c.session = nil
 	c.lostAt = h.clock.Now()
+	for _, u := range c.upstreams {
+		for _, service := range u.Services {
+			h.served[service] = c.lostAt
+		}
+	}
 	h.invalidate()
 	return true
 }
@@ -156,6 +160,12 @@
 
 // announced takes over what an agent says of its upstreams.
 func (h *home) announced(c *agentConn, a *wire.Announcement) {
+	now := h.clock.Now()
+	for _, u := range slices.Concat(c.upstreams, a.Upstreams) {
+		for _, service := range u.Services {
+			h.served[service] = now
+		}
+	}
 	c.upstreams = a.Upstreams
 	c.draining = a.Draining
 	slots := 0
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -151,6 +151,9 @@
 	if r.ShardsAsOf, r.Shards, err = e.shards.SnapshotState(); err != nil {
 		return nil
 	}
+	if r.ConfigurationAsOf, r.Configuration, err = e.configs.SnapshotState(); err != nil {
+		return nil
+	}
 	return r
 }
 
@@ -160,6 +163,10 @@
 	if err != nil {
 		return gypsumtide.NewError("adopt shards stream", peer, err)
 	}
-	e.log.Info("control streams received from a peer", "peer", peer, "shards-adopted", shards)
+	configs, err := e.configs.Adopt(r.ConfigurationAsOf, r.Configuration)
+	if err != nil {
+		return gypsumtide.NewError("adopt configuration stream", peer, err)
+	}
+	e.log.Info("control streams received from a peer", "peer", peer, "shards-adopted", shards, "configuration-adopted", configs)
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"gypsumtide"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/journal"
+	"gypsumtide/internal/object"
 	"gypsumtide/internal/settings"
 	"gypsumtide/internal/shard"
 	"gypsumtide/internal/submission"
@@ -47,6 +48,9 @@
 	state       *shard.State
 	shards      *journal.Follower
 	configs     *journal.Follower
+	publisher   *object.Publisher
+	router      *router
+	revision    atomic.Uint64
 	home        *home
 	links       *links
 	sessionCtx  context.Context
@@ -69,11 +73,16 @@
 	platformLog := journal.NewClient(cfg.LogURL, e.client, logTimeout)
 	e.shards = journal.New(platformLog, shardsStream, e.state, clock, log)
 	e.shards.SetRetention(cfg.LogRetention)
+	publication := object.NewPublication()
+	e.configs = journal.New(platformLog, configurationStream, publication, clock, log)
+	e.configs.SetRetention(cfg.LogRetention)
+	e.publisher = object.NewPublisher(e.configs, publication, clock)
+	e.router = newRouter()
 	rules := submission.NewRules(cfg.MaxSkew(), cfg.IDRetention)
 	table := submission.NewTable(cfg.AnswerRetention, cfg.MaxTableBytes)
 	h, err := newHome(homeOptions{
 		name: e.incarnation, zone: cfg.Zone, clock: clock, log: log, decisions: newDecisionLog(log, cfg.Log.DecisionSample),
-		owner: e.owner, rules: rules, table: table, router: defaultRouter{}, metrics: e.metrics,
+		owner: e.owner, rules: rules, table: table, router: e.router, metrics: e.metrics, present: e.presentAgents,
 	})
 	if err != nil {
 		return nil, err
@@ -99,6 +108,8 @@
 	g.Add("serve HTTP", func(context.Context) error { return serve(server, listener) })
 	g.Add("tick", e.tick)
 	g.Add("follow the shards stream", e.shards.Run)
+	g.Add("follow the configuration stream", e.configs.Run)
+	g.Add("put configuration into force", e.followConfiguration)
 	g.Add("control", e.control)
 	g.Add("stop", func(context.Context) error {
 		select {
@@ -163,8 +174,31 @@
 	}
 }
 
-// ready reports whether this entry can serve callers.
-func (e *Entry) ready() bool { return !e.draining.Load() && e.shards.Ready() && e.owner.Ready() }
+// ready reports whether this entry can serve callers: it knows the
+// configuration and a home for every shard. During an outage of the log it can
+// learn both from its peers.
+func (e *Entry) ready() bool {
+	if e.draining.Load() || !e.shards.Ready() || !e.configs.Ready() {
+		return false
+	}
+	for i := range gypsumtide.ShardID(gypsumtide.ShardCount) {
+		if home, _, _, _ := e.owner.Route(i); home.Incarnation == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// presentAgents returns the number of agents in the roster that have not departed.
+func (e *Entry) presentAgents() int {
+	n := 0
+	for _, a := range e.state.Agents() {
+		if a.Member.Present() {
+			n++
+		}
+	}
+	return n
+}
 
 func (e *Entry) handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -22,12 +22,13 @@
 	closeGrace gypsumtide.Millis = 300
 	// agentAbsence is the time after which a lost agent's open tasks become unknown.
 	agentAbsence gypsumtide.Millis = 5_000
+	// serviceAbsence is the time for which jobs of a service without upstreams
+	// wait instead of being refused.
+	serviceAbsence gypsumtide.Millis = 30_000
 	// requeueDelay keeps a task that an agent refused from bouncing at once.
 	requeueDelay gypsumtide.Millis = 5
 	// requeueBackoff applies when the pool's retry budget is spent.
 	requeueBackoff gypsumtide.Millis = 100
-	// loadInterval is the heartbeat of agents, which carries their load.
-	loadInterval gypsumtide.Millis = 300
 )
 
 // ownership answers which shards this entry is home for.
@@ -68,6 +69,8 @@
 	quotas     *limit.Quotas
 	timers     timerHeap
 	requeue    []requeueItem
+	// served holds when an agent last announced or withdrew each service.
+	served map[string]gypsumtide.Millis
 }
 
 type requeueItem struct {
@@ -85,8 +88,10 @@
 	owner     ownership
 	rules     submission.Rules
 	table     *submission.Table
-	router    router
+	router    *router
 	metrics   *meters
+	// present returns the number of agents that the roster holds as present.
+	present func() int
 }
 
 func newHome(o homeOptions) (*home, error) {
@@ -101,6 +106,7 @@
 		agents:     make(map[string]*agentConn),
 		current:    make(map[string]*agentConn),
 		pools:      make(map[string]*pool),
+		served:     make(map[string]gypsumtide.Millis),
 	}, nil
 }
 
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -142,7 +142,7 @@
 	}
 	l.add(k)
 	defer l.remove(k)
-	if !e.shards.Ready() {
+	if !e.shards.Ready() || !e.configs.Ready() {
 		s.Update(func(f *wire.Frame) { f.StateRequest = true })
 	}
 	e.log.Info("link up", "peer", k.name, "incarnation", k.incarnation)
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -42,7 +42,7 @@
 	if overcommit == 0 {
 		overcommit = -1
 	}
-	placer, err := placement.New(spec.placement, placement.Options{Zone: zone, Overcommit: overcommit, ReportInterval: loadInterval})
+	placer, err := placement.New(spec.placement, placement.Options{Zone: zone, Overcommit: overcommit})
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +57,7 @@
 
 // pool returns the runtime of the named pool.
 func (h *home) pool(name string) (*pool, error) {
-	spec := h.router.Spec(name)
+	spec := h.router.spec(name)
 	p := h.pools[name]
 	if p != nil && p.spec == spec {
 		return p, nil
@@ -69,6 +69,7 @@
 	if p != nil {
 		next.take(p, h)
 	}
+	next.setWeights(h.router)
 	h.pools[name] = next
 	return next, nil
 }
@@ -142,18 +143,15 @@
 
 // choosePool follows the route of the job's service and team.
 func (h *home) choosePool(req *wire.Job) (*pool, *wire.Answer) {
-	name, err := h.router.Pool(req.Service, req.Team)
-	if err != nil {
-		return nil, refuse(req.Submission, &wire.Problem{
-			Type: "no-route", Status: http.StatusNotFound, Step: "route", Detail: err.Error(),
-		})
-	}
-	p, err := h.pool(name)
+	choice := h.router.route(req.Service, req.Team)
+	p, err := h.pool(choice.Pool().Name)
 	if err != nil {
 		return nil, refuse(req.Submission, &wire.Problem{
 			Type: "internal", Status: http.StatusInternalServerError, Step: "route", Detail: err.Error(),
 		})
 	}
+	h.decisions.log("route", "submission", req.Submission.String(), "service", req.Service, "team", req.Team,
+		"route", choice.Route(), "pool", choice.Pool().Name)
 	return p, nil
 }
 
@@ -165,7 +163,7 @@
 	c = &candidates{}
 	p.slots = 0
 	for _, conn := range h.agents {
-		if conn.serves(service) && h.router.InPool(p.spec.name, conn.record.Zone) {
+		if conn.serves(service) && h.router.inPool(p.spec.name, conn.record.Zone) {
 			conn.view.SetSlots(conn.view.Slots(), conn.view.Slots()*p.spec.reserveShort/100)
 			c.conns = append(c.conns, conn)
 			c.views = append(c.views, conn.view)
@@ -272,6 +270,9 @@
 func (p *pool) fits(h *home, t *gypsumtide.Task) string {
 	c := p.serving(h, t.Service())
 	if len(c.views) == 0 {
+		if h.mayReturn(t.Service(), h.clock.Now()) {
+			return ""
+		}
 		return fmt.Sprintf("no upstream in pool %q serves %q", p.spec.name, t.Service())
 	}
 	for _, v := range c.views {
@@ -281,3 +282,19 @@
 	}
 	return fmt.Sprintf("task %d is larger than every worker of pool %q", t.Index(), p.spec.name)
 }
+
+// mayReturn reports whether an upstream for the service may connect soon: one
+// served it a short time ago, or agents of the roster are not connected yet. A
+// home that has just taken over knows no upstreams for a moment.
+func (h *home) mayReturn(service string, now gypsumtide.Millis) bool {
+	if at, ok := h.served[service]; ok && now-at < serviceAbsence {
+		return true
+	}
+	connected := 0
+	for _, c := range h.agents {
+		if c.session != nil && c.upstreams != nil {
+			connected++
+		}
+	}
+	return connected < h.present()
+}
