operator: add the operators' interface, its client and gypsumctl

Cause: operators publish and inspect the configuration through any entry. Change: handlers with RFC 9457 problems, client, gypsumctl commands. The entry supplies nodes, drain and retire through Backend.

--- a/cmd/gypsumctl/main.go
+++ b/cmd/gypsumctl/main.go
@@ -1,4 +1,10 @@
 // Command gypsumctl is the operators' client.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"gypsumtide/internal/cli"
+)
+
+func main() { os.Exit(cli.Main(cli.Gypsumctl())) }
--- a/internal/object/publisher.go
+++ b/internal/object/publisher.go
@@ -27,6 +27,9 @@
 	return &Publisher{follower: follower, publication: publication, clock: clock}
 }
 
+// Ready reports whether the revision in force is known.
+func (p *Publisher) Ready() bool { return p.follower.Ready() }
+
 // Current returns the revision in force at this node.
 func (p *Publisher) Current() Revision {
 	var r Revision
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// maxObjectBytes bounds a published text. It has room for tens of
+	// thousands of objects.
+	maxObjectBytes = 4 << 20
+	// actionTimeout bounds the wait for the log. It is above the target of 3 s
+	// for a configuration change.
+	actionTimeout = 5 * time.Second
+)
+
+// Handler serves the operators' HTTP interface. The entry checks the key.
+type Handler struct {
+	configuration Configuration
+	backend       Backend
+	logger        logr.Logger
+	timeout       time.Duration
+}
+
+// NewHandler returns a Handler.
+func NewHandler(configuration Configuration, backend Backend, logger logr.Logger) *Handler {
+	return &Handler{configuration: configuration, backend: backend, logger: logger, timeout: actionTimeout}
+}
+
+// Register adds the patterns of the interface to the mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/configuration", h.getConfiguration)
+	mux.HandleFunc("PUT /v1/configuration", h.putConfiguration)
+	mux.HandleFunc("GET /v1/configuration/history", h.getHistory)
+	mux.HandleFunc("GET /v1/explain", h.getExplain)
+	mux.HandleFunc("GET /v1/nodes", h.getNodes)
+	mux.HandleFunc("POST /v1/nodes/{name}/drain", h.postDrain)
+	mux.HandleFunc("POST /v1/agents/{name}/retire", h.postRetire)
+}
+
+// action returns the context of an action that waits for the log or a peer.
+func (h *Handler) action(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), h.timeout)
+}
+
+// ready answers with a problem while the revision in force is not known.
+func (h *Handler) ready(w http.ResponseWriter, step string) bool {
+	if h.configuration.Ready() {
+		return true
+	}
+	p := newProblem(ProblemUnavailable, http.StatusServiceUnavailable, "Not possible at the moment", "this entry has not read the configuration yet")
+	p.Step = step
+	p.write(w)
+	return false
+}
+
+func (h *Handler) fail(w http.ResponseWriter, step string, err error) {
+	h.logger.Error(err, "operator request failed", "step", step)
+	problemOf(step, err).write(w)
+}
+
+func badRequest(w http.ResponseWriter, step, detail string) {
+	p := newProblem(ProblemBadRequest, http.StatusBadRequest, "The request is not valid", detail)
+	p.Step = step
+	p.write(w)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/operator/node.go
@@ -0,0 +1,40 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+)
+
+func (h *Handler) getNodes(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := h.action(r)
+	defer cancel()
+	nodes, err := h.backend.Nodes(ctx)
+	if err != nil {
+		h.fail(w, "list nodes", err)
+		return
+	}
+	if nodes == nil {
+		nodes = []Node{}
+	}
+	writeJSON(w, http.StatusOK, nodes)
+}
+
+func (h *Handler) postDrain(w http.ResponseWriter, r *http.Request) {
+	h.act(w, r, "drain node", h.backend.Drain)
+}
+
+func (h *Handler) postRetire(w http.ResponseWriter, r *http.Request) {
+	h.act(w, r, "retire agent", h.backend.Retire)
+}
+
+func (h *Handler) act(w http.ResponseWriter, r *http.Request, step string, do func(ctx context.Context, name string) error) {
+	ctx, cancel := h.action(r)
+	defer cancel()
+	name := r.PathValue("name")
+	if err := do(ctx, name); err != nil {
+		h.fail(w, step, err)
+		return
+	}
+	h.logger.Info("operator action done", "step", step, "node", name)
+	w.WriteHeader(http.StatusNoContent)
+}
