--- /dev/null
+++ b/internal/cli/gypsumctl_test.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/journal"
+	"gypsumtide/internal/object"
+	"gypsumtide/internal/operator"
+	"gypsumtide/internal/standin/platformlog"
+)
+
+type nodes struct{}
+
+func (nodes) Nodes(context.Context) ([]operator.Node, error) {
+	return []operator.Node{{Name: "a1", Kind: "agent", Zone: "z1", State: "live", Slots: 8}}, nil
+}
+func (nodes) Drain(context.Context, string) error  { return nil }
+func (nodes) Retire(context.Context, string) error { return operator.ErrRefused }
+
+// serveOperators starts the operators' interface on a stand-in of the log.
+func serveOperators(t *testing.T) string {
+	log := platformlog.New(platformlog.DefaultSettings(), gypsumtide.NewSystemClock())
+	logServer := httptest.NewServer(log.Handler())
+	publication := object.NewPublication()
+	clock := gypsumtide.NewSystemClock()
+	follower := journal.New(journal.NewClient(logServer.URL, &http.Client{}, 0), "configuration", publication, clock, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := group.Go(ctx, follower.Run)
+	for changed := follower.Changed(); !follower.Ready(); changed = follower.Changed() {
+		<-changed
+	}
+	mux := http.NewServeMux()
+	operator.NewHandler(object.NewPublisher(follower, publication, clock), nodes{}, logr.Discard()).Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(func() { server.Close(); cancel(); <-done; logServer.Close() })
+	return server.URL
+}
+
+func gypsumctl(args ...string) (string, error) {
+	cmd := Gypsumctl()
+	var out bytes.Buffer
+	cmd.Writer, cmd.ErrWriter = &out, &out
+	err := cmd.Run(context.Background(), append([]string{"gypsumctl"}, args...))
+	return out.String(), err
+}
+
+// TestGypsumctl guards the commands that operators use, from files to the log.
+func TestGypsumctl(t *testing.T) {
+	Convey("Given an entry and files", t, func() {
+		url := serveOperators(t)
+		dir := t.TempDir()
+		file := func(name, text string) string {
+			path := filepath.Join(dir, name)
+			So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+			return path
+		}
+		pool := file("pool.yaml", "kind: pool\nname: checks")
+		service := file("service.yaml", "kind: service\nname: stock\npool: checks\n")
+		bad := file("bad.yaml", "kind: pool\nname: p\nqueu: fair\n---\nkind: x\n")
+
+		run := func(args ...string) string {
+			out, err := gypsumctl(append([]string{"--entry", url}, args...)...)
+			So(err, ShouldBeNil)
+			return out
+		}
+		So(run("get"), ShouldContainSubstring, "# revision 0")
+		So(run("diff", "-f", pool, "-f", service), ShouldEqual, "added service stock\nadded pool checks\n")
+		So(run("apply", "-f", pool, "-f", service, "--author", "ann"), ShouldEqual, "added service stock\nadded pool checks\nrevision 1 published\n")
+		So(run("apply", "-f", pool, "-f", service), ShouldEqual, "revision 1 has the same text, nothing published\n")
+		So(run("diff", "-f", pool), ShouldEqual, "removed service stock\n")
+		So(run("get"), ShouldContainSubstring, "# revision 1 by ann at ")
+		So(run("explain", "--service", "stock"), ShouldContainSubstring, "revision 1\npool checks: placement believed-free")
+		So(run("nodes"), ShouldContainSubstring, "a1")
+		So(run("drain", "a1"), ShouldEqual, "a1 drains\n")
+		So(run("apply", "-f", pool, "--base", "1"), ShouldEqual, "revision 2 published\n")
+
+		for _, c := range []struct {
+			name, want string
+			args       []string
+		}{
+			{"old base", "base revision is 0, revision 2 is in force", []string{"apply", "-f", pool, "--base", "0"}},
+			{"errors of all files", "bad.yaml:5: unknown kind", []string{"apply", "-f", pool, "-f", bad}},
+			{"missing file", "no such file", []string{"apply", "-f", filepath.Join(dir, "none.yaml")}},
+			{"refused", "refused", []string{"retire", "a1"}},
+			{"no name", "give the name of one node", []string{"drain"}},
+			{"no entry", "connection refused", []string{"--entry", "http://127.0.0.1:1", "nodes"}},
+		} {
+			_, err := gypsumctl(append([]string{"--entry", url}, c.args...)...)
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, c.want)
+		}
+		So(strings.Count(run("history"), "\n"), ShouldEqual, 3)
+	})
+}
+
+// TestStandinLog guards against a stand-in whose command line does not start or stop.
+func TestStandinLog(t *testing.T) {
+	Convey("The stand-in runs until its context ends", t, func() {
+		path := filepath.Join(t.TempDir(), "s.yaml")
+		So(os.WriteFile(path, []byte("listen: 127.0.0.1:0\nappends-per-second: 5\n"), 0o600), ShouldBeNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := group.Go(ctx, func(ctx context.Context) error {
+			return StandinLog().Run(ctx, []string{"standin-log", "--settings", path})
+		})
+		cancel()
+		err := <-done
+		So(err == nil || errors.Is(err, context.Canceled), ShouldBeTrue)
+		So(StandinLog().Run(context.Background(), []string{"standin-log", "--check", "-s", path}), ShouldBeNil)
+	})
+}
