--- a/internal/cli/gypsumctl_test.go
+++ b/internal/cli/gypsumctl_test.go
@@ -32,11 +32,11 @@
 
 // serveOperators starts the operators' interface on a stand-in of the log.
 func serveOperators(t *testing.T) string {
-	log := platformlog.New(platformlog.DefaultSettings(), gypsumtide.NewSystemClock())
-	logServer := httptest.NewServer(log.Handler())
+	log, err := platformlog.StartLocal(platformlog.DefaultSettings())
+	So(err, ShouldBeNil)
 	publication := object.NewPublication()
 	clock := gypsumtide.NewSystemClock()
-	follower := journal.New(journal.NewClient(logServer.URL, &http.Client{}, 0), "configuration", publication, clock, logr.Discard())
+	follower := journal.New(journal.NewClient(log.URL(), &http.Client{}, 0), "configuration", publication, clock, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := group.Go(ctx, follower.Run)
 	for changed := follower.Changed(); !follower.Ready(); changed = follower.Changed() {
@@ -45,7 +45,7 @@
 	mux := http.NewServeMux()
 	operator.NewHandler(object.NewPublisher(follower, publication, clock), nodes{}, logr.Discard()).Register(mux)
 	server := httptest.NewServer(mux)
-	t.Cleanup(func() { server.Close(); cancel(); <-done; logServer.Close() })
+	t.Cleanup(func() { server.Close(); cancel(); <-done; _ = log.Stop() })
 	return server.URL
 }
 
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -8,6 +8,9 @@
 	"gypsumtide"
 )
 
+// ErrNotAppended means that no attempt of an append reached the stream.
+var ErrNotAppended = errors.New("not appended")
+
 // Append adds a record under the id and returns nil once this follower has
 // read it back, so that View shows its effect. The caller reads from the fold
 // whether the record was valid.
@@ -15,7 +18,7 @@
 // While ctx allows, a failed append is repeated under the same id, which is
 // harmless because readers ignore repeats. The error wraps
 // gypsumtide.ErrAppendUnsettled if the record may be in the stream or may
-// still arrive there; any other error means that it is not.
+// still arrive there, and ErrNotAppended if it is not and will not.
 func (f *Follower) Append(ctx context.Context, id ID, record []byte) error {
 	if f.contains(id) {
 		return nil
@@ -27,9 +30,9 @@
 	unsettledOnce := false
 	backoff := minBackoff
 	for {
-		_, err := f.log.Append(ctx, f.stream, data)
+		offset, err := f.log.Append(ctx, f.stream, data)
 		if err == nil {
-			return f.awaitRecord(ctx, id)
+			return f.awaitRecord(ctx, id, offset)
 		}
 		if errors.Is(err, gypsumtide.ErrAppendUnsettled) {
 			unsettledOnce = true
@@ -48,17 +51,21 @@
 }
 
 func (f *Follower) appendError(err error, unsettledOnce bool) error {
-	if unsettledOnce && !errors.Is(err, gypsumtide.ErrAppendUnsettled) {
+	switch {
+	case errors.Is(err, gypsumtide.ErrAppendUnsettled):
+	case unsettledOnce:
 		err = unsettled(err)
+	default:
+		err = fmt.Errorf("%w: %w", ErrNotAppended, err)
 	}
 	return fmt.Errorf("journal: append to %s: %w", f.stream, err)
 }
 
-// awaitRecord waits until the record has been applied.
-func (f *Follower) awaitRecord(ctx context.Context, id ID) error {
+// awaitRecord waits until the record at the offset has been applied.
+func (f *Follower) awaitRecord(ctx context.Context, id ID, offset uint64) error {
 	for {
 		changed := f.Changed()
-		if f.contains(id) {
+		if f.contains(id) || f.Position() > offset {
 			return nil
 		}
 		select {
--- a/internal/journal/example_test.go
+++ b/internal/journal/example_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 
 	"github.com/go-logr/logr"
 
@@ -25,13 +24,14 @@
 }
 
 func ExampleFollower() {
-	log := platformlog.New(platformlog.DefaultSettings(), gypsumtide.NewSystemClock())
-	server := httptest.NewServer(log.Handler())
-	defer server.Close()
-
+	log, err := platformlog.StartLocal(platformlog.DefaultSettings())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	fold := &lines{}
-	client := journal.NewClient(server.URL, http.DefaultClient, 0)
+	client := journal.NewClient(log.URL(), http.DefaultClient, 0)
 	follower := journal.New(client, "events", fold, gypsumtide.NewSystemClock(), logr.Discard())
 	done := group.Go(ctx, follower.Run)
 
@@ -43,9 +43,11 @@
 
 	cancel()
 	fmt.Println(<-done)
+	fmt.Println(log.Stop())
 	// Output:
 	// <nil>
 	// <nil>
 	// 1 record
 	// context canceled
+	// <nil>
 }
--- a/internal/journal/follower_test.go
+++ b/internal/journal/follower_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -82,13 +81,11 @@
 	}
 }
 
-func startLog(t testing.TB) (*platformlog.Server, string) {
-	t.Helper()
-	s := platformlog.New(platformlog.Settings{MaxRecordBytes: 1 << 20}, gypsumtide.NewSystemClock())
-	server := httptest.NewServer(s.Handler())
-	t.Cleanup(server.Close)
-	t.Cleanup(s.Close)
-	return s, server.URL
+func startLog(t testing.TB, retention gypsumtide.Millis) (*platformlog.Local, string) {
+	log, err := platformlog.StartLocal(platformlog.Settings{MaxRecordBytes: 1 << 20, Retention: retention})
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = log.Stop() })
+	return log, log.URL()
 }
 
 func newNode(url string, timeout gypsumtide.Millis) *node {
@@ -146,7 +143,7 @@
 		{"slower than the client's time-out", platformlog.Faults{SlowMillis: 400}, false, 700 * time.Millisecond, true, []string{"x"}},
 	} {
 		Convey("Append: "+c.name, t, func() {
-			s, url := startLog(t)
+			s, url := startLog(t, 0)
 			n := startNode(t, url)
 			So(n.await(n.Ready), ShouldBeTrue)
 			So(s.SetFaults(c.faults), ShouldBeNil)
@@ -170,7 +167,7 @@
 	Convey("Append: no connection is a settled failure", t, func() {
 		n := newNode("http://127.0.0.1:1", 200).run()
 		err := within(200*time.Millisecond, func(ctx context.Context) error { return n.Append(ctx, NewID(), []byte("x")) })
-		So(err, ShouldNotBeNil)
+		So(errors.Is(err, ErrNotAppended), ShouldBeTrue)
 		So(errors.Is(err, gypsumtide.ErrAppendUnsettled), ShouldBeFalse)
 		So(errors.Is(n.stop(), context.Canceled), ShouldBeTrue)
 	})
@@ -180,7 +177,7 @@
 // its effect can be read from the fold.
 func TestAppendNotReadBack(t *testing.T) {
 	Convey("An accepted append is unsettled while the follower cannot read", t, func() {
-		s, url := startLog(t)
+		s, url := startLog(t, 0)
 		n := newNode(url, 200)
 		err := within(200*time.Millisecond, func(ctx context.Context) error { return n.Append(ctx, NewID(), []byte("x")) })
 		So(errors.Is(err, gypsumtide.ErrAppendUnsettled), ShouldBeTrue)
@@ -193,7 +190,7 @@
 // that reached the end, and counts from their sending.
 func TestReadAt(t *testing.T) {
 	Convey("Given a follower of a healthy log", t, func() {
-		s, url := startLog(t)
+		s, url := startLog(t, 0)
 		n := startNode(t, url)
 		So(n.await(n.Ready), ShouldBeTrue)
 		for _, f := range []platformlog.Faults{{Down: true}, {Hang: true}} {
@@ -223,7 +220,7 @@
 // TestRepeats guards against records that take effect more than once.
 func TestRepeats(t *testing.T) {
 	Convey("All readers ignore repeated ids, invalid records and snapshots", t, func() {
-		s, url := startLog(t)
+		s, url := startLog(t, 0)
 		id := NewID()
 		s.Append("s", record(id, "a"))
 		s.Append("s", []byte("garbage"))
@@ -278,7 +275,7 @@
 		{"no snapshot", nil, 1, false},
 	} {
 		Convey("Start: "+c.name, t, func() {
-			s, url := startLog(t)
+			s, url := startLog(t, 0)
 			for i := range 4 {
 				s.Append("s", record(NewID(), fmt.Sprint("r", i)))
 			}
@@ -316,7 +313,7 @@
 		})
 	}
 	Convey("A reader that fell behind the retention keeps its state until it finds a snapshot", t, func() {
-		s, url := startLog(t)
+		s, url := startLog(t, 0)
 		s.Append("s", record(NewID(), "r0"))
 		n := newNode(url, 200).run()
 		So(n.await(n.Ready), ShouldBeTrue)
@@ -401,13 +398,11 @@
 func TestSnapshots(t *testing.T) {
 	Convey("Two readers keep the state of an idle stream beyond its retention", t, func() {
 		const retention = 600
-		s := platformlog.New(platformlog.Settings{MaxRecordBytes: 1 << 20, Retention: retention}, gypsumtide.NewSystemClock())
-		server := httptest.NewServer(s.Handler())
-		defer server.Close()
+		s, url := startLog(t, retention)
 		s.Append("s", record(NewID(), "kept"))
 		var nodes []*node
 		for range 2 {
-			n := newNode(server.URL, 200)
+			n := newNode(url, 200)
 			n.SetRetention(retention)
 			nodes = append(nodes, n.run())
 		}
@@ -415,7 +410,7 @@
 		first, end := s.Bounds("s")
 		So(first, ShouldBeGreaterThan, 0)
 		So(end, ShouldBeLessThan, 16)
-		late := newNode(server.URL, 200).run()
+		late := newNode(url, 200).run()
 		So(late.await(late.Ready), ShouldBeTrue)
 		So(late.bodies(), ShouldResemble, []string{"kept"})
 		for _, n := range append(nodes, late) {
--- a/internal/object/publication_test.go
+++ b/internal/object/publication_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -150,20 +149,19 @@
 		{name: "invalid", text: "kind: x\n", want: Errors{}},
 	} {
 		Convey("Publisher: "+c.name, t, func() {
-			log := platformlog.New(platformlog.Settings{MaxRecordBytes: 1 << 20}, gypsumtide.NewSystemClock())
-			server := httptest.NewServer(log.Handler())
-			defer server.Close()
-			defer log.Close()
+			log, err := platformlog.StartLocal(platformlog.Settings{MaxRecordBytes: 1 << 20})
+			So(err, ShouldBeNil)
+			defer func() { So(log.Stop(), ShouldBeNil) }()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			p := NewPublication()
 			clock := gypsumtide.NewSystemClock()
-			follower := journal.New(journal.NewClient(server.URL, &http.Client{}, 200), "configuration", p, clock, logr.Discard())
+			follower := journal.New(journal.NewClient(log.URL(), &http.Client{}, 200), "configuration", p, clock, logr.Discard())
 			publisher := NewPublisher(follower, p, clock)
 			if c.race {
 				// The publisher's node has not read the other publish yet.
 				racer := NewPublication()
-				other := journal.New(journal.NewClient(server.URL, &http.Client{}, 200), "configuration", racer, clock, logr.Discard())
+				other := journal.New(journal.NewClient(log.URL(), &http.Client{}, 200), "configuration", racer, clock, logr.Discard())
 				done := group.Go(ctx, other.Run)
 				_, err := NewPublisher(other, racer, clock).Publish(ctx, 0, nil, "first")
 				So(err, ShouldBeNil)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -46,7 +46,7 @@
 
 // entry is the part of an entry that the interface needs, on a real log.
 type entry struct {
-	log       *platformlog.Server
+	log       *platformlog.Local
 	publisher *object.Publisher
 	backend   *backend
 	client    *Client
@@ -55,20 +55,21 @@
 
 // startEntry returns an entry; read is false if it never reads the log.
 func startEntry(t *testing.T, read bool) *entry {
-	log := platformlog.New(platformlog.Settings{MaxRecordBytes: 8 << 20}, gypsumtide.NewSystemClock())
-	logServer := httptest.NewServer(log.Handler())
+	log, err := platformlog.StartLocal(platformlog.Settings{MaxRecordBytes: 8 << 20})
+	So(err, ShouldBeNil)
 	clock := gypsumtide.NewSystemClock()
 	publication := object.NewPublication()
-	follower := journal.New(journal.NewClient(logServer.URL, &http.Client{}, 200), "configuration", publication, clock, logr.Discard())
+	follower := journal.New(journal.NewClient(log.URL(), &http.Client{}, 200), "configuration", publication, clock, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
-	if read {
-		done := group.Go(ctx, follower.Run)
-		t.Cleanup(func() { cancel(); <-done; log.Close(); logServer.Close() })
-		for changed := follower.Changed(); !follower.Ready(); changed = follower.Changed() {
-			<-changed
+	done := group.Go(ctx, func(ctx context.Context) error {
+		if !read {
+			return nil
 		}
-	} else {
-		t.Cleanup(func() { cancel(); logServer.Close() })
+		return follower.Run(ctx)
+	})
+	t.Cleanup(func() { cancel(); <-done; _ = log.Stop() })
+	for changed := follower.Changed(); read && !follower.Ready(); changed = follower.Changed() {
+		<-changed
 	}
 	e := &entry{log: log, publisher: object.NewPublisher(follower, publication, clock), backend: &backend{}}
 	h := NewHandler(e.publisher, e.backend, logr.Discard())
@@ -168,10 +169,14 @@
 		{"answer lost", platformlog.Faults{LoseAnswers: 1}, "", 200},
 		{"down", platformlog.Faults{Down: true}, ProblemUnsettled, 504},
 		{"hang", platformlog.Faults{Hang: true}, ProblemUnsettled, 504},
+		{"unreachable", platformlog.Faults{}, ProblemUnavailable, 503},
 	} {
 		Convey("Publish with log fault: "+c.name, t, func() {
 			e := startEntry(t, true)
 			So(e.log.SetFaults(c.faults), ShouldBeNil)
+			if c.kind == ProblemUnavailable {
+				So(e.log.Stop(), ShouldBeNil)
+			}
 			_, err := e.client.Publish(ctx, 0, nil, "ann")
 			if c.kind == "" {
 				So(err, ShouldBeNil)
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"gypsumtide"
+	"gypsumtide/internal/journal"
 	"gypsumtide/internal/object"
 )
 
@@ -100,6 +101,8 @@
 		return newProblem(ProblemUnknownNode, http.StatusNotFound, "There is no such node", err.Error())
 	case errors.Is(err, ErrRefused):
 		return newProblem(ProblemRefused, http.StatusConflict, "The state of the node does not permit this", err.Error())
+	case errors.Is(err, journal.ErrNotAppended):
+		return newProblem(ProblemUnavailable, http.StatusServiceUnavailable, "Not possible at the moment", "nothing was changed: "+err.Error())
 	case errors.Is(err, gypsumtide.ErrAppendUnsettled), errors.Is(err, object.ErrNoResult), errors.Is(err, context.DeadlineExceeded):
 		return newProblem(ProblemUnsettled, http.StatusGatewayTimeout, "The outcome is not known", unsettledPublishing+": "+err.Error())
 	case errors.Is(err, ErrUnavailable):
--- a/internal/standin/platformlog/server_test.go
+++ b/internal/standin/platformlog/server_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -179,25 +178,21 @@
 // TestServe guards against a stand-in that does not stop with its context.
 func TestServe(t *testing.T) {
 	Convey("Serve answers and stops, although a request hangs", t, func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		s, err := StartLocal(DefaultSettings())
 		So(err, ShouldBeNil)
-		s := New(DefaultSettings(), gypsumtide.NewSystemClock())
-		done := group.Go(ctx, func(ctx context.Context) error { return s.Serve(ctx, listener) })
-		status, body := call("GET", "http://"+listener.Addr().String()+"/faults", "")
+		status, body := call("GET", s.URL()+"/faults", "")
 		So(status, ShouldEqual, 200)
 		var f Faults
 		So(json.Unmarshal([]byte(body), &f), ShouldBeNil)
 		So(s.SetFaults(Faults{Hang: true}), ShouldBeNil)
-		hung := group.Go(ctx, func(ctx context.Context) error {
-			_, err := http.Post("http://"+listener.Addr().String()+"/streams/s/records", "", strings.NewReader("x"))
+		hung := group.Go(context.Background(), func(context.Context) error {
+			_, err := http.Post(s.URL()+"/streams/s/records", "", strings.NewReader("x"))
 			return err
 		})
 		time.Sleep(50 * time.Millisecond)
-		cancel()
+		So(s.Stop(), ShouldBeNil)
 		So(<-hung, ShouldNotBeNil)
-		So(<-done, ShouldBeNil)
+		So(s.Stop(), ShouldBeNil)
 	})
 }
 
