--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -408,7 +408,7 @@
 	op.outstanding = false
 	switch {
 	case err == nil:
-		op.appended, op.offset = true, offset
+		op.appended, op.offset, op.doneAt = true, offset, m.clock.Now()
 	case errors.Is(err, gypsumtide.ErrAppendUnsettled):
 		op.uncertain = true
 	default:
--- a/internal/shard/operation.go
+++ b/internal/shard/operation.go
@@ -21,6 +21,7 @@
 	failed   bool
 	appended bool
 	offset   uint64
+	doneAt   gypsumtide.Millis
 }
 
 func (op *operation) takeover(self string) bool {
@@ -52,7 +53,9 @@
 	// A record that was read without effect is invalid. What made it invalid
 	// lasts: a newer record of the shard, or the departure of its author or
 	// home. Its other attempts are therefore invalid as well.
-	invalid := op.appended && m.next > op.offset
+	// The fold may never see the offset of a repeated record, so a read that
+	// was sent after the append counts as well.
+	invalid := op.appended && (m.next > op.offset || m.logRead > op.doneAt)
 	if !invalid && (op.uncertain || !op.failed) {
 		return
 	}
