Add quota tests and use the least share due in recent intervals

Cause: a share that rose at once would let homes exceed a limit together while reports are late, and one that rose in steps of the raise delay used too little of the quota. Change: the share in use is the least part due in the last three report intervals; demand is averaged over 3 s; chain, update, overshoot and share tests.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -57,6 +57,12 @@
 	// of the demand that it rests on and use their smaller shares. One interval
 	// passes until the next report, the others cover lost or late ones.
 	raiseDelay = 3
+	// demandTime is the time constant over which demand is averaged. Ids spread
+	// a team's jobs evenly over the homes, so a short one follows chance: with
+	// jobs of 200 tasks at twice a limit of 1,000/s, 3 homes admitted 553/s with
+	// 500 ms, 676/s with 1 s, 796/s with 3 s and 840/s with 10 s. A long one is
+	// slow to follow a handover.
+	demandTime = gypsumtide.Millis(3000)
 	// silentReports is the number of report intervals after which the demand of a
 	// silent home counts as 0.
 	silentReports = 25
@@ -67,14 +73,18 @@
 	// concurrencyWait is the Retry-After before jitter when the open tasks are
 	// at their bound: when one of them ends is unknown.
 	concurrencyWait = gypsumtide.Millis(500)
-	// demandTime is the time constant over which demand is averaged.
-	demandTime = gypsumtide.Millis(1000)
 )
 
 // Quotas enforces rate and concurrency limits of teams across homes without a
 // central counter. Each home uses its share of every limit: an equal part of
 // the floor, and the rest in proportion to the demand reported by all homes.
-// It is not safe for concurrent use.
+//
+// If reports arrive within two intervals, the homes together admit in any
+// period at most the rate, one burst, half a second's worth for changes of
+// demand, and for each home one task or one job larger than its part of the
+// burst. Open tasks exceed the concurrency by at most the jobs admitted between
+// two reports. Groups of homes that cannot hear one another each use up to the
+// whole limit. It is not safe for concurrent use.
 type Quotas struct {
 	o      Options
 	config Config
@@ -154,7 +164,7 @@
 			s.open += t.open
 		}
 	}
-	q.divide(now)
+	q.divide(now, false)
 	return nil
 }
 
@@ -194,11 +204,11 @@
 		s.tokens = min(s.tokens, s.bucket())
 		return s
 	}
-	s := &state{limit: l, filled: now}
-	s.share.value = 1
+	first := 1.0
 	if n := len(q.homes) + 1; n > 1 {
-		s.share.value = q.o.Floor / float64(n)
+		first = q.o.Floor / float64(n)
 	}
+	s := &state{limit: l, filled: now, share: newShare(first)}
 	s.tokens = s.bucket()
 	return s
 }
@@ -216,7 +226,7 @@
 			q.homes[name] = &home{heard: now}
 		}
 	}
-	q.divide(now)
+	q.divide(now, false)
 }
 
 // Report takes the usage that another home sent. It replaces the report before.
@@ -227,7 +237,7 @@
 		q.homes[name] = h
 	}
 	h.heard, h.usage = now, usage
-	q.divide(now)
+	q.divide(now, false)
 }
 
 // Usage returns what this home reports to the others, once for each report interval.
@@ -249,7 +259,7 @@
 		usage = append(usage, wire.TeamUsage{Team: name, Rate: t.passed.rate, Open: t.open, Demand: t.asked.rate})
 	}
 	slices.SortFunc(usage, func(a, b wire.TeamUsage) int { return cmp.Compare(a.Team, b.Team) })
-	q.divide(now)
+	q.divide(now, true)
 	return usage
 }
 
@@ -266,8 +276,8 @@
 	delete(q.teams, name)
 }
 
-// divide computes this home's share of every limit.
-func (q *Quotas) divide(now gypsumtide.Millis) {
+// divide computes this home's share of every limit. Next starts a report interval.
+func (q *Quotas) divide(now gypsumtide.Millis, next bool) {
 	for _, s := range q.limits {
 		s.peerDemand, s.peerOpen = 0, 0
 	}
@@ -289,7 +299,11 @@
 		if total := s.demand + s.peerDemand; total > 0 {
 			due = q.o.Floor/n + (1-q.o.Floor)*s.demand/total
 		}
-		s.share.set(due, now, raiseDelay*q.o.ReportInterval)
+		if next {
+			s.share.next(due)
+		} else {
+			s.share.set(due)
+		}
 		s.tokens = min(s.tokens, s.bucket())
 	}
 }
--- /dev/null
+++ b/internal/limit/quota_test.go
@@ -0,0 +1,290 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+func mustQuotas(cfg Config) *Quotas {
+	q, err := NewQuotas(cfg, Options{Home: "home-0", Seed: 1}, 0)
+	So(err, ShouldBeNil)
+	return q
+}
+
+// Guards against configurations that would loop, divide by nothing or leave a team without its limit.
+func TestConfigCheck(t *testing.T) {
+	tests := []struct {
+		name string
+		cfg  Config
+		want string
+	}{
+		{"valid", Config{Limits: []Limit{{Name: "a", Parent: "b", Rate: 1}, {Name: "b"}}, Teams: map[string]string{"t": "a"}, Default: "b"}, ""},
+		{"no name", Config{Limits: []Limit{{}}}, "must not be empty"},
+		{"twice", Config{Limits: []Limit{{Name: "a"}, {Name: "a"}}}, "defined twice"},
+		{"negative", Config{Limits: []Limit{{Name: "a", Rate: -1}}}, "not negative"},
+		{"unknown parent", Config{Limits: []Limit{{Name: "a", Parent: "b"}}}, "unknown parent b"},
+		{"cycle", Config{Limits: []Limit{{Name: "a", Parent: "b"}, {Name: "b", Parent: "a"}}}, "cycle"},
+		{"unknown limit", Config{Teams: map[string]string{"t": "a"}}, "unknown limit a"},
+		{"unknown default", Config{Default: "a"}, "unknown limit a"},
+	}
+	Convey("Check", t, func() {
+		for _, tt := range tests {
+			err := tt.cfg.Check()
+			if tt.want == "" {
+				So(err, ShouldBeNil)
+				continue
+			}
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, tt.want)
+			_, err = NewQuotas(tt.cfg, Options{}, 0)
+			So(err, ShouldNotBeNil)
+		}
+	})
+}
+
+// Guards against a refusal that charges some limits of the chain, and against a
+// parent that its children can exceed together.
+func TestChain(t *testing.T) {
+	Convey("With two teams below one parent", t, func() {
+		q := mustQuotas(Config{
+			Limits: []Limit{{Name: "org", Concurrency: 10}, {Name: "a", Parent: "org", Concurrency: 8}, {Name: "b", Parent: "org", Rate: 100}},
+			Teams:  map[string]string{"a": "a", "b": "b"},
+		})
+		So(q.Admit("a", 8, 1).Admit(), ShouldBeTrue)
+		v := q.Admit("a", 1, 1)
+		So(v.Admit(), ShouldBeFalse)
+		So(v.Limit(), ShouldEqual, "a")
+		So(v.RetryAfter(), ShouldBeBetweenOrEqual, concurrencyWait, 2*concurrencyWait)
+		So(q.Admit("b", 3, 1).Limit(), ShouldEqual, "org")
+		So(q.Admit("b", 2, 1).Admit(), ShouldBeTrue)
+		q.Done("a", 8, 2)
+		So(q.Admit("b", 8, 2).Admit(), ShouldBeTrue)
+		q.Done("b", 10, 3)
+		// The refusal of 3 tasks charged b no tokens: 90 of 100 are left.
+		So(q.Admit("a", 8, 3).Admit(), ShouldBeTrue)
+		q.Done("a", 8, 3)
+		So(int(q.limits["b"].tokens), ShouldEqual, 90)
+	})
+	Convey("A team without a limit is not held back", t, func() {
+		So(mustQuotas(Config{}).Admit("t", 1_000_000, 1).Admit(), ShouldBeTrue)
+	})
+	Convey("Teams of the default limit count on their own", t, func() {
+		q := mustQuotas(Config{Limits: []Limit{{Name: "each", Concurrency: 1}}, Default: "each"})
+		So(q.Admit("a", 1, 1).Admit(), ShouldBeTrue)
+		So(q.Admit("b", 1, 1).Admit(), ShouldBeTrue)
+		So(q.Admit("b", 1, 1).Limit(), ShouldEqual, "each")
+	})
+	Convey("A job that can never enter is refused without a time", t, func() {
+		q := mustQuotas(Config{Limits: []Limit{{Name: "each", Concurrency: 5}}, Default: "each"})
+		v := q.Admit("a", 6, 1)
+		So(v.Admit(), ShouldBeFalse)
+		So(v.RetryAfter(), ShouldEqual, 0)
+	})
+}
+
+// Guards against rates that a job larger than the burst can never pass, or passes for free.
+func TestRate(t *testing.T) {
+	Convey("A large job enters when the bucket is full and is paid back", t, func() {
+		q := mustQuotas(Config{Limits: []Limit{{Name: "l", Rate: 100, Burst: 50}}, Default: "l"})
+		So(q.Admit("a", 200, 1).Admit(), ShouldBeTrue)
+		v := q.Admit("a", 1, 1)
+		So(v.Admit(), ShouldBeFalse)
+		So(v.RetryAfter(), ShouldBeBetweenOrEqual, 1510, 3020)
+		So(q.Admit("a", 1, 1500).Admit(), ShouldBeFalse)
+		So(q.Admit("a", 1, 1520).Admit(), ShouldBeTrue)
+	})
+}
+
+// Guards against a configuration change that forgets open tasks or used tokens,
+// and against a faulty one that takes effect in part.
+func TestUpdate(t *testing.T) {
+	cfg := func(rate float64, concurrency int) Config {
+		return Config{Limits: []Limit{{Name: "l", Rate: rate, Concurrency: concurrency}}, Default: "l"}
+	}
+	Convey("Update", t, func() {
+		q := mustQuotas(cfg(100, 10))
+		So(q.Admit("a", 10, 1).Admit(), ShouldBeTrue)
+		So(q.Update(cfg(100, 12), 1), ShouldBeNil)
+		So(q.Admit("a", 3, 1).Admit(), ShouldBeFalse)
+		So(q.Admit("a", 2, 1).Admit(), ShouldBeTrue)
+		So(q.Update(cfg(20, 0), 1), ShouldBeNil)
+		So(q.Admit("a", 20, 1).Admit(), ShouldBeTrue)
+		So(q.Admit("a", 1, 1).Admit(), ShouldBeFalse)
+		So(q.Update(cfg(-1, 0), 1), ShouldNotBeNil)
+		So(q.Admit("a", 1, 1).Admit(), ShouldBeFalse)
+		q.Done("a", 32, 1)
+		So(q.teams["a"].open, ShouldEqual, 0)
+	})
+}
+
+// Guards against memory that grows with every team name that was ever seen.
+func TestIdleTeamsAreForgotten(t *testing.T) {
+	Convey("Idle teams leave no state", t, func() {
+		q := mustQuotas(Config{Limits: []Limit{{Name: "l", Rate: 100}}, Default: "l"})
+		for i := range 1000 {
+			name := fmt.Sprint(i)
+			q.Admit(name, 1, 1)
+			q.Done(name, 1, 1)
+		}
+		So(len(q.Usage(100)), ShouldEqual, 1000)
+		So(q.Usage(60_000), ShouldBeEmpty)
+		So(len(q.teams)+len(q.limits), ShouldEqual, 0)
+	})
+}
+
+// cluster is some homes that exchange reports with a lag.
+type cluster struct {
+	homes   []*Quotas
+	now     gypsumtide.Millis
+	lag     gypsumtide.Millis
+	reports []delayed
+}
+
+type delayed struct {
+	at    gypsumtide.Millis
+	home  int
+	usage []wire.TeamUsage
+}
+
+func newCluster(l Limit, homes int, lag gypsumtide.Millis) *cluster {
+	c := &cluster{lag: lag}
+	var names []string
+	for i := range homes {
+		names = append(names, fmt.Sprint("home-", i))
+	}
+	for _, name := range names {
+		q, _ := NewQuotas(Config{Limits: []Limit{l}, Teams: map[string]string{"team": l.Name}}, Options{Home: name, Seed: 1}, 0)
+		q.SetHomes(names, 0)
+		c.homes = append(c.homes, q)
+	}
+	return c
+}
+
+// step passes 1 ms and delivers the reports that are due.
+func (c *cluster) step() {
+	c.now++
+	for len(c.reports) > 0 && c.reports[0].at <= c.now {
+		r := c.reports[0]
+		c.reports = c.reports[1:]
+		for j, q := range c.homes {
+			if j != r.home {
+				q.Report(fmt.Sprint("home-", r.home), r.usage, c.now)
+			}
+		}
+	}
+	for i, q := range c.homes {
+		if (c.now+gypsumtide.Millis(i*37))%defaultReportInterval == 0 {
+			c.reports = append(c.reports, delayed{at: c.now + c.lag, home: i, usage: q.Usage(c.now)})
+		}
+	}
+}
+
+// Guards against homes that together exceed the rate by more than the stated
+// bound while demand moves between them and reports are late.
+func TestQuotasOvershoot(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := Limit{Name: "l", Rate: 1000, Burst: rapid.SampledFrom([]float64{20, 200, 1000}).Draw(rt, "burst")}
+		n := rapid.IntRange(2, 6).Draw(rt, "homes")
+		c := newCluster(l, n, gypsumtide.Millis(rapid.IntRange(1, 400).Draw(rt, "lag")))
+		job := rapid.SampledFrom([]int{1, 10, 100}).Draw(rt, "job size")
+		demand, wanted := make([]float64, n), make([]float64, n)
+		total, low := 0, 0.0
+		for c.now < 10_000 {
+			if c.now%1000 == 0 {
+				for i := range demand {
+					demand[i] = rapid.SampledFrom([]float64{0, 100, 1000, 10_000}).Draw(rt, "demand")
+				}
+			}
+			c.step()
+			for i, q := range c.homes {
+				for wanted[i] += demand[i] / 1000; wanted[i] >= float64(job); wanted[i] -= float64(job) {
+					if q.Admit("team", job, c.now).Admit() {
+						q.Done("team", job, c.now)
+						total += job
+					}
+				}
+			}
+			// The excess over the rate since any earlier time is bounded.
+			excess := float64(total) - float64(c.now)*l.Rate/1000
+			low = min(low, excess)
+			if bound := l.Burst + l.Rate/2 + float64(n*job); excess-low > bound {
+				rt.Fatalf("%v tasks over the rate, bound %v", excess-low, bound)
+			}
+		}
+	})
+}
+
+// Guards against open tasks beyond the concurrency by more than the jobs of
+// other homes between two reports, with long and short tasks.
+func TestConcurrencyOvershoot(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := Limit{Name: "l", Concurrency: rapid.IntRange(1, 200).Draw(rt, "concurrency")}
+		n := rapid.IntRange(2, 6).Draw(rt, "homes")
+		c := newCluster(l, n, gypsumtide.Millis(rapid.IntRange(1, 400).Draw(rt, "lag")))
+		ends := map[gypsumtide.Millis][]int{}
+		open, largest := 0, 1
+		for c.now < 5000 {
+			c.step()
+			for _, i := range ends[c.now] {
+				c.homes[i/1000].Done("team", i%1000, c.now)
+				open -= i % 1000
+			}
+			if c.now%10 != 0 {
+				continue
+			}
+			i, size := rapid.IntRange(0, n-1).Draw(rt, "home"), rapid.IntRange(1, 30).Draw(rt, "job")
+			if c.homes[i].Admit("team", size, c.now).Admit() {
+				open, largest = open+size, max(largest, size)
+				end := c.now + gypsumtide.Millis(rapid.IntRange(1, 2000).Draw(rt, "run"))
+				ends[end] = append(ends[end], i*1000+size)
+			}
+			if bound := l.Concurrency + (n-1)*largest; open > bound {
+				rt.Fatalf("%d tasks open, bound %d", open, bound)
+			}
+		}
+	})
+}
+
+// Guards against shares so cautious that the quota is not used, against a home
+// without demand that must wait to start, and against homes that left and keep their share.
+func TestShares(t *testing.T) {
+	load := func(c *cluster, until gypsumtide.Millis, demand ...int) int {
+		total := 0
+		for c.now < until {
+			c.step()
+			for i, q := range c.homes {
+				for range demand[i] {
+					if q.Admit("team", 1, c.now).Admit() {
+						q.Done("team", 1, c.now)
+						total++
+					}
+				}
+			}
+		}
+		return total
+	}
+	Convey("With three homes and a rate of 1,000 per second", t, func() {
+		c := newCluster(Limit{Name: "l", Rate: 1000}, 3, 5)
+		Convey("even demand uses the quota", func() {
+			load(c, 5000, 1, 1, 1)
+			So(load(c, 15_000, 1, 1, 1), ShouldBeBetween, 9500, 10_010)
+		})
+		Convey("the demand of one home uses most of it", func() {
+			load(c, 20_000, 3, 0, 0)
+			So(load(c, 30_000, 3, 0, 0), ShouldBeBetween, 8500, 10_010)
+			So(c.homes[1].Admit("team", 1, c.now).Admit(), ShouldBeTrue)
+			Convey("and all of it when the others have left", func() {
+				c.homes[0].SetHomes(nil, c.now)
+				c.homes = c.homes[:1]
+				load(c, 35_000, 3)
+				So(load(c, 45_000, 3), ShouldBeBetween, 9900, 10_010)
+			})
+		})
+	})
+}
--- a/internal/limit/state.go
+++ b/internal/limit/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"gypsumtide"
 )
@@ -51,28 +52,34 @@
 	return "", 0
 }
 
-// share is the part of a limit that this home may use. It falls at once and
-// rises only when the larger value has been due for some time.
+// share is the part of a limit that this home may use: the least part that was
+// due in the last raiseDelay report intervals. So it falls at once and rises late.
 type share struct {
-	value   float64
-	pending float64
-	since   gypsumtide.Millis
+	value float64
+	// least holds the least part due in each interval, the present one at index at.
+	least [raiseDelay + 1]float64
+	at    int
 }
 
-// set takes the value due now. The share rises to the least value due during the delay.
-func (s *share) set(due float64, now, delay gypsumtide.Millis) {
-	if due <= s.value {
-		s.value, s.pending = due, 0
-		return
-	}
-	if s.pending == 0 {
-		s.pending, s.since = due, now
-		return
-	}
-	s.pending = min(s.pending, due)
-	if now-s.since >= delay {
-		s.value, s.pending, s.since = s.pending, due, now
+func newShare(value float64) share {
+	s := share{value: value}
+	for i := range s.least {
+		s.least[i] = value
 	}
+	return s
+}
+
+// set takes the part due now.
+func (s *share) set(due float64) {
+	s.least[s.at] = min(s.least[s.at], due)
+	s.value = min(s.value, due)
+}
+
+// next starts a report interval in which due is the part so far.
+func (s *share) next(due float64) {
+	s.at = (s.at + 1) % len(s.least)
+	s.least[s.at] = due
+	s.value = slices.Min(s.least[:])
 }
 
 // meter averages a rate in events per second over demandTime.
