Serve the operators' interface from the entry

Cause: gypsumctl had no server side. Change: node list with shards and revisions, drain of entries and agents by message, retirement of agents that are gone. No measurement; builds and vets.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/journal"
 	"gypsumtide/internal/object"
+	"gypsumtide/internal/operator"
 	"gypsumtide/internal/settings"
 	"gypsumtide/internal/shard"
 	"gypsumtide/internal/submission"
@@ -133,17 +134,24 @@
 
 // shutdown finishes the requests in progress within the drain timeout.
 func (e *Entry) shutdown(server *http.Server) {
-	e.draining.Store(true)
-	e.log.Info("entry draining")
+	e.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout.Duration())
 	defer cancel()
-	e.owner.Drain()
 	e.awaitHandover(ctx)
 	if err := server.Shutdown(ctx); err != nil {
 		e.log.Info("drain timeout: requests were cut", "error", err.Error())
 	}
 }
 
+// drain hands this entry's shards over. It goes on to forward the requests that still arrive.
+func (e *Entry) drain() {
+	if e.draining.Swap(true) {
+		return
+	}
+	e.log.Info("entry draining")
+	e.owner.Drain()
+}
+
 // awaitHandover waits until other entries own this entry's shards, or for the
 // drain delay if there is no other entry. The listener stays open for callers
 // whose balancer has not noticed the drain.
@@ -207,6 +215,7 @@
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.handleCancel)
 	mux.HandleFunc("POST /v1/submission-ids", e.handleIssue)
 	mux.HandleFunc("GET /v1/session", e.handleSession)
+	operator.NewHandler(e.publisher, operators{e}, e.log).Register(mux)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.metrics.set.WritePrometheus(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gypsumtide"
@@ -38,6 +39,8 @@
 	session     *wire.Session
 	incarnation string
 	name        string
+	// revision is the configuration in force at the peer.
+	revision atomic.Uint64
 
 	mu      sync.Mutex
 	next    uint64
@@ -201,6 +204,9 @@
 // handle takes one frame from the peer.
 func (k *link) handle(e *Entry, f *wire.Frame) error {
 	e.owner.Heard(k.incarnation)
+	if f.Revision > k.revision.Load() {
+		k.revision.Store(f.Revision)
+	}
 	if f.Ack != nil {
 		e.owner.HandleAck(k.incarnation, f.Ack)
 	}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"gypsumtide"
+	"gypsumtide/internal/journal"
+	"gypsumtide/internal/operator"
+	"gypsumtide/internal/shard"
+	"gypsumtide/internal/wire"
+)
+
+// operators implements operator.Backend.
+type operators struct{ e *Entry }
+
+// Nodes implements operator.Backend.
+func (o operators) Nodes(context.Context) ([]operator.Node, error) {
+	e := o.e
+	var nodes []operator.Node
+	shards := make(map[string]int)
+	for i := range gypsumtide.ShardID(gypsumtide.ShardCount) {
+		home, _, _, _ := e.owner.Route(i)
+		shards[home.Incarnation]++
+	}
+	for _, m := range e.state.Entries() {
+		if m.Member.Present() {
+			n := o.entryNode(m)
+			n.Shards = shards[m.Incarnation]
+			nodes = append(nodes, n)
+		}
+	}
+	live := make(map[string]agentStatus)
+	for _, a := range e.status().Agents {
+		live[a.Incarnation] = a
+	}
+	for _, m := range e.state.Agents() {
+		if !m.Member.Present() {
+			continue
+		}
+		a := live[m.Incarnation]
+		nodes = append(nodes, operator.Node{
+			Name: m.Name, Kind: "agent", Incarnation: m.Incarnation, Zone: m.Zone, Rack: m.Rack,
+			State: nodeState(a.Connected, a.Draining), Revision: a.Revision, Slots: a.Slots, Running: a.Open, HeardAgo: a.ReportAgeMS,
+		})
+	}
+	return nodes, nil
+}
+
+func (o operators) entryNode(m shard.EntryMember) operator.Node {
+	e := o.e
+	n := operator.Node{Name: m.Name, Kind: "entry", Incarnation: m.Incarnation, Zone: m.Zone, URL: m.URL}
+	if m.Incarnation == e.incarnation {
+		n.State, n.Revision = nodeState(true, e.draining.Load()), e.revision.Load()
+		return n
+	}
+	k := e.links.find(m.Incarnation)
+	if k == nil {
+		n.State = nodeState(false, false)
+		return n
+	}
+	n.State, n.Revision = nodeState(true, false), k.revision.Load()
+	return n
+}
+
+func nodeState(connected, draining bool) string {
+	switch {
+	case !connected:
+		return "unreachable"
+	case draining:
+		return "draining"
+	}
+	return "ready"
+}
+
+// Drain implements operator.Backend.
+func (o operators) Drain(_ context.Context, name string) error {
+	e := o.e
+	if name == e.cfg.Name {
+		e.drain()
+		return nil
+	}
+	for _, m := range e.state.Entries() {
+		if m.Name != name || !m.Member.Present() {
+			continue
+		}
+		if k := e.links.find(m.Incarnation); k != nil && k.session.Update(askDrain) {
+			return nil
+		}
+		return fmt.Errorf("drain %s: %w", name, operator.ErrUnavailable)
+	}
+	return e.home.drainAgent(name)
+}
+
+func askDrain(f *wire.Frame) { f.Drain = true }
+
+// drainAgent tells an agent to take no more work.
+func (h *home) drainAgent(name string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.current[name]
+	if c == nil {
+		return fmt.Errorf("drain %s: %w", name, operator.ErrUnknownNode)
+	}
+	if c.session == nil || !c.session.Update(askDrain) {
+		return fmt.Errorf("drain %s: %w", name, operator.ErrUnavailable)
+	}
+	return nil
+}
+
+// Retire implements operator.Backend.
+func (o operators) Retire(ctx context.Context, name string) error {
+	e := o.e
+	var gone []string
+	for _, m := range e.state.Agents() {
+		if m.Name == name && m.Member.Present() {
+			gone = append(gone, m.Incarnation)
+		}
+	}
+	if len(gone) == 0 {
+		return fmt.Errorf("retire %s: %w", name, operator.ErrUnknownNode)
+	}
+	if e.home.connected(name) {
+		return fmt.Errorf("retire %s: the agent is connected: %w", name, operator.ErrRefused)
+	}
+	record := shard.RetireRecord(e.clock.Wall(), gone...)
+	data, err := record.Encode()
+	if err != nil {
+		return fmt.Errorf("retire %s: %w", name, err)
+	}
+	if err := e.shards.Append(ctx, journal.NewID(), data); err != nil {
+		return fmt.Errorf("retire %s: %w", name, err)
+	}
+	e.log.Info("agent retired by an operator", "agent", name)
+	return nil
+}
+
+// connected reports whether the agent of that name has a session here.
+func (h *home) connected(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.current[name]
+	return c != nil && c.session != nil
+}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -80,7 +80,7 @@
 	if f.Heartbeat != nil {
 		ack := e.owner.HandleHeartbeat(from, f.Heartbeat)
 		e.home.reportUsage(from, f.Heartbeat.Usage)
-		s.Update(func(out *wire.Frame) { out.Ack = &ack })
+		s.Update(func(out *wire.Frame) { out.Ack, out.Revision = &ack, e.revision.Load() })
 	}
 	for i := range f.Forwards {
 		req := f.Forwards[i]
@@ -93,6 +93,9 @@
 		acks := e.owner.HandleNotes(from, f.RosterNotes)
 		s.Update(func(out *wire.Frame) { out.RosterAcks = append(out.RosterAcks, acks...) })
 	}
+	if f.Drain {
+		e.drain()
+	}
 	if f.StateRequest {
 		if reply := e.stateReply(); reply != nil {
 			s.Update(func(out *wire.Frame) { out.StateReply = reply })
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -42,6 +42,10 @@
 	// StateRequest asks a peer for its folded control streams, StateReply returns them.
 	StateRequest bool        `cbor:"26,keyasint,omitempty"`
 	StateReply   *StateReply `cbor:"27,keyasint,omitempty"`
+	// Drain asks the receiver to finish its work and to take no more.
+	Drain bool `cbor:"28,keyasint,omitempty"`
+	// Transfer hands the accepted ids of a shard over to its next home.
+	Transfers []Transfer `cbor:"29,keyasint,omitempty"`
 }
 
 // Hello opens a session. Kind is "agent" or "entry".
@@ -329,3 +333,12 @@
 	ConfigurationAsOf uint64 `cbor:"3,keyasint,omitempty"`
 	Configuration     []byte `cbor:"4,keyasint,omitempty"`
 }
+
+// Transfer lists every id of a shard that its homes up to Epoch accepted and
+// that is stamped later than After. Any other later id is fresh to the next home.
+type Transfer struct {
+	Shard gypsumtide.ShardID        `cbor:"1,keyasint,omitempty"`
+	Epoch uint64                    `cbor:"2,keyasint"`
+	After gypsumtide.Millis         `cbor:"3,keyasint"`
+	IDs   []gypsumtide.SubmissionID `cbor:"4,keyasint,omitempty"`
+}
