Race publishes, watch revisions, and tell refused requests from cut ones

Cause: a fault proxy accepts connections for an entry that is down, so requests that the entry never saw counted as cut; the publish race used guessed request bodies; entries that do not recover left no trace of why.

--- a/internal/standin/history/check_test.go
+++ b/internal/standin/history/check_test.go
@@ -110,6 +110,20 @@
 			w.attempts[5].Reused, w.attempts[5].Received = true, 805
 			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
 		}, nil},
+		{"proxy of a stopped entry", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 790, Until: 850}
+			w.attempts[5].Entry = "e2"
+			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
+		}, nil},
+		{"request sent before its entry stopped", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 810, Until: 850}
+			w.attempts[5].Entry = "e2"
+			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
+		}, []Rule{RuleCut}},
+		{"started request at the proxy of a stopped entry", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 790, Until: 850}
+			w.attempts[5].Entry = "e2"
+		}, []Rule{RuleCut}},
 		{"reused connection cut after a start", func(w *world) { w.faults = nil; w.attempts[5].Reused, w.attempts[5].Received = true, 845 }, []Rule{RuleCut}},
 	}
 	for _, c := range cases {
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -78,6 +78,9 @@
 type Fault struct {
 	Kind   string `json:"kind"`
 	Target string `json:"target"`
+	// Entry is the address of a stopped entry if callers reach it through a
+	// proxy. The proxy accepts requests that the entry would refuse.
+	Entry string `json:"entry,omitempty"`
 	// Graceful faults may interrupt no request.
 	Graceful bool    `json:"graceful"`
 	From     float64 `json:"from-wall-ms"`
--- /dev/null
+++ b/internal/standin/schedule/publish.go
@@ -0,0 +1,114 @@
+package schedule
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gypsumtide/internal/standin/deployment"
+)
+
+// revision returns the configuration revision in force at an entry.
+func revision(ctx context.Context, e *deployment.Process) (uint64, error) {
+	var seen struct {
+		Revision uint64 `json:"revision"`
+	}
+	status, data, err := call(ctx, http.MethodGet, e.URL()+"/v1/configuration", nil)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("status %d", status)
+	}
+	return seen.Revision, json.Unmarshal(data, &seen)
+}
+
+// publishRace lets two operators publish at once on the same base revision; at
+// most one may succeed.
+func (r *runner) publishRace(ctx context.Context, s step) {
+	end := r.began(s.kind, "operators", "")
+	defer end(true)
+	entries := r.d.Entries()
+	a, b := pick(entries, s.target), pick(entries, s.target+1)
+	base, err := revision(ctx, a)
+	if err != nil {
+		r.printf("publish race skipped: read revision at %s: %v", a.Name(), err)
+		return
+	}
+	var g errgroup.Group
+	var statuses [2]int
+	for i, e := range []*deployment.Process{a, b} {
+		g.Go(func() error {
+			url := fmt.Sprintf("%s/v1/configuration?base=%d&author=operator-%d", e.URL(), base, i+1)
+			objects := fmt.Sprintf("kind: team\nname: shop\nweight: %d\n", s.target%5+i+1)
+			status, data, err := call(ctx, http.MethodPut, url, []byte(objects))
+			statuses[i] = status
+			var accepted struct {
+				Revision uint64 `json:"revision"`
+			}
+			if err == nil && status == http.StatusOK && json.Unmarshal(data, &accepted) == nil {
+				r.accept(accepted.Revision)
+			}
+			return nil
+		})
+	}
+	// The publishers return no errors.
+	_ = g.Wait()
+	r.printf("publish race on revision %d at %s and %s: statuses %v", base, a.Name(), b.Name(), statuses)
+	if statuses[0] == http.StatusOK && statuses[1] == http.StatusOK {
+		r.problem("two publishes on revision %d succeeded at %s and %s", base, a.Name(), b.Name())
+	}
+}
+
+// accept remembers the highest revision that an operator was told is accepted.
+func (r *runner) accept(rev uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted = max(r.accepted, rev)
+}
+
+// watchRevision reports an entry whose revision falls within one run of its process.
+func (r *runner) watchRevision(ctx context.Context, e *deployment.Process) error {
+	var highest uint64
+	runs := 0
+	for wait(ctx, 100*time.Millisecond) {
+		before := e.Runs()
+		rev, err := revision(ctx, e)
+		if err != nil || before != e.Runs() {
+			continue
+		}
+		if before != runs {
+			runs, highest = before, 0
+		}
+		if rev < highest {
+			r.problem("%s went back from revision %d to %d", e.Name(), highest, rev)
+		}
+		highest = max(highest, rev)
+	}
+	return ctx.Err()
+}
+
+// configurationLimit is the target time for a configuration to be in force everywhere.
+const configurationLimit = 3 * time.Second
+
+// checkRevision waits until the accepted configuration is in force at every entry.
+func (r *runner) checkRevision(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, configurationLimit)
+	defer cancel()
+	for _, e := range r.d.Entries() {
+		for {
+			rev, err := revision(ctx, e)
+			if err == nil && rev >= r.accepted || r.accepted == 0 {
+				break
+			}
+			if !wait(ctx, 50*time.Millisecond) {
+				r.problem("%s: revision %d in force after the run, but %d was accepted (%v)", e.Name(), rev, r.accepted, err)
+				break
+			}
+		}
+	}
+}
