--- a/internal/standin/load/plot.go
+++ b/internal/standin/load/plot.go
@@ -16,6 +16,8 @@
 		Title: "response ratio by quantile",
 		XAxis: chart.XAxis{Name: "quantile"},
 		YAxis: chart.YAxis{Name: "response ratio"},
+		// All series use the first axis; the second one would show zeros.
+		YAxisSecondary: chart.YAxis{Style: chart.Hidden()},
 	}
 	// Equal steps on the x axis keep the tail readable.
 	var ticks []chart.Tick
