Hand accepted ids and ledgers over at graceful stops

Cause: after any handover every new id was in doubt for 1 s, and an agent that had left in the same seconds turned all of them into outcome-unknown. Change: a home that hands a shard over sends the ids that it accepted; a leaving agent sends its ledger to the entries; the bound on the skew between entries is 100 ms instead of 500 ms, and requests whose ids are stamped further ahead wait at the entry. Ruled out: holding ids that are in doubt, since the stamp does not change.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gypsumtide"
@@ -26,10 +27,29 @@
 	left := a.waitFor(ctx, a.cfg.DrainTimeout.Duration(), func() bool { return len(a.running) == 0 })
 	if !left {
 		a.log.Info("drain timeout, running tasks become unknown")
+	} else {
+		a.handOver()
 	}
 	a.flush(ctx)
 }
 
+// departureBatch bounds the submissions in one frame of the departing ledger.
+const departureBatch = 1_000
+
+// handOver sends the ledger to every connected entry. The results go along, as
+// far as they are kept, so that an entry can answer for this agent.
+func (a *Agent) handOver() {
+	all := a.ledger.Started()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.links {
+		for batch := range slices.Chunk(all, departureBatch) {
+			a.update(l, func(f *wire.Frame) { f.Departures = append(f.Departures, batch...) })
+		}
+		a.update(l, func(f *wire.Frame) { f.Departed = true })
+	}
+}
+
 // flush waits until each entry has returned a clock reading that is newer than
 // a frame written after the last result. A frame that was only written could
 // still be lost with the connection.
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -205,6 +205,7 @@
 	for i := range f.Results {
 		h.settleResult(c, &f.Results[i])
 	}
+	h.takeDeparture(c, f, now)
 	for i := range f.Recovered {
 		h.recovered(c, &f.Recovered[i], now)
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -48,6 +48,9 @@
 			e.beat(now)
 			e.links.ensure(g, e.peerURLs())
 		}
+		// Owning nothing of a shard any more, the home can list its ids
+		// before its jobs are released.
+		e.handOver()
 		e.home.release(func(s gypsumtide.ShardID, epoch uint64) bool {
 			_, current, self, _ := e.owner.Route(s)
 			return self && current == epoch
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,9 @@
 	background  *group.Group
 	draining    atomic.Bool
 
+	// owned is used by the control goroutine only.
+	owned [gypsumtide.ShardCount]ownedShard
+
 	learnedMu sync.Mutex
 	learned   map[string]bool
 }
@@ -70,7 +73,9 @@
 	}
 	self := wire.EntryInfo{Name: cfg.Name, Incarnation: e.incarnation, URL: cfg.URL, Zone: cfg.Zone}
 	e.state = shard.NewState()
-	e.owner = shard.New(shard.DefaultConfig(self), e.state, clock)
+	constants := shard.DefaultConfig(self)
+	constants.MaxSkew = cfg.MaxSkew
+	e.owner = shard.New(constants, e.state, clock)
 	platformLog := journal.NewClient(cfg.LogURL, e.client, logTimeout)
 	e.shards = journal.New(platformLog, shardsStream, e.state, clock, log)
 	e.shards.SetRetention(cfg.LogRetention)
@@ -79,11 +84,11 @@
 	e.configs.SetRetention(cfg.LogRetention)
 	e.publisher = object.NewPublisher(e.configs, publication, clock)
 	e.router = newRouter()
-	rules := submission.NewRules(cfg.MaxSkew(), cfg.IDRetention)
+	rules := submission.NewRules(cfg.MaxSkew, cfg.IDRetention)
 	table := submission.NewTable(cfg.AnswerRetention, cfg.MaxTableBytes)
 	h, err := newHome(homeOptions{
 		name: e.incarnation, zone: cfg.Zone, clock: clock, log: log, decisions: newDecisionLog(log, cfg.Log.DecisionSample),
-		owner: e.owner, rules: rules, table: table, router: e.router, metrics: e.metrics, present: e.presentAgents,
+		owner: e.owner, rules: rules, table: table, router: e.router, metrics: e.metrics, present: e.presentAgents, handedOver: e.handedOver,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -71,6 +71,10 @@
 	requeue    []requeueItem
 	// served holds when an agent last announced or withdrew each service.
 	served map[string]gypsumtide.Millis
+	// departed holds the ledgers of agents that left in order.
+	departed map[string]*departedLedger
+	// transfers holds the newest transfer of each shard.
+	transfers [gypsumtide.ShardCount]*inherited
 }
 
 type requeueItem struct {
@@ -92,6 +96,9 @@
 	metrics   *meters
 	// present returns the number of agents that the roster holds as present.
 	present func() int
+	// handedOver reports whether the shard came from a home that is about to
+	// send its accepted ids.
+	handedOver func(s gypsumtide.ShardID) bool
 }
 
 func newHome(o homeOptions) (*home, error) {
@@ -106,6 +113,7 @@
 		agents:     make(map[string]*agentConn),
 		current:    make(map[string]*agentConn),
 		pools:      make(map[string]*pool),
+		departed:   make(map[string]*departedLedger),
 		served:     make(map[string]gypsumtide.Millis),
 	}, nil
 }
@@ -129,7 +137,11 @@
 	now := h.clock.Now()
 	j := job.New(req, epoch, now, now+budget)
 	aj := &activeJob{Job: j}
-	if !h.owner.Fresh(id) {
+	if !h.fresh(epoch, id) {
+		if h.awaitsTransfer(id.Shard(), epoch) {
+			// The caller's entry asks again in a moment.
+			return answered(wire.Answer{Submission: id, Moved: true})
+		}
 		return h.startRecovery(aj, now)
 	}
 	if refusal := h.admit(aj, now); refusal != nil {
@@ -220,12 +232,13 @@
 func (h *home) cancel(id gypsumtide.SubmissionID) (wire.Answer, <-chan wire.Answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, ok := h.owner.Serving(id.Shard()); !ok {
+	epoch, ok := h.owner.Serving(id.Shard())
+	if !ok {
 		return wire.Answer{Submission: id, Moved: true}, nil
 	}
 	aj := h.jobs[id]
 	if aj == nil {
-		return h.lookup(id), nil
+		return h.lookup(id, epoch), nil
 	}
 	ch := aj.Wait()
 	h.close(aj, &wire.Problem{Type: "cancelled", Status: http.StatusConflict, Step: "cancel", Detail: "the caller cancelled the job"}, h.clock.Now())
@@ -236,17 +249,18 @@
 func (h *home) fetch(id gypsumtide.SubmissionID) (wire.Answer, <-chan wire.Answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, ok := h.owner.Serving(id.Shard()); !ok {
+	epoch, ok := h.owner.Serving(id.Shard())
+	if !ok {
 		return wire.Answer{Submission: id, Moved: true}, nil
 	}
 	if aj := h.jobs[id]; aj != nil {
 		return wire.Answer{Submission: id, Running: true}, aj.Wait()
 	}
-	return h.lookup(id), nil
+	return h.lookup(id, epoch), nil
 }
 
 // lookup answers for a submission that is not in progress.
-func (h *home) lookup(id gypsumtide.SubmissionID) wire.Answer {
+func (h *home) lookup(id gypsumtide.SubmissionID, epoch uint64) wire.Answer {
 	if rec, ok := h.table.Find(id); ok {
 		return recordedAnswer(id, rec)
 	}
@@ -257,7 +271,7 @@
 		return ruleAnswer(id, submission.ErrExpired)
 	}
 	p := &wire.Problem{Type: "unknown-submission", Status: http.StatusNotFound, Step: "look up"}
-	if h.owner.Fresh(id) {
+	if h.fresh(epoch, id) {
 		p.Detail = "no job with this id has been accepted"
 		return wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeNotRun, Problem: p}
 	}
@@ -359,6 +373,7 @@
 		}
 	}
 	h.tickRecoveries(now)
+	h.forgetDeparted(now)
 	h.table.Expire(now, h.clock.Wall()-h.rules.Retention())
 	for _, p := range h.pools {
 		h.pump(p, now)
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -8,8 +8,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"gypsumtide"
+	"gypsumtide/internal/submission"
 	"gypsumtide/internal/wire"
 )
 
@@ -76,6 +78,10 @@
 		writeProblem(w, r, p, gypsumtide.OutcomeNotRun, &req.Submission)
 		return
 	}
+	if a, ok := e.awaitStamp(r.Context(), req.Submission); !ok {
+		e.writeAnswer(w, r, a)
+		return
+	}
 	if wait < 0 {
 		// The job goes on when the caller disconnects.
 		e.writeAnswer(w, r, e.Submit(context.WithoutCancel(r.Context()), req, issued))
@@ -97,6 +103,23 @@
 	}
 }
 
+// awaitStamp delays a request whose id is stamped ahead of this entry's clock.
+// Homes accept ids only max-skew ahead, so that ids stop being in doubt soon
+// after a takeover even if the clocks of callers are far ahead.
+func (e *Entry) awaitStamp(ctx context.Context, id gypsumtide.SubmissionID) (wire.Answer, bool) {
+	ahead := id.Stamp() - e.clock.Wall()
+	if ahead > e.cfg.MaxAhead {
+		return ruleAnswer(id, fmt.Errorf("%w: %d ms ahead, at most %d ms allowed", submission.ErrAhead, ahead, e.cfg.MaxAhead)), false
+	}
+	if wait := ahead - e.cfg.MaxSkew/2; wait > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait.Duration()):
+		}
+	}
+	return wire.Answer{}, true
+}
+
 // handleFetch serves GET /v1/jobs/{id}.
 func (e *Entry) handleFetch(w http.ResponseWriter, r *http.Request) {
 	id, err := gypsumtide.ParseSubmissionID(r.PathValue("id"))
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -36,6 +36,10 @@
 		return ch
 	}
 	for _, c := range candidates {
+		if d := h.departed[c.Incarnation]; d != nil && d.complete {
+			h.recoverDeparted(aj, d, now)
+			continue
+		}
 		if !c.CanAnswer {
 			h.failRecovery(aj, c.Incarnation, "the agent is gone")
 			return ch
@@ -197,3 +201,44 @@
 		}
 	}
 }
+
+// departedLedger is what an agent had started when it left in order.
+type departedLedger struct {
+	conn     *agentConn
+	started  map[gypsumtide.SubmissionID][]wire.Result
+	complete bool
+	at       gypsumtide.Millis
+}
+
+// takeDeparture keeps the ledger of a leaving agent, so that this entry can
+// answer for it in a recovery.
+func (h *home) takeDeparture(c *agentConn, f *wire.Frame, now gypsumtide.Millis) {
+	if len(f.Departures) == 0 && !f.Departed {
+		return
+	}
+	d := h.departed[c.record.Incarnation]
+	if d == nil {
+		d = &departedLedger{conn: c, started: make(map[gypsumtide.SubmissionID][]wire.Result)}
+		h.departed[c.record.Incarnation] = d
+	}
+	for i := range f.Departures {
+		d.started[f.Departures[i].Submission] = f.Departures[i].Tasks
+	}
+	d.complete, d.at = d.complete || f.Departed, now
+}
+
+// recoverDeparted answers for an agent that left.
+func (h *home) recoverDeparted(aj *activeJob, d *departedLedger, now gypsumtide.Millis) {
+	for i := range d.started[aj.Submission()] {
+		h.recoveredTask(d.conn, aj, &d.started[aj.Submission()][i], now)
+	}
+}
+
+// forgetDeparted drops the ledgers whose ids have all expired.
+func (h *home) forgetDeparted(now gypsumtide.Millis) {
+	for inc, d := range h.departed {
+		if now-d.at > h.rules.Retention() {
+			delete(h.departed, inc)
+		}
+	}
+}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -93,6 +93,9 @@
 		acks := e.owner.HandleNotes(from, f.RosterNotes)
 		s.Update(func(out *wire.Frame) { out.RosterAcks = append(out.RosterAcks, acks...) })
 	}
+	for i := range f.Transfers {
+		e.home.receive(&f.Transfers[i])
+	}
 	if f.Drain {
 		e.drain()
 	}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -132,7 +132,7 @@
 	}
 	// The shard must have been without a home when the request arrived.
 	since, asOf, homeless := r.entry.owner.HomelessSince(r.id.Shard())
-	unseen := homeless && asOf >= r.started && r.id.Stamp() > since+2*r.entry.cfg.MaxSkew()
+	unseen := homeless && asOf >= r.started && r.id.Stamp() > since+2*r.entry.cfg.MaxSkew
 	if !r.offered && (issued || unseen) {
 		return *refuse(r.id, p)
 	}
--- a/internal/ledger/fence.go
+++ b/internal/ledger/fence.go
@@ -63,3 +63,25 @@
 	}
 	return discarded
 }
+
+// Started lists the started tasks of every submission. A leaving agent hands
+// the list to the entries, so that its departure puts no id in doubt.
+func (l *Ledger) Started() []wire.Recovered {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []wire.Recovered
+	for _, bucket := range l.buckets {
+		for id, sub := range bucket {
+			r := wire.Recovered{Submission: id}
+			for _, e := range sub.entries {
+				if e.started() {
+					r.Tasks = append(r.Tasks, e.report(e.epoch))
+				}
+			}
+			if len(r.Tasks) > 0 {
+				all = append(all, r)
+			}
+		}
+	}
+	return all
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -19,6 +19,13 @@
 	Peers []string `yaml:"peers"`
 	// LogRetention is the time for which the platform's log keeps records.
 	LogRetention gypsumtide.Millis `yaml:"log-retention-ms"`
+	// MaxSkew bounds the clock skew between entries. The freshness of ids after
+	// a takeover rests on it, and twice its length is the time for which ids
+	// stay in doubt.
+	MaxSkew gypsumtide.Millis `yaml:"max-skew-ms"`
+	// MaxAhead is how far ahead of the entry's clock an id may be stamped. A
+	// request whose id is ahead by more than half of max-skew-ms waits.
+	MaxAhead gypsumtide.Millis `yaml:"max-ahead-ms"`
 	// IDRetention is the age beyond which a submission id is refused as expired.
 	IDRetention gypsumtide.Millis `yaml:"id-retention-ms"`
 	// AnswerRetention is the time for which answers are kept for resubmissions.
@@ -45,6 +52,8 @@
 		Common:          Common{Name: "entry-1", Listen: "127.0.0.1:7001", Zone: "zone-1", Rack: "rack-1", Log: DefaultLog()},
 		LogURL:          "http://127.0.0.1:7000",
 		LogRetention:    3_600_000,
+		MaxSkew:         100,
+		MaxAhead:        1_000,
 		IDRetention:     600_000,
 		AnswerRetention: 60_000,
 		MaxTableBytes:   48 << 20,
@@ -70,6 +79,8 @@
 		errs = append(errs, CheckURL("url, log-url, peers", u)...)
 	}
 	errs = append(errs, CheckMillis("log-retention-ms", c.LogRetention, 1_000, 90*86_400_000)...)
+	errs = append(errs, CheckMillis("max-skew-ms", c.MaxSkew, 1, 10_000)...)
+	errs = append(errs, CheckMillis("max-ahead-ms", c.MaxAhead, c.MaxSkew, 60_000)...)
 	errs = append(errs, CheckMillis("id-retention-ms", c.IDRetention, 1_000, 86_400_000)...)
 	errs = append(errs, CheckMillis("answer-retention-ms", c.AnswerRetention, 0, c.IDRetention)...)
 	errs = append(errs, CheckRange("max-table-bytes", c.MaxTableBytes, 1<<20, 1<<36)...)
--- a/internal/submission/table.go
+++ b/internal/submission/table.go
@@ -69,6 +69,13 @@
 	return Record{digest: r.digest, outcome: r.outcome, answer: r.answer}, true
 }
 
+// Each calls fn for every remembered id.
+func (t *Table) Each(fn func(id gypsumtide.SubmissionID)) {
+	for id := range t.records {
+		fn(id)
+	}
+}
+
 // Floor returns the stamp up to which ids may have been forgotten.
 func (t *Table) Floor() gypsumtide.Millis { return t.floor }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -44,8 +44,12 @@
 	StateReply   *StateReply `cbor:"27,keyasint,omitempty"`
 	// Drain asks the receiver to finish its work and to take no more.
 	Drain bool `cbor:"28,keyasint,omitempty"`
-	// Transfer hands the accepted ids of a shard over to its next home.
+	// Transfers hand the accepted ids of a shard over to its next home.
 	Transfers []Transfer `cbor:"29,keyasint,omitempty"`
+	// Departures list what a leaving agent started, since its ledger ends with
+	// it. Departed marks the last of them.
+	Departures []Recovered `cbor:"30,keyasint,omitempty"`
+	Departed   bool        `cbor:"31,keyasint,omitempty"`
 }
 
 // Hello opens a session. Kind is "agent" or "entry".
