standin: cut connections before held requests end

Cause: TestServe failed once in 5 runs, as a held request could be answered with 503 while the server stopped, although open requests are to be cut. Change: close the connections first.

--- a/internal/standin/platformlog/run.go
+++ b/internal/standin/platformlog/run.go
@@ -35,8 +35,10 @@
 	})
 	g.Add("close", func(ctx context.Context) error {
 		<-ctx.Done()
+		// Connections are cut first, so that a held request gets no answer.
+		err := server.Close()
 		s.Close()
-		return server.Close()
+		return err
 	})
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("platformlog: %w", err)
