--- /dev/null
+++ b/internal/shard/ranking_test.go
@@ -0,0 +1,52 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gypsumtide/internal/wire"
+)
+
+// Guards against a recovery that does not ask an agent which an earlier home
+// used under a roster that nobody recorded.
+func TestRecoveryCoversEveryRoster(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var core, roster []member
+		for i := range rapid.IntRange(1, 40).Draw(t, "agents") {
+			m := newMember(wire.AgentRecord{
+				Name: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint("agent-", i),
+				Zone: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "zone")), Rack: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "rack")),
+			})
+			switch rapid.IntRange(0, 2).Draw(t, "member of") {
+			case 0:
+				core = append(core, m)
+				roster = append(roster, m)
+			case 1:
+				roster = append(roster, m)
+			}
+		}
+		id, k := rapid.Uint64().Draw(t, "id"), rapid.IntRange(1, 20).Draw(t, "k")
+		g := group(roster)
+		all := g.firstPlaces(id, len(roster))
+		ranked := group(core).firstPlaces(id, len(core))
+		for i, p := range g.firstPlaces(id, k) {
+			if p != all[i] {
+				t.Fatalf("place %d of the first %d is %s, of all %s", i, k, p.m.incarnation, all[i].m.incarnation)
+			}
+			if n := position(id, p.m, ranked); n >= k {
+				t.Fatalf("%s is at place %d of the roster, and at %d of the core", p.m.incarnation, i, n)
+			}
+		}
+		zones := map[string]int{}
+		for _, p := range all[:min(k, len(all))] {
+			zones[p.m.zone]++
+		}
+		for _, p := range all {
+			if rest := p.zoneRank >= zones[p.m.zone]; rest && zones[p.m.zone] < k/len(g) {
+				t.Fatalf("zone %s has agents left but only %d of %d places", p.m.zone, zones[p.m.zone], k)
+			}
+		}
+	})
+}
--- a/internal/shard/roster.go
+++ b/internal/shard/roster.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -19,6 +18,7 @@
 	turn    uint64
 	present map[string]AgentMember
 	members []member
+	groups  groups
 	// up holds the agents with a session here.
 	up map[string]wire.AgentRecord
 	// unlogged holds the agents whose join has not been read.
@@ -67,6 +67,7 @@
 		r.present[a.Incarnation] = a
 		r.members = append(r.members, newMember(a.AgentRecord))
 	}
+	r.groups = group(r.members)
 	for k := range r.unlogged {
 		if m.state.knowsAgent(k) {
 			delete(r.unlogged, k)
@@ -413,124 +414,34 @@
 	return Record{Kind: EntryRetired, Time: wall, Author: incarnation}
 }
 
-// member is an agent prepared for ranking.
-type member struct {
-	incarnation string
-	zone        string
-	rack        string
-	hash        uint64
-}
-
-func newMember(rec wire.AgentRecord) member {
-	return member{incarnation: rec.Incarnation, zone: rec.Zone, rack: rec.Rack, hash: xxhash.Sum64String(rec.Name)}
-}
-
-// place is the place of an agent in the order of candidates: round robin over
-// the availability zones, within a zone over the racks, within a rack by
-// rendezvous hash. An agent that joins never improves the place of another one.
-type place struct {
-	incarnation string
-	zone        string
-	rack        string
-	score       uint64
-	rackRank    int
-	zoneRank    int
-}
-
-func compareInRack(a, b *place) int {
-	if c := cmp.Compare(b.score, a.score); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.incarnation, b.incarnation)
-}
-
-func compareInZone(a, b *place) int {
-	if c := cmp.Compare(a.rackRank, b.rackRank); c != 0 {
-		return c
-	}
-	return compareInRack(a, b)
-}
-
-func comparePlaces(a, b *place) int {
-	if c := cmp.Compare(a.zoneRank, b.zoneRank); c != 0 {
-		return c
-	}
-	return compareInZone(a, b)
-}
-
-func score(id uint64, m *member) uint64 { return mix(m.hash ^ mix(id)) }
-
-// rankPlaces returns the members in the order of candidates for an id.
-func rankPlaces(id uint64, members []member) []*place {
-	store := make([]place, len(members))
-	ps := make([]*place, len(members))
-	for i := range members {
-		m := &members[i]
-		store[i] = place{incarnation: m.incarnation, zone: m.zone, rack: m.rack, score: score(id, m)}
-		ps[i] = &store[i]
-	}
-	slices.SortFunc(ps, compareInRack)
-	racks := map[[2]string]int{}
-	for _, p := range ps {
-		k := [2]string{p.zone, p.rack}
-		p.rackRank = racks[k]
-		racks[k]++
-	}
-	slices.SortFunc(ps, compareInZone)
-	zones := map[string]int{}
-	for _, p := range ps {
-		p.zoneRank = zones[p.zone]
-		zones[p.zone]++
-	}
-	slices.SortFunc(ps, comparePlaces)
-	return ps
-}
-
-// position returns how many of the ranked places would be before a member that joins them.
-func position(id uint64, m *member, ps []*place) int {
-	a := &place{incarnation: m.incarnation, zone: m.zone, rack: m.rack, score: score(id, m)}
-	for _, p := range ps {
-		if p.zone == a.zone && p.rack == a.rack && compareInRack(p, a) < 0 {
-			a.rackRank++
-		}
-	}
-	for _, p := range ps {
-		if p.zone == a.zone && compareInZone(p, a) < 0 {
-			a.zoneRank++
-		}
-	}
-	n := 0
-	for _, p := range ps {
-		if comparePlaces(p, a) < 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// candidateCount returns how many agents a submission of n tasks may use.
-func candidateCount(n int) int { return max(16, (n+7)/8) }
-
 // Candidates returns the agents that a submission of n tasks may use now, the
 // preferred first.
 func (m *Manager) Candidates(id gypsumtide.SubmissionID, n int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sync()
-	members := m.agents.members
-	for k, u := range m.agents.unlogged {
-		if m.usable(k, id.Shard()) {
-			members = append(slices.Clip(members), newMember(u.record))
-		}
+	g := m.agents.groups
+	if extra := m.usableUnlogged(id.Shard()); len(extra) > 0 {
+		g = group(append(extra, m.agents.members...))
 	}
-	ps := rankPlaces(xxhash.Sum64(id[:]), members)
-	out := make([]string, 0, min(len(ps), candidateCount(n)))
-	for _, p := range ps[:min(len(ps), candidateCount(n))] {
-		out = append(out, p.incarnation)
+	ps := g.firstPlaces(xxhash.Sum64(id[:]), candidateCount(n))
+	out := make([]string, len(ps))
+	for i, p := range ps {
+		out[i] = p.m.incarnation
 	}
 	return out
 }
 
+func (m *Manager) usableUnlogged(id gypsumtide.ShardID) []member {
+	var ms []member
+	for k, u := range m.agents.unlogged {
+		if m.usable(k, id) {
+			ms = append(ms, newMember(u.record))
+		}
+	}
+	return ms
+}
+
 // RecoveryCandidate is an agent that may have started tasks of an id.
 type RecoveryCandidate struct {
 	Incarnation string
@@ -576,9 +487,9 @@
 		answers = append(answers, true)
 	}
 	hash, k := xxhash.Sum64(id[:]), candidateCount(n)
-	ps := rankPlaces(hash, core)
+	ps := group(core).firstPlaces(hash, len(core))
 	for i := range all {
-		if len(core) < k || position(hash, &all[i], ps) < k {
+		if position(hash, &all[i], ps) < k {
 			candidates = append(candidates, RecoveryCandidate{Incarnation: all[i].incarnation, CanAnswer: answers[i]})
 		}
 	}
