--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,38 +3,449 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumtide"
+	"gypsumtide/internal/settings"
 	"gypsumtide/internal/standin/worker"
 	"gypsumtide/internal/wire"
 )
 
+// fixture is an entry, an agent and a worker, connected.
+type fixture struct {
+	e        *fakeEntry
+	a        *Agent
+	w        *worker.Worker
+	agentRun *run
+	id       gypsumtide.SubmissionID
+}
+
+func newFixture(t *testing.T, slots int, change func(cfg *settings.Agent)) *fixture {
+	f := &fixture{e: newFakeEntry(t, "entry"), id: newID(t)}
+	f.a, f.agentRun = startAgent(t, change, f.e)
+	f.w, _ = startWorker(t, f.a, func(cfg *worker.Config) { cfg.Slots = slots })
+	f.e.announced("upstream", serving(slots))
+	return f
+}
+
+func (f *fixture) ref(task uint32, epoch uint64) wire.TaskRef {
+	return wire.TaskRef{Submission: f.id, Task: task, Epoch: epoch}
+}
+
+// running dispatches a task with the run time and waits until it runs.
+func (f *fixture) running(task uint32, epoch uint64, runMillis int) wire.TaskRef {
+	ref := f.ref(task, epoch)
+	before := f.w.Starts()
+	f.e.dispatch(dispatch(ref, fmt.Sprintf(`{"run-ms":%d,"echo":"%d"}`, runMillis, task)))
+	f.e.wait("start", func() bool {
+		if list := f.e.resultsLocked(ref); len(list) > 0 && list[0].State == wire.TaskNotStarted {
+			f.e.t.Errorf("task %d is refused: %s", task, list[0].Reason)
+			return true
+		}
+		return f.w.Starts() > before
+	})
+	return ref
+}
+
+// queued dispatches a task that waits and returns when it is queued.
+func (f *fixture) queued(task uint32, epoch uint64, change func(d *wire.Dispatch)) wire.TaskRef {
+	ref := f.ref(task, epoch)
+	d := dispatch(ref, `{"run-ms":1}`)
+	if change != nil {
+		change(&d)
+	}
+	n := f.a.queueLen()
+	f.e.dispatch(d)
+	f.e.wait("queue", func() bool { return f.a.queueLen() > n })
+	return ref
+}
+
+func (a *Agent) queueLen() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.len()
+}
+
 // Guards against lost, doubled or crossed answers on the whole way from a
 // dispatch to an upstream and back.
 func TestEndToEnd(t *testing.T) {
 	Convey("40 tasks of a submission end with their own answers", t, func() {
-		e := newFakeEntry(t, "entry")
-		a, _ := startAgent(t, nil, e)
-		w, _ := startWorker(t, a, nil)
-		e.announced("upstream", serving(8))
-		id := newID(t)
+		f := newFixture(t, 8, nil)
+		var ds []wire.Dispatch
 		for i := range uint32(40) {
-			e.dispatch(dispatch(wire.TaskRef{Submission: id, Task: i, Epoch: 1}, fmt.Sprintf(`{"run-ms":5,"echo":%d}`, i)))
+			ds = append(ds, dispatch(f.ref(i, 1), fmt.Sprintf(`{"run-ms":5,"echo":%d}`, i)))
 		}
+		f.e.dispatch(ds...)
 		for i := range uint32(40) {
-			r := e.result(wire.TaskRef{Submission: id, Task: i}, 1)
+			r := f.e.result(f.ref(i, 1), 1)
 			So(r.State, ShouldEqual, wire.TaskDone)
 			So(r.Status, ShouldEqual, 200)
 			So(r.Epoch, ShouldEqual, 1)
 			var body worker.Answer
 			So(json.Unmarshal(r.Body, &body), ShouldBeNil)
-			So(body.Submission, ShouldEqual, id.String())
+			So(body.Submission, ShouldEqual, f.id.String())
 			So(body.Task, ShouldEqual, i)
 			So(string(body.Echo), ShouldEqual, fmt.Sprint(i))
 		}
-		So(w.Starts(), ShouldEqual, 40)
-		So(a.Ledger().Entries(), ShouldEqual, 40)
+		So(f.w.Starts(), ShouldEqual, 40)
+		So(len(f.e.results(f.ref(0, 1))), ShouldEqual, 1)
+	})
+}
+
+// Guards against starts that the rules forbid, and against refusals with a
+// wrong reason, on which the home decides where it sends the task next.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(d *wire.Dispatch)
+		echo   func(now gypsumtide.Millis) gypsumtide.Millis
+		reason string
+	}{
+		{"echo older than the credit", nil, func(now gypsumtide.Millis) gypsumtide.Millis { return now - 300 }, wire.ReasonCredit},
+		{"no echo", nil, func(gypsumtide.Millis) gypsumtide.Millis { return 0 }, wire.ReasonCredit},
+		{"no budget", func(d *wire.Dispatch) { d.Budget = 0 }, nil, wire.ReasonDeadline},
+		{"budget ends in the queue", func(d *wire.Dispatch) { d.Budget = 30 }, nil, wire.ReasonDeadline},
+		{"unknown service", func(d *wire.Dispatch) { d.Service = "other" }, nil, wire.ReasonNoUpstream},
+		{"lower epoch", func(d *wire.Dispatch) { d.Epoch = 1 }, nil, wire.ReasonFenced},
+	}
+	Convey("a busy agent", t, func() {
+		f := newFixture(t, 1, func(cfg *settings.Agent) { cfg.Credit = 200; cfg.QueueLength = 2 })
+		f.running(100, 5, 1500)
+		time.Sleep(320 * time.Millisecond)
+		for i, c := range cases {
+			d := dispatch(f.ref(uint32(i), 5), `{}`)
+			if c.change != nil {
+				c.change(&d)
+			}
+			f.e.send(func(fr *wire.Frame) {
+				fr.Dispatches = append(fr.Dispatches, d)
+				if c.echo != nil {
+					fr.Echo = c.echo(f.a.clock.Now())
+				}
+			})
+			r := f.e.result(d.TaskRef, 1)
+			So(c.name+": "+r.State.String()+" "+r.Reason, ShouldEqual, c.name+": not-started "+c.reason)
+		}
+		f.queued(50, 5, nil)
+		f.queued(51, 5, nil)
+		f.e.dispatch(dispatch(f.ref(52, 5), `{}`))
+		So(f.e.result(f.ref(52, 5), 1).Reason, ShouldEqual, wire.ReasonQueueFull)
+		for _, task := range []uint32{100, 50, 51} {
+			So(f.e.result(f.ref(task, 5), 1).State, ShouldEqual, wire.TaskDone)
+		}
+		So(f.w.Starts(), ShouldEqual, 3)
+	})
+}
+
+// Guards against short tasks that wait behind long ones, and long tasks in
+// the slots reserved for short ones.
+func TestClasses(t *testing.T) {
+	long := func(d *wire.Dispatch) { d.Class = gypsumtide.ClassLong }
+	Convey("a short task overtakes long ones in the queue, and a tighter deadline a wider one", t, func() {
+		f := newFixture(t, 1, nil)
+		f.running(0, 1, 200)
+		f.queued(1, 1, long)
+		f.queued(2, 1, nil)
+		f.queued(3, 1, func(d *wire.Dispatch) { d.Budget = 3000 })
+		order := map[uint32]int{}
+		for _, task := range []uint32{1, 2, 3} {
+			f.e.result(f.ref(task, 1), 1)
+		}
+		f.e.mu.Lock()
+		for _, fr := range f.e.frames {
+			for _, r := range fr.Results {
+				order[r.Task] = len(order)
+			}
+		}
+		f.e.mu.Unlock()
+		So(order[3], ShouldBeLessThan, order[2])
+		So(order[2], ShouldBeLessThan, order[1])
+	})
+	Convey("long tasks leave the reserved slots free", t, func() {
+		f := newFixture(t, 4, nil)
+		for i := range uint32(5) {
+			d := dispatch(f.ref(i, 1), `{"run-ms":500}`)
+			long(&d)
+			f.e.dispatch(d)
+		}
+		f.e.wait("long tasks", func() bool { return f.w.Starts() == 3 && f.a.queueLen() == 2 })
+		f.running(10, 1, 1)
+		So(f.e.result(f.ref(10, 1), 1).State, ShouldEqual, wire.TaskDone)
+		So(f.a.queueLen(), ShouldEqual, 2)
+		So(f.w.Starts(), ShouldEqual, 4)
+	})
+}
+
+// Guards against starts under a lower epoch after a promise, and results that
+// do not reach the home that took over.
+func TestTakeover(t *testing.T) {
+	Convey("a new home on another entry", t, func() {
+		f := newFixture(t, 1, nil)
+		e2 := newFakeEntry(t, "entry-two")
+		f.a.mu.Lock()
+		f.a.dial(e2.server.URL, true)
+		f.a.mu.Unlock()
+		shard := f.id.Shard()
+		run := f.running(0, 1, 300)
+		waiting := f.queued(1, 1, nil)
+		e2.send(func(fr *wire.Frame) { fr.Promises = append(fr.Promises, wire.Promise{Shard: shard, Epoch: 2}) })
+		So(e2.promised(shard, 1), ShouldEqual, 2)
+		So(f.e.result(waiting, 1).Reason, ShouldEqual, wire.ReasonFenced)
+		f.e.dispatch(dispatch(f.ref(2, 1), `{}`))
+		So(f.e.result(f.ref(2, 1), 1).Reason, ShouldEqual, wire.ReasonFenced)
+		e2.send(func(fr *wire.Frame) {
+			fr.Recovers = append(fr.Recovers, wire.Recover{Submission: f.id, Shard: shard, Epoch: 2})
+		})
+		rec := e2.recovered(f.id)
+		So(rec.Fenced, ShouldBeFalse)
+		So(rec.Tasks, ShouldHaveLength, 1)
+		So(rec.Tasks[0].State, ShouldEqual, wire.TaskRunning)
+		r := e2.result(run, 1)
+		So(r.State, ShouldEqual, wire.TaskDone)
+		So(r.Epoch, ShouldEqual, 2)
+		e2.dispatch(dispatch(f.ref(1, 2), `{"run-ms":1}`))
+		So(e2.result(f.ref(1, 2), 1).State, ShouldEqual, wire.TaskDone)
+		So(f.e.results(run), ShouldBeEmpty)
+		So(f.w.Starts(), ShouldEqual, 2)
+	})
+}
+
+// Guards against results that are lost with a session, and tasks that stay
+// unsettled or run twice after it.
+func TestBrokenSession(t *testing.T) {
+	Convey("a query on the next session settles every task", t, func() {
+		f := newFixture(t, 1, nil)
+		done, waiting, lost := f.running(0, 1, 300), f.queued(1, 1, nil), f.ref(2, 1)
+		f.e.breakSession()
+		f.e.send(func(fr *wire.Frame) { fr.Queries = append(fr.Queries, done, waiting, lost) })
+		So(f.e.result(done, 1).State, ShouldEqual, wire.TaskRunning)
+		So(f.e.result(waiting, 1).State, ShouldEqual, wire.TaskNotStarted)
+		So(f.e.result(lost, 1).Reason, ShouldEqual, wire.ReasonUnknown)
+		So(f.e.result(done, 2).State, ShouldEqual, wire.TaskDone)
+		f.e.dispatch(dispatch(lost, `{"run-ms":1}`), dispatch(waiting, `{"run-ms":1}`))
+		So(f.e.result(lost, 2).State, ShouldEqual, wire.TaskDone)
+		So(f.e.result(waiting, 2).State, ShouldEqual, wire.TaskDone)
+		f.e.breakSession()
+		f.e.send(func(fr *wire.Frame) { fr.Queries = append(fr.Queries, done) })
+		r := f.e.result(done, 3)
+		So(r.State, ShouldEqual, wire.TaskDone)
+		So(string(r.Body), ShouldContainSubstring, f.id.String())
+		So(f.w.Starts(), ShouldEqual, 3)
+	})
+}
+
+// Guards against recalled or cancelled tasks that start all the same, and
+// against stops sent twice.
+func TestRecallAndCancel(t *testing.T) {
+	Convey("queued tasks come back, a running one is stopped once", t, func() {
+		f := newFixture(t, 1, nil)
+		run, recalled, cancelled := f.running(0, 1, 3000), f.queued(1, 1, nil), f.queued(2, 1, nil)
+		same := dispatch(f.ref(3, 1), `{}`)
+		f.e.send(func(fr *wire.Frame) {
+			fr.Dispatches = append(fr.Dispatches, same)
+			fr.Recalls = append(fr.Recalls, recalled, run)
+			fr.Cancels = append(fr.Cancels, cancelled, same.TaskRef)
+		})
+		So(f.e.result(recalled, 1).Reason, ShouldEqual, wire.ReasonRecalled)
+		So(f.e.result(cancelled, 1).Reason, ShouldEqual, wire.ReasonCancelled)
+		So(f.e.result(same.TaskRef, 1).Reason, ShouldEqual, wire.ReasonCancelled)
+		So(f.e.result(run, 1).State, ShouldEqual, wire.TaskRunning)
+		began := time.Now()
+		f.e.send(func(fr *wire.Frame) { fr.Cancels = append(fr.Cancels, run, run) })
+		f.e.wait("end", func() bool {
+			list := f.e.resultsLocked(run)
+			return list[len(list)-1].State == wire.TaskDone
+		})
+		So(time.Since(began), ShouldBeLessThan, 2*time.Second)
+		So(string(f.e.results(run)[len(f.e.results(run))-1].Body), ShouldContainSubstring, `"stopped":true`)
+		So(f.w.Starts(), ShouldEqual, 1)
+	})
+}
+
+// Guards against interrupted tasks and lost results at a graceful stop.
+func TestDrain(t *testing.T) {
+	Convey("running tasks finish and their results arrive, queued ones come back", t, func() {
+		f := newFixture(t, 1, nil)
+		run, waiting := f.running(0, 1, 400), f.queued(1, 1, nil)
+		f.agentRun.cancel()
+		So(f.e.result(waiting, 1).Reason, ShouldEqual, wire.ReasonDraining)
+		f.e.announced("draining", func(a *wire.Announcement) bool { return a.Draining })
+		f.e.dispatch(dispatch(f.ref(2, 1), `{}`))
+		So(f.e.result(f.ref(2, 1), 1).Reason, ShouldEqual, wire.ReasonDraining)
+		So(f.agentRun.stop(), ShouldBeNil)
+		r := f.e.results(run)
+		So(r, ShouldHaveLength, 1)
+		So(r[0].State, ShouldEqual, wire.TaskDone)
+		So(f.w.Starts(), ShouldEqual, 1)
+	})
+	Convey("a task beyond the drain timeout becomes unknown", t, func() {
+		f := newFixture(t, 1, func(cfg *settings.Agent) { cfg.DrainTimeout = 50 })
+		run := f.running(0, 1, 3000)
+		So(f.agentRun.stop(), ShouldBeNil)
+		So(f.e.results(run), ShouldBeEmpty)
+		So(f.a.Ledger().Query(run, 99).State, ShouldEqual, wire.TaskUnknown)
+	})
+}
+
+// Guards against a node that reverts to an older configuration or does not
+// tell which one it has.
+func TestConfiguration(t *testing.T) {
+	Convey("the highest revision stays in force", t, func() {
+		f := newFixture(t, 1, nil)
+		for _, c := range []struct{ sent, want uint64 }{{3, 3}, {2, 3}, {7, 7}, {3, 7}} {
+			f.e.send(func(fr *wire.Frame) { fr.Config = &wire.Config{Revision: c.sent} })
+			f.e.dispatch(dispatch(wire.TaskRef{Submission: newID(t), Epoch: 1}, `{}`))
+			f.e.wait("revision", func() bool { return f.e.frames[len(f.e.frames)-1].Revision == c.want })
+		}
+	})
+}
+
+// Guards against entries that are never dialled, that are dialled for ever
+// after they left, and against a second session to one entry.
+func TestEntries(t *testing.T) {
+	Convey("entries of a welcome are dialled and dropped", t, func() {
+		first, second := newFakeEntry(t, "one"), newFakeEntry(t, "two")
+		info := func(e *fakeEntry, url string) wire.EntryInfo {
+			return wire.EntryInfo{Name: e.incarnation, Incarnation: e.incarnation, URL: url}
+		}
+		first.entries = []wire.EntryInfo{info(first, "http://localhost:1"), info(second, second.server.URL)}
+		a, _ := startAgent(t, nil, first)
+		second.session(1)
+		targets := func() int {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return len(a.targets)
+		}
+		So(targets(), ShouldEqual, 2)
+		first.send(func(fr *wire.Frame) {
+			fr.Welcome = &wire.Welcome{Name: first.incarnation, Incarnation: first.incarnation, Entries: []wire.EntryInfo{info(first, first.server.URL)}}
+		})
+		second.server.CloseClientConnections()
+		second.session(1).Close()
+		first.wait("drop", func() bool { return targets() == 1 })
+	})
+}
+
+// Guards against wrong statements about tasks when the upstream fails.
+func TestUpstreamFaults(t *testing.T) {
+	Convey("a refusal is a promise, and the task may come again", t, func() {
+		f := newFixture(t, 1, nil)
+		f.w.SetFaults(worker.Faults{Refuse: true})
+		f.e.dispatch(dispatch(f.ref(0, 1), `{}`))
+		So(f.e.result(f.ref(0, 1), 1).Reason, ShouldEqual, wire.ReasonRefused)
+		f.w.SetFaults(worker.Faults{})
+		f.e.dispatch(dispatch(f.ref(0, 1), `{}`))
+		So(f.e.result(f.ref(0, 1), 2).State, ShouldEqual, wire.TaskDone)
+	})
+	Convey("an expired lease starts nothing, a new one does", t, func() {
+		f := &fixture{e: newFakeEntry(t, "entry"), id: newID(t)}
+		f.a, _ = startAgent(t, nil, f.e)
+		f.w, _ = startWorker(t, f.a, func(cfg *worker.Config) { cfg.TTL = 200 })
+		f.e.announced("upstream", serving(8))
+		f.w.SetFaults(worker.Faults{PauseRenewals: true})
+		f.e.announced("expiry", func(a *wire.Announcement) bool { return len(a.Upstreams) == 0 })
+		f.e.dispatch(dispatch(f.ref(0, 1), `{}`))
+		So(f.e.result(f.ref(0, 1), 1).Reason, ShouldEqual, wire.ReasonNoUpstream)
+		f.w.SetFaults(worker.Faults{})
+		f.e.announced("upstream", serving(8))
+		f.e.dispatch(dispatch(f.ref(0, 1), `{}`))
+		So(f.e.result(f.ref(0, 1), 2).State, ShouldEqual, wire.TaskDone)
+	})
+	Convey("an upstream that fails everything is ejected and returns by probes", t, func() {
+		f := newFixture(t, 2, func(cfg *settings.Agent) { cfg.Ejection.BackOff = 200 })
+		f.w.SetFaults(worker.Faults{FailAll: true})
+		for i := range uint32(8) {
+			f.e.dispatch(dispatch(f.ref(i, 1), `{}`))
+			So(f.e.result(f.ref(i, 1), 1).Status, ShouldEqual, 500)
+		}
+		f.e.announced("ejection", func(a *wire.Announcement) bool { return a.Upstreams[0].Ejected })
+		f.w.SetFaults(worker.Faults{})
+		f.e.announced("probes", serving(1))
+		for i := range uint32(3) {
+			f.e.dispatch(dispatch(f.ref(20+i, 1), `{"run-ms":1}`))
+			So(f.e.result(f.ref(20+i, 1), 1).Status, ShouldEqual, 200)
+		}
+		f.e.announced("return", serving(2))
+	})
+	Convey("tasks of a dead upstream are unknown if started, not started if queued", t, func() {
+		f := &fixture{e: newFakeEntry(t, "entry"), id: newID(t)}
+		f.a, _ = startAgent(t, nil, f.e)
+		var wr *run
+		f.w, wr = startWorker(t, f.a, func(cfg *worker.Config) { cfg.Slots = 1; cfg.TTL = 300; cfg.DrainTimeout = 0 })
+		f.e.announced("upstream", serving(1))
+		run, waiting := f.running(0, 1, 5000), f.queued(1, 1, nil)
+		f.w.SetFaults(worker.Faults{PauseRenewals: true, Hang: true})
+		So(wr.stop(), ShouldBeNil)
+		So(f.e.result(run, 1).State, ShouldEqual, wire.TaskUnknown)
+		So(f.e.result(waiting, 1).State, ShouldEqual, wire.TaskNotStarted)
+	})
+}
+
+// Guards against load reports that miscount, which would mislead placement.
+func TestLoad(t *testing.T) {
+	Convey("running and queued tasks are counted by class and home", t, func() {
+		f := newFixture(t, 1, nil)
+		f.running(0, 1, 600)
+		f.queued(1, 1, func(d *wire.Dispatch) { d.Class = gypsumtide.ClassLong })
+		want := gypsumtide.Load{Running: 1, Queued: 1, QueuedLong: 1, FromPeer: 2, FromPeerLong: 1}
+		f.e.wait("load", func() bool {
+			return len(f.e.frames) > 0 && f.e.frames[len(f.e.frames)-1].Load != nil && *f.e.frames[len(f.e.frames)-1].Load == want
+		})
+		f.e.result(f.ref(1, 1), 1)
+		f.e.wait("idle", func() bool { l := f.e.frames[len(f.e.frames)-1].Load; return l != nil && l.Running+l.Queued == 0 })
+		So(f.e.lastLoad().FromPeer, ShouldEqual, 0)
+	})
+}
+
+// Guards against an operator's endpoints that lie about readiness or break,
+// and against a session without the shared key.
+func TestEndpoints(t *testing.T) {
+	get := func(a *Agent, path string) (int, string) {
+		resp, err := http.Get("http://" + a.Address() + path)
+		So(err, ShouldBeNil)
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		return resp.StatusCode, string(data)
+	}
+	Convey("status, metrics, health and readiness", t, func() {
+		key := filepath.Join(t.TempDir(), "key")
+		So(os.WriteFile(key, []byte("secret\n"), 0o600), ShouldBeNil)
+		e := newFakeEntry(t, "entry")
+		a, _ := startAgent(t, func(cfg *settings.Agent) { cfg.SharedKey = key }, e)
+		startWorker(t, a, func(cfg *worker.Config) { cfg.Key = "secret" })
+		e.announced("upstream", serving(8))
+		ref := wire.TaskRef{Submission: newID(t), Epoch: 1}
+		e.dispatch(dispatch(ref, `{}`))
+		So(e.result(ref, 1).State, ShouldEqual, wire.TaskDone)
+		So(e.keys[0], ShouldEqual, "Bearer secret")
+		code, body := get(a, "/v1/status")
+		So(code, ShouldEqual, 200)
+		var s Status
+		So(json.Unmarshal([]byte(body), &s), ShouldBeNil)
+		So(s.Entries[0].Connected, ShouldBeTrue)
+		So(s.Upstreams, ShouldHaveLength, 1)
+		code, body = get(a, "/metrics")
+		So(code, ShouldEqual, 200)
+		So(strings.Contains(body, "gypsumtide_agent_starts_total 1"), ShouldBeTrue)
+		for path, want := range map[string]int{"/healthz": 200, "/readyz": 200, "/v1/none": 404} {
+			code, _ = get(a, path)
+			So(code, ShouldEqual, want)
+		}
+	})
+	Convey("an agent without a session is not ready", t, func() {
+		e := newFakeEntry(t, "entry")
+		e.server.Close()
+		a, _ := startAgent(t, nil, e)
+		code, _ := get(a, "/readyz")
+		So(code, ShouldEqual, 503)
 	})
 }
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -29,6 +29,7 @@
 	sessions []*wire.Session
 	frames   []*wire.Frame
 	entries  []wire.EntryInfo
+	keys     []string
 }
 
 func newFakeEntry(t *testing.T, name string) *fakeEntry {
@@ -57,6 +58,7 @@
 	}
 	e.mu.Lock()
 	entries := e.entries
+	e.keys = append(e.keys, r.Header.Get("Authorization"))
 	e.mu.Unlock()
 	if err := s.WriteFrame(e.ctx, &wire.Frame{Welcome: &wire.Welcome{Name: e.incarnation, Incarnation: e.incarnation, Entries: entries}, Config: e.config}); err != nil {
 		return
@@ -112,6 +114,66 @@
 	e.session(max(n, 1)).Update(add)
 }
 
+// breakSession closes the newest session and waits for the next one.
+func (e *fakeEntry) breakSession() {
+	e.t.Helper()
+	e.mu.Lock()
+	n := len(e.sessions)
+	s := e.sessions[n-1]
+	e.mu.Unlock()
+	s.Close()
+	e.session(n + 1)
+}
+
+// promised waits for the confirmation of a promise and returns its epoch.
+func (e *fakeEntry) promised(shard gypsumtide.ShardID, n int) uint64 {
+	e.t.Helper()
+	var epoch uint64
+	e.wait("promise", func() bool {
+		i := 0
+		for _, f := range e.frames {
+			for _, p := range f.Promised {
+				if p.Shard == shard {
+					i++
+					epoch = p.Epoch
+				}
+			}
+		}
+		return i >= n
+	})
+	return epoch
+}
+
+// recovered waits for the answer to a recovery.
+func (e *fakeEntry) recovered(id gypsumtide.SubmissionID) wire.Recovered {
+	e.t.Helper()
+	var rec wire.Recovered
+	e.wait("recovery", func() bool {
+		for _, f := range e.frames {
+			for _, r := range f.Recovered {
+				if r.Submission == id {
+					rec = r
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return rec
+}
+
+// lastLoad returns the newest load report.
+func (e *fakeEntry) lastLoad() gypsumtide.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := len(e.frames) - 1; i >= 0; i-- {
+		if l := e.frames[i].Load; l != nil {
+			return *l
+		}
+	}
+	return gypsumtide.Load{}
+}
+
 // results returns the results received for a task.
 func (e *fakeEntry) results(ref wire.TaskRef) []wire.Result {
 	e.mu.Lock()
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -238,8 +238,12 @@
 				}
 			})
 		}
-		sent = now
 		a.mu.Unlock()
+		if now != sent {
+			// Queued tasks may have lost their upstream, or found one.
+			notify(a.wake)
+		}
+		sent = now
 	}
 }
 
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -54,6 +54,8 @@
 		}
 		sent = w.clock.Now()
 	}
+	w.announcing.Lock()
+	defer w.announcing.Unlock()
 	a := upstream.Announcement{
 		Name: w.cfg.Name, URL: w.cfg.URL, Services: w.cfg.Services, Slots: w.cfg.Slots,
 		Connections: w.cfg.Connections, Capacity: w.cfg.Capacity, TTL: w.cfg.TTL,
--- a/internal/standin/worker/task.go
+++ b/internal/standin/worker/task.go
@@ -93,6 +93,8 @@
 
 // begin records the start, or returns why the task is refused.
 func (w *Worker) begin(t *task, lease string) string {
+	w.announcing.RLock()
+	defer w.announcing.RUnlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -65,6 +65,10 @@
 	// closed ends the tasks that the drain did not wait for.
 	closed chan struct{}
 
+	// announcing holds tasks back while an announcement is in progress. The agent
+	// may send a task before its answer with the new generation has been read.
+	announcing sync.RWMutex
+
 	mu       sync.Mutex
 	address  string
 	lease    uint64
--- /dev/null
+++ b/internal/standin/worker/worker_test.go
@@ -0,0 +1,327 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/upstream"
+)
+
+// fakeAgent grants leases from a registry.
+type fakeAgent struct {
+	registry *upstream.Registry
+	server   *httptest.Server
+	// during runs inside the first announcement, before it is answered.
+	during func(a upstream.Announcement, lease upstream.Lease)
+
+	mu    sync.Mutex
+	lease upstream.Lease
+	paths []string
+}
+
+func newFakeAgent(t *testing.T) *fakeAgent {
+	f := &fakeAgent{}
+	f.registry = upstream.New(gypsumtide.NewSystemClock(), upstream.Config{DefaultSlots: 8, DefaultConnections: 64, DefaultTTL: 1000, MaxRunTime: 5000, MaxBody: 1 << 20, Health: upstream.DefaultHealth()}, func() {})
+	h := f.registry.Handler()
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, r)
+		f.mu.Lock()
+		f.paths = append(f.paths, r.Method+" "+r.URL.Path)
+		if r.Method == http.MethodPost {
+			_ = json.Unmarshal(rec.Body.Bytes(), &f.lease)
+		}
+		lease := f.lease
+		f.mu.Unlock()
+		if r.Method == http.MethodPost && f.during != nil {
+			var a upstream.Announcement
+			_ = json.Unmarshal(data, &a)
+			f.during(a, lease)
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeAgent) generation() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strconv.FormatUint(f.lease.Generation, 10)
+}
+
+type fixture struct {
+	agent  *fakeAgent
+	w      *Worker
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newFixture(t *testing.T, change func(cfg *Config)) *fixture {
+	f := &fixture{agent: newFakeAgent(t), done: make(chan error, 1)}
+	cfg := DefaultConfig()
+	cfg.Agent = f.agent.server.URL
+	cfg.DrainTimeout = time.Second
+	if change != nil {
+		change(&cfg)
+	}
+	w, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.w = w
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go func() {
+		f.done <- w.Run(ctx)
+		close(f.done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-f.done
+	})
+	waitFor(t, func() bool { return f.agent.generation() != "0" && f.leased() })
+	return f
+}
+
+func (f *fixture) leased() bool {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	return f.w.lease != 0
+}
+
+func waitFor(t *testing.T, cond func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !cond(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("timed out")
+		}
+	}
+}
+
+// post sends a task and returns the status, the promise header and the body.
+func post(url, lease string, task int, payload string) (int, string, string) {
+	req, _ := http.NewRequest(http.MethodPost, url+"/tasks", strings.NewReader(payload))
+	req.Header.Set(upstream.HeaderSubmission, "job")
+	req.Header.Set(upstream.HeaderTask, strconv.Itoa(task))
+	req.Header.Set(upstream.HeaderLease, lease)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get(upstream.HeaderNotStarted), string(data)
+}
+
+func (f *fixture) post(task int, payload string) (int, string, string) {
+	return post("http://"+f.w.Address(), f.agent.generation(), task, payload)
+}
+
+// Guards against a stand-in that starts tasks without a valid lease or says
+// "not started" for tasks that it started, which would hide or invent faults.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *fixture) (lease string)
+		status  int
+	}{
+		{"valid lease", func(f *fixture) string { return f.agent.generation() }, 200},
+		{"no lease", func(*fixture) string { return "" }, 503},
+		{"stale generation", func(f *fixture) string { return strconv.FormatUint(f.agent.lease.Generation-1, 10) }, 503},
+		{"expired lease", func(f *fixture) string {
+			f.w.SetFaults(Faults{PauseRenewals: true})
+			time.Sleep(350 * time.Millisecond)
+			return f.agent.generation()
+		}, 503},
+		{"fault refuse", func(f *fixture) string { f.w.SetFaults(Faults{Refuse: true}); return f.agent.generation() }, 503},
+		{"fault fail-all", func(f *fixture) string { f.w.SetFaults(Faults{FailAll: true}); return f.agent.generation() }, 500},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			f := newFixture(t, func(cfg *Config) { cfg.TTL = 300 })
+			lease := c.prepare(f)
+			status, promise, _ := post("http://"+f.w.Address(), lease, 1, `{"run-ms":1}`)
+			So(status, ShouldEqual, c.status)
+			So(promise == "true", ShouldEqual, c.status == 503)
+			So(f.w.Starts(), ShouldEqual, map[bool]int{true: 0, false: 1}[c.status == 503])
+		})
+	}
+	Convey("a full upstream refuses", t, func() {
+		f := newFixture(t, func(cfg *Config) { cfg.Slots = 1 })
+		done := make(chan int, 1)
+		go func() {
+			status, _, _ := f.post(1, `{"run-ms":200}`)
+			done <- status
+		}()
+		waitFor(t, func() bool { return f.w.Starts() == 1 })
+		status, promise, _ := f.post(2, `{}`)
+		So(status, ShouldEqual, 503)
+		So(promise, ShouldEqual, "true")
+		So(<-done, ShouldEqual, 200)
+	})
+}
+
+// Guards against a refusal of the first tasks after an announcement: the agent
+// may send one before the upstream has read the answer with the generation.
+func TestTaskDuringAnnouncement(t *testing.T) {
+	Convey("a task that overtakes the answer to the announcement runs", t, func() {
+		status := make(chan int, 1)
+		f := newFixture(t, nil)
+		f.agent.during = func(a upstream.Announcement, lease upstream.Lease) {
+			go func() {
+				s, _, _ := post(a.URL, strconv.FormatUint(lease.Generation, 10), 1, `{"run-ms":1}`)
+				status <- s
+			}()
+			time.Sleep(50 * time.Millisecond)
+		}
+		f.w.mu.Lock()
+		f.w.lease = 1
+		f.w.mu.Unlock()
+		So(f.w.renewOrAnnounce(context.Background()), ShouldBeNil)
+		So(<-status, ShouldEqual, 200)
+	})
+}
+
+// Guards against answers that cannot be matched to their task, and a history
+// that misses or doubles an event.
+func TestAnswerAndHistory(t *testing.T) {
+	Convey("answers name their task and the history has each start and end", t, func() {
+		path := filepath.Join(t.TempDir(), "history")
+		f := newFixture(t, func(cfg *Config) { cfg.History = path })
+		for i := range 3 {
+			status, _, body := f.post(i, fmt.Sprintf(`{"run-ms":1,"fail":%t,"echo":{"n":%d}}`, i == 2, i))
+			So(status, ShouldEqual, map[bool]int{true: 500, false: 200}[i == 2])
+			var a Answer
+			So(json.Unmarshal([]byte(body), &a), ShouldBeNil)
+			So(a.Submission, ShouldEqual, "job")
+			So(a.Task, ShouldEqual, i)
+			So(string(a.Echo), ShouldEqual, fmt.Sprintf(`{"n":%d}`, i))
+		}
+		f.cancel()
+		So(<-f.done, ShouldBeNil)
+		data, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		var got []string
+		for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+			var e Event
+			So(json.Unmarshal([]byte(line), &e), ShouldBeNil)
+			So(e.Upstream, ShouldEqual, "upstream-1")
+			got = append(got, fmt.Sprint(e.Event, e.Task))
+		}
+		So(strings.Join(got, " "), ShouldEqual, "start0 end0 start1 end1 start2 end2")
+	})
+}
+
+// Guards against control actions without effect, on which tests of stragglers rely.
+func TestControl(t *testing.T) {
+	act := func(f *fixture, action string) (int, string) {
+		resp, err := http.Post("http://"+f.w.Address()+"/tasks/job/1/"+action, "", nil)
+		So(err, ShouldBeNil)
+		defer func() { _ = resp.Body.Close() }()
+		data, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(data)
+	}
+	run := func(f *fixture, payload string) chan string {
+		done := make(chan string, 1)
+		go func() {
+			_, _, body := f.post(1, payload)
+			done <- body
+		}()
+		waitFor(t, func() bool { return f.w.running() == 1 })
+		return done
+	}
+	Convey("stop ends a hanging task", t, func() {
+		f := newFixture(t, nil)
+		f.w.SetFaults(Faults{Hang: true})
+		done := run(f, `{"run-ms":1}`)
+		code, _ := act(f, "stop")
+		So(code, ShouldEqual, 204)
+		So(<-done, ShouldContainSubstring, `"stopped":true`)
+		code, _ = act(f, "stop")
+		So(code, ShouldEqual, 404)
+	})
+	Convey("throttle slows a task, checkpoint tells what is left", t, func() {
+		f := newFixture(t, nil)
+		began := time.Now()
+		done := run(f, `{"run-ms":200}`)
+		code, _ := act(f, "throttle")
+		So(code, ShouldEqual, 204)
+		code, body := act(f, "checkpoint")
+		So(code, ShouldEqual, 200)
+		So(body, ShouldContainSubstring, "left-ms")
+		<-done
+		So(time.Since(began), ShouldBeGreaterThan, 350*time.Millisecond)
+	})
+	Convey("the slow factor multiplies run times", t, func() {
+		f := newFixture(t, nil)
+		f.w.SetFaults(Faults{SlowFactor: 4})
+		began := time.Now()
+		f.post(1, `{"run-ms":50}`)
+		So(time.Since(began), ShouldBeGreaterThanOrEqualTo, 200*time.Millisecond)
+	})
+}
+
+// Guards against an upstream that stays away after a lost lease, reports its
+// use without the lag, or leaves while tasks run.
+func TestLeaseUsageAndLeave(t *testing.T) {
+	Convey("a lost lease is announced again", t, func() {
+		f := newFixture(t, func(cfg *Config) { cfg.TTL = 150 })
+		first := f.agent.generation()
+		f.w.SetFaults(Faults{PauseRenewals: true})
+		time.Sleep(200 * time.Millisecond)
+		f.w.SetFaults(Faults{})
+		waitFor(t, func() bool { return f.agent.generation() != first })
+	})
+	Convey("use is reported with its lag", t, func() {
+		f := newFixture(t, func(cfg *Config) { cfg.UsageLag = 400 })
+		go f.post(1, `{"run-ms":600}`)
+		waitFor(t, func() bool { return f.w.running() == 1 })
+		time.Sleep(200 * time.Millisecond)
+		So(f.w.lastUsage(), ShouldResemble, gypsumtide.Size{})
+		waitFor(t, func() bool { return f.w.lastUsage().Processors == taskProcessors })
+	})
+	Convey("running tasks finish before the worker ends", t, func() {
+		f := newFixture(t, nil)
+		done := make(chan int, 1)
+		go func() {
+			status, _, _ := f.post(1, `{"run-ms":200}`)
+			done <- status
+		}()
+		waitFor(t, func() bool { return f.w.running() == 1 })
+		f.cancel()
+		waitFor(t, func() bool { return !f.agent.registry.Serves("echo") })
+		status, promise, _ := f.post(2, `{}`)
+		So(status, ShouldEqual, 503)
+		So(promise, ShouldEqual, "true")
+		So(<-done, ShouldEqual, 200)
+		So(<-f.done, ShouldBeNil)
+	})
+	Convey("the fault die calls the exit function", t, func() {
+		died := make(chan struct{})
+		f := newFixture(t, func(cfg *Config) { cfg.Exit = func() { close(died) } })
+		req, _ := http.NewRequest(http.MethodPut, "http://"+f.w.Address()+"/faults", strings.NewReader(`{"die":true}`))
+		resp, err := http.DefaultClient.Do(req)
+		So(err, ShouldBeNil)
+		_ = resp.Body.Close()
+		<-died
+	})
+}
--- /dev/null
+++ b/internal/upstream/registry_test.go
@@ -0,0 +1,284 @@
+package upstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// testClock is set by the test.
+type testClock struct{ now gypsumtide.Millis }
+
+func (c *testClock) Now() gypsumtide.Millis  { return c.now }
+func (c *testClock) Wall() gypsumtide.Millis { return 1_800_000_000_000 }
+
+func testConfig() Config {
+	return Config{DefaultSlots: 8, DefaultConnections: 64, DefaultTTL: 1000, ReserveShort: 25, MaxRunTime: 5000, MaxBody: 1 << 16, Health: DefaultHealth()}
+}
+
+func newTestRegistry() (*Registry, *testClock) {
+	clock := &testClock{now: 1}
+	return New(clock, testConfig(), func() {}), clock
+}
+
+func announce(r *Registry, name string, change func(a *Announcement)) Lease {
+	a := Announcement{Name: name, URL: "http://127.0.0.1:1", Services: []string{"echo"}}
+	if change != nil {
+		change(&a)
+	}
+	lease, err := r.Announce(a)
+	So(err, ShouldBeNil)
+	return lease
+}
+
+func done(status int) wire.Result { return wire.Result{State: wire.TaskDone, Status: status} }
+
+// Guards against starts at an upstream whose lease expired, that leaves, or
+// that serves another service, and against renewals of a stale lease.
+func TestLease(t *testing.T) {
+	cases := []struct {
+		name string
+		act  func(r *Registry, clock *testClock, lease Lease)
+		free bool
+	}{
+		{"fresh", func(*Registry, *testClock, Lease) {}, true},
+		{"last valid moment", func(_ *Registry, c *testClock, _ Lease) { c.now += 999 }, true},
+		{"expired", func(_ *Registry, c *testClock, _ Lease) { c.now += 1000 }, false},
+		{"renewed", func(r *Registry, c *testClock, l Lease) {
+			c.now += 900
+			_, err := r.Renew("u", l.Generation)
+			So(err, ShouldBeNil)
+			c.now += 900
+		}, true},
+		{"renewed too late", func(r *Registry, c *testClock, l Lease) {
+			c.now += 1000
+			_, err := r.Renew("u", l.Generation)
+			So(err, ShouldEqual, ErrStaleLease)
+		}, false},
+		{"renewed with an older generation", func(r *Registry, c *testClock, l Lease) {
+			announce(r, "u", nil)
+			c.now += 900
+			_, err := r.Renew("u", l.Generation)
+			So(err, ShouldEqual, ErrStaleLease)
+			c.now += 900
+		}, false},
+		{"announced again after expiry", func(r *Registry, c *testClock, l Lease) {
+			c.now += 5000
+			So(announce(r, "u", nil).Generation, ShouldBeGreaterThan, l.Generation)
+		}, true},
+		{"leaving", func(r *Registry, _ *testClock, _ Lease) { So(r.Leave("u"), ShouldBeNil) }, false},
+	}
+	for _, c := range cases {
+		Convey("lease: "+c.name, t, func() {
+			r, clock := newTestRegistry()
+			lease := announce(r, "u", nil)
+			So(r.Acquire("other", gypsumtide.ClassShort), ShouldBeNil)
+			c.act(r, clock, lease)
+			So(r.Serves("echo"), ShouldEqual, c.free)
+			So(r.Acquire("echo", gypsumtide.ClassShort) != nil, ShouldEqual, c.free)
+		})
+	}
+	Convey("a leaving upstream is listed until its tasks end", t, func() {
+		r, clock := newTestRegistry()
+		announce(r, "u", nil)
+		s := r.Acquire("echo", gypsumtide.ClassShort)
+		So(r.Leave("u"), ShouldBeNil)
+		clock.now += 5000
+		So(r.Announced(), ShouldHaveLength, 1)
+		So(r.Announced()[0].Leaving, ShouldBeTrue)
+		s.Release(done(200))
+		So(r.Announced(), ShouldBeEmpty)
+	})
+}
+
+// Guards against more tasks than slots or connections, and against long tasks
+// that take the slots reserved for short ones.
+func TestSlots(t *testing.T) {
+	cases := []struct {
+		slots, connections, short, long int
+	}{
+		{8, 64, 8, 6}, {4, 64, 4, 3}, {1, 64, 1, 1}, {8, 3, 3, 3}, {16, 64, 16, 12},
+	}
+	for _, c := range cases {
+		Convey(fmt.Sprintf("%d slots and %d connections", c.slots, c.connections), t, func() {
+			count := func(class gypsumtide.Class) int {
+				r, _ := newTestRegistry()
+				announce(r, "u", func(a *Announcement) { a.Slots, a.Connections = c.slots, c.connections })
+				n := 0
+				for r.Acquire("echo", class) != nil {
+					n++
+				}
+				return n
+			}
+			So(count(gypsumtide.ClassShort), ShouldEqual, c.short)
+			So(count(gypsumtide.ClassLong), ShouldEqual, c.long)
+		})
+	}
+	Convey("a released slot is free again, also for its class", t, func() {
+		r, _ := newTestRegistry()
+		announce(r, "u", func(a *Announcement) { a.Slots = 1 })
+		for range 3 {
+			s := r.Acquire("echo", gypsumtide.ClassLong)
+			So(s, ShouldNotBeNil)
+			So(r.Acquire("echo", gypsumtide.ClassShort), ShouldBeNil)
+			s.Release(done(200))
+		}
+		r.Acquire("echo", gypsumtide.ClassLong).Cancel()
+		So(r.Acquire("echo", gypsumtide.ClassLong), ShouldNotBeNil)
+	})
+}
+
+// Guards against an upstream that fails everything and keeps its work, one
+// that is ejected for a few failures, and one that never returns.
+func TestEjection(t *testing.T) {
+	observe := func(r *Registry, failures, successes int) {
+		for i := range failures + successes {
+			s := r.Acquire("echo", gypsumtide.ClassShort)
+			So(s, ShouldNotBeNil)
+			if i < failures {
+				s.Release(done(500))
+			} else {
+				s.Release(done(200))
+			}
+		}
+	}
+	cases := []struct {
+		name                string
+		failures, successes int
+		ejected             bool
+	}{
+		{"too few results", 7, 0, false},
+		{"everything fails", 8, 0, true},
+		{"two thirds fail", 6, 3, false},
+	}
+	for _, c := range cases {
+		Convey("ejection: "+c.name, t, func() {
+			r, _ := newTestRegistry()
+			announce(r, "u", nil)
+			observe(r, c.failures, c.successes)
+			So(r.Announced()[0].Ejected, ShouldEqual, c.ejected)
+		})
+	}
+	Convey("failures outside the window do not count", t, func() {
+		r, clock := newTestRegistry()
+		announce(r, "u", func(a *Announcement) { a.TTL = 100_000 })
+		observe(r, 7, 0)
+		clock.now += DefaultHealth().Window + 1
+		observe(r, 7, 0)
+		So(r.Announced()[0].Ejected, ShouldBeFalse)
+	})
+	Convey("probes run one at a time with a growing back-off until the upstream returns", t, func() {
+		r, clock := newTestRegistry()
+		announce(r, "u", func(a *Announcement) { a.TTL = 100_000 })
+		observe(r, 8, 0)
+		clock.now += 999
+		So(r.Announced()[0].Ejected, ShouldBeTrue)
+		clock.now++
+		So(r.Announced()[0].Ejected, ShouldBeFalse)
+		So(r.Announced()[0].Slots, ShouldEqual, 1)
+		s := r.Acquire("echo", gypsumtide.ClassShort)
+		So(r.Acquire("echo", gypsumtide.ClassShort), ShouldBeNil)
+		s.Release(done(500))
+		clock.now += 1999
+		So(r.Announced()[0].Ejected, ShouldBeTrue)
+		clock.now++
+		observe(r, 0, 3)
+		So(r.Announced()[0].Slots, ShouldEqual, 8)
+	})
+	Convey("an ejected upstream is used only if no other one serves the service", t, func() {
+		r, _ := newTestRegistry()
+		announce(r, "bad", nil)
+		observe(r, 8, 0)
+		So(r.Acquire("echo", gypsumtide.ClassShort).Upstream(), ShouldEqual, "bad")
+		announce(r, "good", func(a *Announcement) { a.Slots = 1 })
+		So(r.Acquire("echo", gypsumtide.ClassShort).Upstream(), ShouldEqual, "good")
+		So(r.Acquire("echo", gypsumtide.ClassShort), ShouldBeNil)
+	})
+}
+
+// Guards against wrong status codes of the lease endpoints, on which an
+// upstream decides whether it announces itself again, and against access
+// without the key.
+func TestHandler(t *testing.T) {
+	call := func(h http.Handler, method, path, body, key string) (int, Lease) {
+		req := httptest.NewRequest(method, path, bytes.NewBufferString(body))
+		if key != "" {
+			req.Header.Set("Authorization", "Bearer "+key)
+		}
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, req)
+		var l Lease
+		_ = json.Unmarshal(rec.Body.Bytes(), &l)
+		return rec.Code, l
+	}
+	const good = `{"name":"u","url":"http://127.0.0.1:1","services":["echo"]}`
+	Convey("announce, renew and leave", t, func() {
+		r, clock := newTestRegistry()
+		h := r.Handler()
+		status, lease := call(h, "POST", "/v1/upstreams", good, "")
+		So(status, ShouldEqual, 200)
+		So(lease.TTL, ShouldEqual, 1000)
+		renew := fmt.Sprintf(`{"generation":%d,"used":{"processors-milli":5}}`, lease.Generation)
+		status, _ = call(h, "PUT", "/v1/upstreams/u/lease", renew, "")
+		So(status, ShouldEqual, 200)
+		So(r.Used().Processors, ShouldEqual, 5)
+		status, _ = call(h, "PUT", "/v1/upstreams/u/lease", `{"generation":1}`, "")
+		So(status, ShouldEqual, 409)
+		status, _ = call(h, "PUT", "/v1/upstreams/x/lease", renew, "")
+		So(status, ShouldEqual, 404)
+		clock.now += 1000
+		status, _ = call(h, "PUT", "/v1/upstreams/u/lease", renew, "")
+		So(status, ShouldEqual, 409)
+		status, _ = call(h, "DELETE", "/v1/upstreams/u", "", "")
+		So(status, ShouldEqual, 204)
+		status, _ = call(h, "DELETE", "/v1/upstreams/u", "", "")
+		So(status, ShouldEqual, 404)
+	})
+	for _, bad := range []string{``, `{`, `{"name":"","url":"http://a","services":["s"]}`, `{"name":"u","url":"ftp://a","services":["s"]}`,
+		`{"name":"u","url":"http://a"}`, `{"name":"u","url":"http://a","services":["s"],"slots":-1}`, `{"name":"u","url":"http://a","services":["s"],"ttl-ms":-5}`} {
+		Convey("refused announcement "+bad, t, func() {
+			r, _ := newTestRegistry()
+			status, _ := call(r.Handler(), "POST", "/v1/upstreams", bad, "")
+			So(status, ShouldEqual, 400)
+			So(r.Announced(), ShouldBeEmpty)
+		})
+	}
+	Convey("the key is asked for if it is set", t, func() {
+		cfg := testConfig()
+		cfg.Key = "secret"
+		h := New(&testClock{now: 1}, cfg, func() {}).Handler()
+		for key, want := range map[string]int{"": 401, "wrong": 401, "secret": 200} {
+			status, _ := call(h, "POST", "/v1/upstreams", good, key)
+			So(status, ShouldEqual, want)
+		}
+	})
+}
+
+// FuzzAnnounce guards against announcements that pass the checks and then
+// offer slots without an address, a service or a positive size.
+func FuzzAnnounce(f *testing.F) {
+	f.Add([]byte(`{"name":"u","url":"http://127.0.0.1:1","services":["echo"],"slots":2,"ttl-ms":10}`))
+	f.Add([]byte(`{"name":"u","url":"http://[::1]:1/x?y","services":[""],"connections":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, _ := newTestRegistry()
+		req := httptest.NewRequest("POST", "/v1/upstreams", bytes.NewReader(data))
+		rec := httptest.NewRecorder()
+		r.Handler().ServeHTTP(rec, req)
+		if rec.Code != 200 && rec.Code != 400 {
+			t.Fatalf("status %d", rec.Code)
+		}
+		for _, u := range r.Announced() {
+			if u.Name == "" || len(u.Services) == 0 || u.Slots < 1 {
+				t.Fatalf("offers %+v", u)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/upstream/run_test.go
@@ -0,0 +1,245 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// rawServer is an upstream that answers on the level of connections, so that a
+// test can break them at any point. It counts the requests read.
+type rawServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	seen     map[string]int
+}
+
+// newRawServer calls serve for the n-th request of a connection, from 0. The
+// connection goes on if serve returns true.
+func newRawServer(t *testing.T, serve func(c net.Conn, n int, req *http.Request) bool) *rawServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{listener: l, seen: make(map[string]int)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					s.mu.Lock()
+					s.seen[req.Header.Get(HeaderTask)]++
+					s.mu.Unlock()
+					if !serve(c, n, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) requests(task int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[strconv.Itoa(task)]
+}
+
+func answer(c net.Conn, head, body string) bool {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	return true
+}
+
+// send runs one task at url with a MaxRunTime of 300 ms.
+func send(url string, task int, payload string) (wire.Result, *Registry) {
+	cfg := testConfig()
+	cfg.MaxRunTime = 300
+	cfg.MaxBody = 1000
+	r := New(&testClock{now: 1}, cfg, func() {})
+	announce(r, "u", func(a *Announcement) { a.URL = url })
+	return sendOn(r, task, payload), r
+}
+
+func sendOn(r *Registry, task int, payload string) wire.Result {
+	s := r.Acquire("echo", gypsumtide.ClassShort)
+	d := &wire.Dispatch{TaskRef: wire.TaskRef{Task: uint32(task)}, Service: "echo", Payload: []byte(payload)}
+	res := s.Run(context.Background(), d, 100)
+	s.Release(res)
+	return res
+}
+
+// Guards against a wrong statement on whether a task started, for each point at
+// which an upstream can fail, and against a second send of a request.
+func TestRunFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		serve  func(c net.Conn, n int, req *http.Request) bool
+		state  wire.TaskState
+		status int
+		reason string
+	}{
+		{"answer", func(c net.Conn, _ int, _ *http.Request) bool { return answer(c, "200 OK", "x") }, wire.TaskDone, 200, ""},
+		{"failure", func(c net.Conn, _ int, _ *http.Request) bool { return answer(c, "500 No", "x") }, wire.TaskDone, 500, ""},
+		{"redirect is not followed", func(c net.Conn, _ int, _ *http.Request) bool {
+			return answer(c, "307 Elsewhere\r\nLocation: /other", "")
+		}, wire.TaskDone, 307, ""},
+		{"refusal with the promise", func(c net.Conn, _ int, _ *http.Request) bool {
+			return answer(c, "503 Full\r\nGypsumtide-Not-Started: true", "full")
+		}, wire.TaskNotStarted, 0, wire.ReasonRefused},
+		{"refusal without the promise", func(c net.Conn, _ int, _ *http.Request) bool { return answer(c, "503 Full", "") }, wire.TaskDone, 503, ""},
+		{"closed after the request", func(net.Conn, int, *http.Request) bool { return false }, wire.TaskUnknown, 0, ReasonBroken},
+		{"closed in the header", func(c net.Conn, _ int, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-")
+			return false
+		}, wire.TaskUnknown, 0, ReasonBroken},
+		{"closed in the body", func(c net.Conn, _ int, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+			return false
+		}, wire.TaskUnknown, 0, ReasonBroken},
+		{"no HTTP", func(c net.Conn, _ int, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "hello\r\n\r\n")
+			return false
+		}, wire.TaskUnknown, 0, ReasonBroken},
+		{"body over the bound", func(c net.Conn, _ int, _ *http.Request) bool {
+			return answer(c, "200 OK", strings.Repeat("x", 1001))
+		}, wire.TaskUnknown, 0, ReasonTooLarge},
+		{"no answer in time", func(net.Conn, int, *http.Request) bool {
+			time.Sleep(600 * time.Millisecond)
+			return false
+		}, wire.TaskUnknown, 0, ReasonRunTime},
+	}
+	for _, c := range cases {
+		for _, payload := range []string{"", `{"a":1}`} {
+			Convey(c.name+" to payload "+payload, t, func() {
+				s := newRawServer(t, c.serve)
+				r, _ := send("http://"+s.listener.Addr().String(), 7, payload)
+				So(r.State, ShouldEqual, c.state)
+				So(r.Status, ShouldEqual, c.status)
+				So(r.Reason, ShouldEqual, c.reason)
+				So(r.Upstream, ShouldEqual, "u")
+				So(s.requests(7), ShouldEqual, 1)
+			})
+		}
+	}
+	Convey("a connection that cannot be opened starts nothing", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		_ = l.Close()
+		r, _ := send("http://"+l.Addr().String(), 7, "x")
+		So(r.State, ShouldEqual, wire.TaskNotStarted)
+		So(r.Reason, ShouldEqual, ReasonUnopened)
+	})
+}
+
+// Guards against a second send by net/http when an upstream closes a reused
+// connection, and against a false "not started" for a request that was read.
+func TestStaleConnection(t *testing.T) {
+	for _, payload := range []string{"", "payload"} {
+		Convey("closed after the second request was read, payload "+payload, t, func() {
+			s := newRawServer(t, func(c net.Conn, n int, _ *http.Request) bool {
+				return n == 0 && answer(c, "200 OK", "x")
+			})
+			first, r := send("http://"+s.listener.Addr().String(), 1, payload)
+			So(first.State, ShouldEqual, wire.TaskDone)
+			second := sendOn(r, 2, payload)
+			So(second.State, ShouldEqual, wire.TaskUnknown)
+			So(s.requests(2), ShouldEqual, 1)
+		})
+		Convey("closed while idle, at any moment, payload "+payload, t, func() {
+			s := newRawServer(t, func(c net.Conn, _ int, _ *http.Request) bool {
+				answer(c, "200 OK", "x")
+				return false
+			})
+			_, r := send("http://"+s.listener.Addr().String(), 0, payload)
+			states := map[wire.TaskState]int{}
+			wrong := 0
+			for i := 1; i <= 300; i++ {
+				res := sendOn(r, i, payload)
+				states[res.State]++
+				n := s.requests(i)
+				if n > 1 || res.State == wire.TaskNotStarted && n != 0 || res.State == wire.TaskDone && n != 1 {
+					wrong++
+				}
+			}
+			So(wrong, ShouldEqual, 0)
+			t.Logf("states %v", states)
+		})
+	}
+}
+
+// Guards against changes of the payload or its type on the way to the upstream,
+// and against missing headers, on which the upstream's lease check depends.
+func TestRequest(t *testing.T) {
+	Convey("the request carries the payload unchanged and the headers", t, func() {
+		payload := bytes.Repeat([]byte{0, 255, '\n', 'x'}, 1000)
+		var got *http.Request
+		var body []byte
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			got = r
+			body, _ = io.ReadAll(r.Body)
+			w.Header().Set("Content-Type", "text/x")
+			_, _ = w.Write([]byte("answer"))
+		}))
+		defer srv.Close()
+		cfg := testConfig()
+		cfg.Key = "secret"
+		r := New(&testClock{now: 1}, cfg, func() {})
+		lease := announce(r, "u", func(a *Announcement) { a.URL = srv.URL + "/base/" })
+		s := r.Acquire("echo", gypsumtide.ClassShort)
+		ref := wire.TaskRef{Submission: gypsumtide.SubmissionID{1}, Task: 3, Epoch: 9}
+		res := s.Run(context.Background(), &wire.Dispatch{TaskRef: ref, Service: "echo", Payload: payload, ContentType: "a/b"}, 123)
+		So(res.State, ShouldEqual, wire.TaskDone)
+		So(res.TaskRef, ShouldResemble, ref)
+		So(string(res.Body), ShouldEqual, "answer")
+		So(res.ContentType, ShouldEqual, "text/x")
+		So(bytes.Equal(body, payload), ShouldBeTrue)
+		So(got.URL.Path, ShouldEqual, "/base/tasks")
+		for name, want := range map[string]string{
+			HeaderSubmission: ref.Submission.String(), HeaderTask: "3", HeaderService: "echo", HeaderBudget: "123",
+			HeaderLease: strconv.FormatUint(lease.Generation, 10), "Content-Type": "a/b", "Authorization": "Bearer secret",
+		} {
+			So(name+" "+got.Header.Get(name), ShouldEqual, name+" "+want)
+		}
+		So(s.Stop(context.Background(), ref), ShouldBeNil)
+		So(got.URL.Path, ShouldEqual, "/base/tasks/"+ref.Submission.String()+"/3/stop")
+	})
+}
+
+// BenchmarkSlot measures the registry's share of a start, without the network.
+func BenchmarkSlot(b *testing.B) {
+	r := New(&testClock{now: 1}, testConfig(), func() {})
+	if _, err := r.Announce(Announcement{Name: "u", URL: "http://127.0.0.1:1", Services: []string{"echo"}}); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		r.Acquire("echo", gypsumtide.ClassShort).Release(wire.Result{State: wire.TaskDone, Status: 200})
+	}
+}
