Charge limits by team and route, and announce new entries to agents

Cause: an agent that had connected before a second entry joined never dialled it, so jobs homed there waited until their deadline (4 of 7 sequential jobs in a trial by hand took 10 s); only the first limit of a team applied. Change: the entry sends the list of entries to its agents when it changes; quotas resolve every limit of the team and the route; queue-length and max-payload-bytes apply; gypsumctl drain reaches agents; default ports of the programs agree.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -24,6 +24,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if f.Drain {
+		a.refuseWork()
+	}
 	l.echo = max(l.echo, f.Echo)
 	if len(f.Promises)+len(f.Recovers)+len(f.Queries)+len(f.Recalls)+len(f.Cancels)+len(f.Dispatches) == 0 {
 		return nil
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -17,13 +17,8 @@
 func (a *Agent) drain(ctx context.Context) {
 	a.log.Info("draining", "timeout-ms", a.cfg.DrainTimeout)
 	a.mu.Lock()
-	a.draining = true
-	a.queue.take(func(it *item) bool {
-		a.drop(it, wire.ReasonDraining)
-		return true
-	})
+	a.refuseWork()
 	a.mu.Unlock()
-	notify(a.offer)
 	left := a.waitFor(ctx, a.cfg.DrainTimeout.Duration(), func() bool { return len(a.running) == 0 })
 	if !left {
 		a.log.Info("drain timeout, running tasks become unknown")
@@ -33,6 +28,19 @@
 	a.flush(ctx)
 }
 
+// refuseWork gives the queued tasks back and accepts no more. The caller holds the mutex.
+func (a *Agent) refuseWork() {
+	if a.draining {
+		return
+	}
+	a.draining = true
+	a.queue.take(func(it *item) bool {
+		a.drop(it, wire.ReasonDraining)
+		return true
+	})
+	notify(a.offer)
+}
+
 // departureBatch bounds the submissions in one frame of the departing ledger.
 const departureBatch = 1_000
 
--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -31,7 +31,7 @@
 		Usage:   "publish, inspect and explain the configuration",
 		Version: Version,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7000", Usage: "`URL` of an entry", Sources: cli.EnvVars("GYPSUMTIDE_ENTRY")},
+			&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7001", Usage: "`URL` of an entry", Sources: cli.EnvVars("GYPSUMTIDE_ENTRY")},
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the key of the operators", Sources: cli.EnvVars("GYPSUMTIDE_KEY_FILE")},
 		},
 		Commands: []*cli.Command{
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -268,7 +268,9 @@
 
 // notStarted queues a task again after the agent's promise that it never starts there.
 func (h *home) notStarted(c *agentConn, aj *activeJob, r *wire.Result) {
-	aj.Requeue(r.Task)
+	if aj.Requeue(r.Task) {
+		h.countWaiting(aj, 1)
+	}
 	h.metrics.notStarted(r.Reason)
 	if aj.Closing() != nil {
 		return
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"gypsumtide"
@@ -47,6 +49,7 @@
 			lastBeat = now
 			e.beat(now)
 			e.links.ensure(g, e.peerURLs())
+			e.announceEntries()
 		}
 		// Owning nothing of a shard any more, the home can list its ids
 		// before its jobs are released.
@@ -146,6 +149,26 @@
 	return infos
 }
 
+// announceEntries sends the list of entries to the agents when it changes, so
+// that they dial the new ones and drop those that left.
+func (e *Entry) announceEntries() {
+	list := e.entryList()
+	slices.SortFunc(list, func(a, b wire.EntryInfo) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+	if slices.Equal(list, e.announced) {
+		return
+	}
+	e.announced = list
+	welcome := e.welcome()
+	e.home.eachAgent(func(s *wire.Session) {
+		s.Update(func(f *wire.Frame) { f.Welcome = welcome })
+	})
+}
+
+// welcome returns the message that names this entry and lists the others.
+func (e *Entry) welcome() *wire.Welcome {
+	return &wire.Welcome{Name: e.cfg.Name, Incarnation: e.incarnation, Entries: e.entryList()}
+}
+
 // stateReply returns the folded control streams for a peer, or nil if this
 // entry has not read them.
 func (e *Entry) stateReply() *wire.StateReply {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,8 +58,9 @@
 	background  *group.Group
 	draining    atomic.Bool
 
-	// owned is used by the control goroutine only.
-	owned [gypsumtide.ShardCount]ownedShard
+	// owned and announced are used by the control goroutine only.
+	owned     [gypsumtide.ShardCount]ownedShard
+	announced []wire.EntryInfo
 
 	learnedMu sync.Mutex
 	learned   map[string]bool
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -11,6 +11,7 @@
 	"gypsumtide"
 	"gypsumtide/internal/job"
 	"gypsumtide/internal/limit"
+	"gypsumtide/internal/object"
 	"gypsumtide/internal/shard"
 	"gypsumtide/internal/submission"
 	"gypsumtide/internal/wire"
@@ -22,6 +23,8 @@
 	closeGrace gypsumtide.Millis = 300
 	// agentAbsence is the time after which a lost agent's open tasks become unknown.
 	agentAbsence gypsumtide.Millis = 5_000
+	// queueRetry is the Retry-After of a job that a full queue refused.
+	queueRetry gypsumtide.Millis = 500
 	// serviceAbsence is the time for which jobs of a service without upstreams
 	// wait instead of being refused.
 	serviceAbsence gypsumtide.Millis = 30_000
@@ -53,6 +56,11 @@
 	candidates map[string]bool
 	closeBy    gypsumtide.Millis
 	recovery   *recovery
+	// quotaKey and limits are what the job's route and team are charged to.
+	quotaKey string
+	limits   []object.Limit
+	// waiting is the number of its tasks that wait at this home.
+	waiting int
 }
 
 // home runs the jobs of the shards that this entry owns.
@@ -71,6 +79,8 @@
 	requeue    []requeueItem
 	// served holds when an agent last announced or withdrew each service.
 	served map[string]gypsumtide.Millis
+	// waiting counts the tasks that wait at this home by quota key.
+	waiting map[string]int
 	// departed holds the ledgers of agents that left in order.
 	departed map[string]*departedLedger
 	// transfers holds the newest transfer of each shard.
@@ -115,6 +125,7 @@
 		pools:      make(map[string]*pool),
 		departed:   make(map[string]*departedLedger),
 		served:     make(map[string]gypsumtide.Millis),
+		waiting:    make(map[string]int),
 	}, nil
 }
 
@@ -188,7 +199,7 @@
 // admit checks the route, the fit and the limits, and charges the team.
 func (h *home) admit(aj *activeJob, now gypsumtide.Millis) *wire.Answer {
 	req := aj.Request()
-	p, refusal := h.choosePool(req)
+	p, refusal := h.choosePool(aj)
 	if refusal != nil {
 		return refusal
 	}
@@ -224,10 +235,20 @@
 	for i, t := range aj.Tasks() {
 		if aj.Queued(uint32(i)) {
 			aj.pool.push(t, aj.Request().Tasks[i].RunTime, now)
+			h.countWaiting(aj, 1)
 		}
 	}
 }
 
+// countWaiting adds n to the waiting tasks of the job and its quota key.
+func (h *home) countWaiting(aj *activeJob, n int) {
+	aj.waiting += n
+	h.waiting[aj.quotaKey] += n
+	if h.waiting[aj.quotaKey] == 0 {
+		delete(h.waiting, aj.quotaKey)
+	}
+}
+
 // cancel ends a job on behalf of its caller.
 func (h *home) cancel(id gypsumtide.SubmissionID) (wire.Answer, <-chan wire.Answer) {
 	h.mu.Lock()
@@ -324,11 +345,12 @@
 	now := h.clock.Now()
 	delete(h.jobs, aj.Submission())
 	delete(h.recovering, aj.Submission())
+	h.countWaiting(aj, -aj.waiting)
 	if aj.pool != nil {
 		aj.pool.queue.Remove(aj.Submission())
 	}
 	if aj.Charged() {
-		h.quotas.Done(aj.Request().Team, len(aj.Tasks()), now)
+		h.quotas.Done(aj.quotaKey, len(aj.Tasks()), now)
 	}
 	h.metrics.ended(a)
 	if a.Moved || a.Outcome == gypsumtide.OutcomeNotRun {
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -115,7 +115,21 @@
 	if !v.Admit() {
 		return v
 	}
-	return h.quotas.Admit(req.Team, n, now)
+	if v := p.queueLimit(h, aj, n); !v.Admit() {
+		return v
+	}
+	return h.quotas.Admit(aj.quotaKey, n, now)
+}
+
+// queueLimit refuses a job if a limit of its route or team bounds the tasks
+// that wait at this home, and the pool's queue is at the bound.
+func (p *pool) queueLimit(h *home, aj *activeJob, n int) gypsumtide.Verdict {
+	for _, l := range aj.limits {
+		if l.QueueLength > 0 && h.waiting[aj.quotaKey]+n > l.QueueLength+p.slots {
+			return gypsumtide.Refused(l.Name, fmt.Sprintf("%d tasks wait, the limit is %d", h.waiting[aj.quotaKey], l.QueueLength), queueRetry)
+		}
+	}
+	return gypsumtide.Admitted()
 }
 
 // ahead counts the waiting tasks that leave before the last task of a job of n tasks.
@@ -142,8 +156,22 @@
 }
 
 // choosePool follows the route of the job's service and team.
-func (h *home) choosePool(req *wire.Job) (*pool, *wire.Answer) {
+func (h *home) choosePool(aj *activeJob) (*pool, *wire.Answer) {
+	req := aj.Request()
 	choice := h.router.route(req.Service, req.Team)
+	route, _ := h.router.set.Load().RouteNamed(choice.Route())
+	aj.quotaKey = quotaKey(req.Team, route)
+	aj.limits = choice.Limits()
+	if max := choice.Service().MaxPayloadBytes; max > 0 {
+		for i := range req.Tasks {
+			if int64(len(req.Tasks[i].Payload)) > max {
+				return nil, refuse(req.Submission, &wire.Problem{
+					Type: "payload-too-large", Status: http.StatusRequestEntityTooLarge, Step: "route",
+					Detail: fmt.Sprintf("task %d has more than the %d bytes that service %s permits", i, max, req.Service),
+				})
+			}
+		}
+	}
 	p, err := h.pool(choice.Pool().Name)
 	if err != nil {
 		return nil, refuse(req.Submission, &wire.Problem{
@@ -260,6 +288,7 @@
 		return false
 	}
 	aj.Dispatch(t.Index())
+	h.countWaiting(aj, -1)
 	c.open[taskKey{submission: t.Submission(), index: t.Index()}] = openTask{task: t, epoch: aj.Epoch(), sentAt: now}
 	c.view.Assign(t)
 	h.metrics.dispatches.Inc()
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -40,7 +40,7 @@
 			h.recoverDeparted(aj, d, now)
 			continue
 		}
-		if !c.CanAnswer {
+		if conn := h.agents[c.Incarnation]; !c.CanAnswer && (conn == nil || conn.session == nil) {
 			h.failRecovery(aj, c.Incarnation, "the agent is gone")
 			return ch
 		}
@@ -160,7 +160,7 @@
 			return
 		}
 	} else {
-		p, refusal := h.choosePool(aj.Request())
+		p, refusal := h.choosePool(aj)
 		if refusal != nil {
 			aj.Close(refusal.Problem)
 			h.endClosed(aj)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync/atomic"
 
 	"gypsumtide/internal/limit"
@@ -43,16 +44,30 @@
 // quotas returns the limits as the quotas enforce them.
 func (r *router) quotas() limit.Config {
 	set := r.set.Load()
-	cfg := limit.Config{Teams: make(map[string]string)}
+	cfg := limit.Config{Resolve: func(key string) []string { return limitsOf(set, key) }}
 	for _, l := range set.Limits() {
 		cfg.Limits = append(cfg.Limits, limit.Limit{
 			Name: l.Name, Parent: l.Parent, Rate: l.Rate, Burst: float64(l.Burst), Concurrency: l.Concurrency,
 		})
 	}
-	for _, t := range set.Teams() {
-		if len(t.Limits) > 0 {
-			cfg.Teams[t.Name] = t.Limits[0]
-		}
-	}
 	return cfg
 }
+
+// quotaKey is what a job is charged to: its team, and its route if the route
+// has limits of its own.
+func quotaKey(team string, route object.Route) string {
+	if len(route.Limits) == 0 {
+		return team
+	}
+	return team + "/" + route.Name
+}
+
+// limitsOf returns the limits that a quota key names.
+func limitsOf(set *object.Set, key string) []string {
+	team, name, _ := strings.Cut(key, "/")
+	names := slices.Clone(set.Team(team).Limits)
+	if route, ok := set.RouteNamed(name); ok {
+		names = append(names, route.Limits...)
+	}
+	return names
+}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -52,8 +52,7 @@
 	if f.Hello == nil {
 		return gypsumtide.NewError("open session", s.Peer(), errNoHello)
 	}
-	welcome := &wire.Welcome{Name: e.cfg.Name, Incarnation: e.incarnation, Entries: e.entryList()}
-	if err := s.WriteFrame(ctx, &wire.Frame{Welcome: welcome}); err != nil {
+	if err := s.WriteFrame(ctx, &wire.Frame{Welcome: e.welcome()}); err != nil {
 		return err
 	}
 	if f.Hello.Kind == "agent" {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -157,11 +157,14 @@
 }
 
 // Requeue takes task i back after its agent promised that it has not started.
-func (j *Job) Requeue(i uint32) {
-	if j.states[i] == taskDispatched {
-		j.states[i] = taskQueued
-		j.open--
+// It reports false if the task was not at an agent, or is known to have started.
+func (j *Job) Requeue(i uint32) bool {
+	if j.states[i] != taskDispatched {
+		return false
 	}
+	j.states[i] = taskQueued
+	j.open--
+	return true
 }
 
 // Finish records the upstream's answer to task i.
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -35,6 +35,10 @@
 	Teams map[string]string
 	// Default is the limit of teams that are not listed, each on its own count; empty for none.
 	Default string
+	// Resolve replaces Teams and Default if it is set. It names the limits of a
+	// key that Admit is called with, for keys that are more than a team. All
+	// keys that name a limit share it.
+	Resolve func(key string) []string
 }
 
 // Options configure Quotas. The zero value of a field selects its default.
@@ -168,8 +172,29 @@
 	return nil
 }
 
+// resolved returns the states of the named limits and their parents, each once.
+func (q *Quotas) resolved(names []string, old map[string]*state, now gypsumtide.Millis) (chain []*state) {
+	seen := make(map[string]bool)
+	for _, name := range names {
+		for name != "" && !seen[name] {
+			seen[name] = true
+			s := q.limits[name]
+			if s == nil {
+				s = q.newState(q.byName[name], old[name], now)
+				q.limits[name] = s
+			}
+			chain = append(chain, s)
+			name = s.limit.Parent
+		}
+	}
+	return chain
+}
+
 // chain returns the states of a team's limit and its parents.
 func (q *Quotas) chain(name string, old map[string]*state, now gypsumtide.Millis) (chain []*state, own string) {
+	if q.config.Resolve != nil {
+		return q.resolved(q.config.Resolve(name), old, now), ""
+	}
 	limit, listed := q.config.Teams[name]
 	key := limit
 	if !listed {
--- a/internal/object/route.go
+++ b/internal/object/route.go
@@ -47,6 +47,12 @@
 	return c
 }
 
+// RouteNamed returns the route of that name and whether it exists.
+func (s *Set) RouteNamed(name string) (Route, bool) {
+	r, ok := s.routes[name]
+	return r, ok
+}
+
 // matching returns the routes of a service and team, the one that applies first.
 func (s *Set) matching(service, team string) []Route {
 	var out []Route
--- a/internal/standin/platformlog/settings.go
+++ b/internal/standin/platformlog/settings.go
@@ -29,7 +29,7 @@
 // second, several milliseconds each.
 func DefaultSettings() Settings {
 	return Settings{
-		Listen:           "127.0.0.1:7100",
+		Listen:           "127.0.0.1:7000",
 		Retention:        60 * 60 * 1000,
 		AppendsPerSecond: 500,
 		AppendMillis:     4,
