--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -30,15 +30,19 @@
 	unsettledOnce := false
 	backoff := minBackoff
 	for {
+		f.counters.appends.Inc()
 		offset, err := f.log.Append(ctx, f.stream, data)
 		if err == nil {
 			return f.awaitRecord(ctx, id, offset)
 		}
 		if errors.Is(err, gypsumtide.ErrAppendUnsettled) {
 			unsettledOnce = true
+			f.counters.unsettled.Inc()
 			if f.awaitEnd(ctx, id) {
 				return nil
 			}
+		} else {
+			f.counters.refused.Inc()
 		}
 		if pause(ctx, backoff) != nil {
 			return f.appendError(err, unsettledOnce)
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -30,6 +30,7 @@
 	clock     gypsumtide.Clock
 	logger    logr.Logger
 	retention gypsumtide.Millis
+	counters  *counters
 
 	mu       sync.RWMutex
 	ids      *seenIDs
@@ -65,6 +66,7 @@
 		clock:     clock,
 		logger:    logger.WithValues("stream", stream),
 		retention: DefaultRetention,
+		counters:  newCounters(stream),
 		ids:       newSeenIDs(nil),
 		changed:   make(chan struct{}),
 		read:      make(chan struct{}),
@@ -175,6 +177,7 @@
 	if err := f.fold.Restore(s.Fold); err != nil {
 		return err
 	}
+	f.counters.restored.Inc()
 	f.ids = newSeenIDs(s.IDs)
 	f.position = asOf
 	if f.seek != nil && asOf >= f.seek.first {
--- /dev/null
+++ b/internal/journal/metric.go
@@ -0,0 +1,34 @@
+package journal
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters count the traffic with the log. All followers of a stream in a
+// process share them.
+type counters struct {
+	reads, readFailures         *metrics.Counter
+	appends, unsettled, refused *metrics.Counter
+	// ignored counts invalid records and repeated ids.
+	ignored   *metrics.Counter
+	snapshots *metrics.Counter
+	restored  *metrics.Counter
+}
+
+func newCounters(stream string) *counters {
+	counter := func(name string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf("gypsumtide_log_%s_total{stream=%q}", name, stream))
+	}
+	return &counters{
+		reads:        counter("reads"),
+		readFailures: counter("read_failures"),
+		appends:      counter("appends"),
+		unsettled:    counter("appends_unsettled"),
+		refused:      counter("appends_refused"),
+		ignored:      counter("records_ignored"),
+		snapshots:    counter("snapshots_appended"),
+		restored:     counter("states_restored"),
+	}
+}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -26,7 +26,9 @@
 			continue
 		}
 		// A lost answer needs no settling: the snapshot is read or written again.
-		if _, err := f.log.Append(ctx, f.stream, data); err != nil && ctx.Err() == nil {
+		if _, err := f.log.Append(ctx, f.stream, data); err == nil {
+			f.counters.snapshots.Inc()
+		} else if ctx.Err() == nil {
 			f.logger.Error(err, "snapshot not appended")
 		}
 	}
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -35,6 +35,7 @@
 			failing, backoff = false, minBackoff
 			continue
 		}
+		f.counters.readFailures.Inc()
 		if !failing {
 			f.logger.Error(err, "read failed, retrying")
 		}
@@ -50,6 +51,7 @@
 func (f *Follower) poll(ctx context.Context, wait gypsumtide.Millis) error {
 	from := f.readFrom()
 	sent := f.clock.Now()
+	f.counters.reads.Inc()
 	records, next, err := f.log.Read(ctx, f.stream, from, wait)
 	var trimmed *gypsumtide.TrimmedError
 	if errors.As(err, &trimmed) && trimmed.First > from {
@@ -135,6 +137,7 @@
 	f.position = r.Offset + 1
 	e, err := decodeEnvelope(r.Data)
 	if err != nil {
+		f.counters.ignored.Inc()
 		f.logger.Error(err, "record ignored", "offset", r.Offset)
 		return false
 	}
@@ -147,6 +150,7 @@
 	}
 	f.sinceSnapshot++
 	if !f.ids.add(e.ID) {
+		f.counters.ignored.Inc()
 		return false
 	}
 	f.fold.Apply(r.Offset, e.Body)
--- /dev/null
+++ b/internal/object/race_test.go
@@ -0,0 +1,101 @@
+package object
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/journal"
+	"gypsumtide/internal/standin/platformlog"
+)
+
+// TestRacingPublishers guards against a revision that two publishers won, or
+// that readers see differently, while the log fails in changing ways.
+func TestRacingPublishers(t *testing.T) {
+	Convey("Given three nodes that publish over a faulty log", t, func() {
+		log, err := platformlog.StartLocal(platformlog.Settings{MaxRecordBytes: 1 << 20, AppendsPerSecond: 200})
+		So(err, ShouldBeNil)
+		defer func() { So(log.Stop(), ShouldBeNil) }()
+		ctx, cancel := context.WithCancel(context.Background())
+		var mu sync.Mutex
+		winners := map[uint64]int{}
+		var nodes []*Publisher
+		var ends []<-chan error
+		clock := gypsumtide.NewSystemClock()
+		stop := clock.Now() + 1500
+		for i := range 3 {
+			p := NewPublication()
+			follower := journal.New(journal.NewClient(log.URL(), &http.Client{}, 100), "configuration", p, clock, logr.Discard())
+			node := NewPublisher(follower, p, clock)
+			nodes = append(nodes, node)
+			ends = append(ends, group.Go(ctx, follower.Run), group.Go(ctx, func(ctx context.Context) error {
+				for n := 0; clock.Now() < stop; n++ {
+					pctx, pcancel := context.WithTimeout(ctx, 150*time.Millisecond)
+					revision, err := node.Publish(pctx, node.Current().Number(), fmt.Appendf(nil, "# %d %d\n", i, n), "a")
+					pcancel()
+					if err == nil {
+						mu.Lock()
+						winners[revision]++
+						mu.Unlock()
+					}
+				}
+				return nil
+			}))
+		}
+		for clock.Now() < stop {
+			faults := platformlog.Faults{Down: rand.IntN(6) == 0, Hang: rand.IntN(6) == 0, LoseAnswers: 0.3, SlowMillis: rand.Int64N(20)}
+			So(log.SetFaults(faults), ShouldBeNil)
+			time.Sleep(60 * time.Millisecond)
+		}
+		So(log.SetFaults(platformlog.Faults{}), ShouldBeNil)
+		for i := range 3 {
+			So(<-ends[2*i+1], ShouldBeNil)
+		}
+		// Held appends may still arrive. Then every node reads up to the end.
+		time.Sleep(300 * time.Millisecond)
+		_, end := log.Bounds("configuration")
+		for _, n := range nodes {
+			for n.follower.Position() < end {
+				time.Sleep(10 * time.Millisecond)
+			}
+			So(n.History(), ShouldResemble, nodes[0].History())
+			So(n.Current().Number(), ShouldEqual, nodes[0].Current().Number())
+		}
+		So(winners, ShouldNotBeEmpty)
+		for revision, n := range winners {
+			So(n, ShouldEqual, 1)
+			So(revision, ShouldBeLessThanOrEqualTo, nodes[0].Current().Number())
+		}
+		cancel()
+		for i := range 3 {
+			So(errors.Is(<-ends[2*i], context.Canceled), ShouldBeTrue)
+		}
+	})
+}
+
+// TestReference guards the example in docs/objects.md.
+func TestReference(t *testing.T) {
+	Convey("The documented example is a valid set", t, func() {
+		data, err := os.ReadFile("../../docs/objects.md")
+		So(err, ShouldBeNil)
+		_, rest, _ := strings.Cut(string(data), "```yaml\n")
+		text, _, ok := strings.Cut(rest, "```")
+		So(ok, ShouldBeTrue)
+		choice := mustParse(text).Route("stock-check", "shop")
+		So(choice.Route(), ShouldEqual, "stock-check-shop")
+		So(choice.Pool().Overcommit, ShouldEqual, 0)
+		So(choice.Limits(), ShouldHaveLength, 1)
+	})
+}
