Take shards over from homes that cannot serve them

Cause: a new home that lost the log never learns that it is the home, yet its frames keep it from being suspected.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -18,7 +18,7 @@
 	defer m.mu.Unlock()
 	m.sync()
 	m.sequence++
-	hb := wire.Heartbeat{Sequence: m.sequence, Wall: m.clock.Wall(), Ready: m.ready(), Offset: m.next}
+	hb := wire.Heartbeat{Sequence: m.sequence, Wall: m.clock.Wall(), Ready: m.eligible(), Offset: m.next}
 	for i := range m.shards {
 		sh := &m.shards[i]
 		if sh.home.Home == m.cfg.Self.Incarnation && sh.op == nil && !m.departed && !m.leaving {
@@ -42,8 +42,11 @@
 	p.ready = hb.Ready
 	p.offset = max(p.offset, hb.Offset)
 	p.report(hb.Wall, hb.Offset)
-	ack := wire.HeartbeatAck{Sequence: hb.Sequence, Wall: m.clock.Wall(), Ready: m.ready()}
+	ack := wire.HeartbeatAck{Sequence: hb.Sequence, Wall: m.clock.Wall(), Ready: m.eligible()}
 	for _, s := range hb.Shards {
+		if s.Shard < gypsumtide.ShardCount && m.shards[s.Shard].home.Home == from && m.shards[s.Shard].home.Epoch == s.Epoch {
+			m.shards[s.Shard].listedAt = m.clock.Now()
+		}
 		if s.Shard >= gypsumtide.ShardCount || !m.acknowledges(from, s) {
 			ack.Refused = append(ack.Refused, s.Shard)
 			continue
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -104,7 +104,11 @@
 	lostSince   gypsumtide.Millis
 	orphanSince gypsumtide.Millis
 	goneSince   gypsumtide.Millis
-	op          *operation
+	// listedAt is when the home last listed the shard in a heartbeat.
+	listedAt gypsumtide.Millis
+	// backoff is the time before which no operation starts after a failed one.
+	backoff gypsumtide.Millis
+	op      *operation
 }
 
 // peer is what an entry knows of another entry.
@@ -161,9 +165,11 @@
 	startedAt gypsumtide.Millis
 	lastTick  gypsumtide.Millis
 	logRead   gypsumtide.Millis
-	lastMove  gypsumtide.Millis
-	sequence  uint64
-	sent      [sentWindow]sentHeartbeat
+	// logBack is when the log answered after a time without answers.
+	logBack  gypsumtide.Millis
+	lastMove gypsumtide.Millis
+	sequence uint64
+	sent     [sentWindow]sentHeartbeat
 
 	lastID   uint64
 	appends  map[uint64]*operation
@@ -207,6 +213,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sync()
+	if !m.logFresh() {
+		m.logBack = m.clock.Now()
+	}
 	m.logRead = max(m.logRead, sentAt)
 	for i := range m.shards {
 		m.extend(i, sentAt+m.cfg.Lease)
@@ -255,7 +264,8 @@
 	return m.departed || m.draining && !m.joined && m.joining == nil
 }
 
-// Ready reports whether this entry can be a home.
+// Ready reports whether this entry has joined, has read the log and does not
+// drain. It stays ready while the log is down.
 func (m *Manager) Ready() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -267,6 +277,13 @@
 	return m.joined && !m.departed && !m.draining && !m.leaving && m.logRead > 0
 }
 
+// eligible reports whether this entry may become the home of more shards. One
+// without the log would not learn that it is the home; the times in the claims
+// of one with a wrong clock would mislead the recovery.
+func (m *Manager) eligible() bool {
+	return m.ready() && m.clock.Now()-m.logRead < m.cfg.Orphan && abs(m.skew()) <= m.cfg.MaxSkew
+}
+
 // logFresh reports whether the log answered recently, so that an append is
 // likely to be settled.
 func (m *Manager) logFresh() bool {
@@ -365,6 +382,10 @@
 func (m *Manager) Skew() gypsumtide.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.skew()
+}
+
+func (m *Manager) skew() gypsumtide.Millis {
 	ds := []gypsumtide.Millis{0}
 	for _, p := range m.peers {
 		if p.skewKnown && !m.silent(p) && p.departure == Present {
--- a/internal/shard/operation.go
+++ b/internal/shard/operation.go
@@ -62,6 +62,7 @@
 	for _, i := range op.shards {
 		sh := &m.shards[i]
 		sh.op = nil
+		sh.backoff = m.clock.Now() + m.cfg.Retry/2
 		switch sh.machine.State() {
 		case "claiming":
 			m.fire(sh, "claim-failed")
--- a/internal/shard/roster.go
+++ b/internal/shard/roster.go
@@ -336,6 +336,10 @@
 	if !m.logFresh() || len(r.unlogged) == 0 && len(r.leaving) == 0 {
 		return nil
 	}
+	// The times in the records decide what the fold forgets.
+	if !urgent && abs(m.skew()) > m.cfg.MaxSkew {
+		return nil
+	}
 	var out []Action
 	var op *operation
 	for _, k := range slices.Sorted(maps.Keys(r.unlogged)) {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -17,6 +18,14 @@
 // min) so that the recovery of every id that is not expired can see them.
 const keepDeparted gypsumtide.Millis = 30 * 60 * 1000
 
+// maxAdvance bounds how far one record moves the time of the fold, so that one
+// author with a wrong clock cannot make all nodes forget what ids that are not
+// expired still need.
+const maxAdvance gypsumtide.Millis = 15 * 60 * 1000
+
+// errOlder means that a snapshot is older than the state.
+var errOlder = errors.New("snapshot is older than the state")
+
 // Departure says how a process ended.
 type Departure uint8
 
@@ -124,9 +133,11 @@
 	shards      [gypsumtide.ShardCount]Home
 	tenures     [gypsumtide.ShardCount][]Tenure
 	next        uint64
-	illFormed   uint64
-	invalid     uint64
-	rosterTurn  uint64
+	// time is the time of the records, which decides what is forgotten.
+	time       gypsumtide.Millis
+	illFormed  uint64
+	invalid    uint64
+	rosterTurn uint64
 }
 
 // NewState returns the state before the first record.
@@ -159,7 +170,13 @@
 	}
 	if !s.apply(offset, r) {
 		s.invalid++
+		return
 	}
+	if s.time == 0 {
+		s.time = r.Time
+	}
+	s.time = min(r.Time, s.time+maxAdvance)
+	s.prune()
 }
 
 func (s *State) apply(offset uint64, r *Record) bool {
@@ -190,7 +207,6 @@
 	if _, ok := s.entries[r.Entry.Incarnation]; ok {
 		return false
 	}
-	s.prune(r.Time)
 	e := &EntryMember{EntryInfo: *r.Entry, Member: Member{Joined: offset, JoinedAt: r.Time}}
 	s.entries[e.Incarnation] = e
 	newest := s.newestEntry[e.Name]
@@ -236,7 +252,6 @@
 	}
 	if changed {
 		s.rosterTurn++
-		s.prune(r.Time)
 	}
 	return changed
 }
@@ -284,7 +299,7 @@
 		t := Tenure{Home: r.Home, Epoch: ref.Epoch, Offset: offset, Time: r.Time, Claimer: r.Author, Previous: *h}
 		s.judge(ref.Shard, &t, ref.Settled)
 		*h = Home{Home: r.Home, Epoch: ref.Epoch, Successor: r.Successor, Offset: offset}
-		s.tenures[ref.Shard] = append(s.recentTenures(ref.Shard, r.Time), t)
+		s.tenures[ref.Shard] = append(s.recentTenures(ref.Shard), t)
 		changed = true
 	}
 	return changed
@@ -316,9 +331,9 @@
 }
 
 // recentTenures drops the tenures whose successor tenure is older than keepDeparted.
-func (s *State) recentTenures(id gypsumtide.ShardID, now gypsumtide.Millis) []Tenure {
+func (s *State) recentTenures(id gypsumtide.ShardID) []Tenure {
 	ts := s.tenures[id]
-	for len(ts) > 1 && ts[1].Time < now-keepDeparted {
+	for len(ts) > 1 && ts[1].Time < s.time-keepDeparted {
 		ts = ts[1:]
 	}
 	return slices.Clone(ts)
@@ -356,16 +371,17 @@
 }
 
 // prune forgets members that departed long ago.
-func (s *State) prune(now gypsumtide.Millis) {
+func (s *State) prune() {
+	before := s.time - keepDeparted
 	pruned := false
 	for k, a := range s.agents {
-		if !a.Member.Present() && a.Member.DepartedAt < now-keepDeparted {
+		if !a.Member.Present() && a.Member.DepartedAt < before {
 			delete(s.agents, k)
 			pruned = true
 		}
 	}
 	for k, e := range s.entries {
-		if !e.Member.Present() && e.Member.DepartedAt < now-keepDeparted && !s.owns(k) {
+		if !e.Member.Present() && e.Member.DepartedAt < before && !s.owns(k) {
 			delete(s.entries, k)
 			pruned = true
 		}
@@ -406,13 +422,15 @@
 	Agents  []AgentMember `cbor:"3,keyasint,omitempty"`
 	Shards  []Home        `cbor:"4,keyasint"`
 	Tenures [][]Tenure    `cbor:"5,keyasint"`
+	// Time is the time of the fold.
+	Time gypsumtide.Millis `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	snap := snapshot{Next: s.next, Shards: s.shards[:], Tenures: s.tenures[:]}
+	snap := snapshot{Next: s.next, Shards: s.shards[:], Tenures: s.tenures[:], Time: s.time}
 	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
 		snap.Entries = append(snap.Entries, *s.entries[k])
 	}
@@ -422,7 +440,8 @@
 	return wire.Marshal(&snap)
 }
 
-// Restore replaces the state by a snapshot. On an error the state is unchanged.
+// Restore replaces the state by a snapshot that is not older. On an error the
+// state is unchanged.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
 	if err := wire.Unmarshal(data, &snap); err != nil {
@@ -433,9 +452,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if snap.Next < s.next {
+		return fmt.Errorf("shard: restore: %w: offset %d, state at %d", errOlder, snap.Next, s.next)
+	}
 	defer s.version.Add(1)
 	s.reset()
-	s.next = snap.Next
+	s.next, s.time = snap.Next, snap.Time
 	copy(s.shards[:], snap.Shards)
 	copy(s.tenures[:], snap.Tenures)
 	for i := range snap.Entries {
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -43,6 +43,11 @@
 		}
 		p.info, p.departure = e.EntryInfo, e.Member.Departure
 	}
+	for k, p := range m.peers {
+		if _, ok := m.state.Entry(k); !ok && p.info.Name != "" {
+			delete(m.peers, k)
+		}
+	}
 }
 
 // depart stops everything: a newer incarnation of this entry joined, an
@@ -65,7 +70,7 @@
 	// never will.
 	m.detach(i)
 	sh.home = h
-	sh.lastAck = now
+	sh.lastAck, sh.listedAt = now, now
 	sh.lostSince, sh.orphanSince, sh.goneSince = 0, 0, 0
 	state := sh.machine.State()
 	if !newEpoch {
@@ -131,6 +136,9 @@
 	for _, p := range m.peers {
 		p.lastHeard = max(p.lastHeard, now-m.cfg.Suspicion/2)
 	}
+	for i := range m.shards {
+		m.shards[i].listedAt = max(m.shards[i].listedAt, now-m.cfg.Suspicion/2)
+	}
 }
 
 func (m *Manager) silent(p *peer) bool { return m.clock.Now()-p.lastHeard >= m.cfg.Suspicion }
@@ -167,7 +175,7 @@
 // live returns the entries that can be a home, this one included.
 func (m *Manager) live(now gypsumtide.Millis) []candidate {
 	var cs []candidate
-	if m.ready() {
+	if m.eligible() {
 		cs = append(cs, candidate{incarnation: m.cfg.Self.Incarnation, hash: xxhash.Sum64String(m.cfg.Self.Name), since: m.startedAt})
 	}
 	for k, p := range m.peers {
@@ -241,7 +249,9 @@
 // stepOther watches a shard of another home, or of none.
 func (m *Manager) stepOther(i int, now gypsumtide.Millis, live []candidate, b *batch) {
 	sh := &m.shards[i]
-	lost := sh.home.Home == "" || m.lost(sh.home.Home)
+	// A home that is heard but does not list the shard cannot serve it, for
+	// example because it has not read the claim that made it the home.
+	lost := sh.home.Home == "" || m.lost(sh.home.Home) || now-sh.listedAt >= m.cfg.Orphan
 	switch state := sh.machine.State(); {
 	case state == "claiming":
 		return
@@ -251,7 +261,7 @@
 		m.fire(sh, "home-seen")
 	}
 	m.watch(sh, now, lost)
-	if !lost || sh.op != nil || !m.ready() || !m.logFresh() {
+	if !lost || sh.op != nil || now < sh.backoff || !m.logFresh() || !m.eligible() {
 		return
 	}
 	self := m.cfg.Self.Incarnation
@@ -328,7 +338,7 @@
 		m.fire(sh, "lease-lost")
 		m.publish(i, 0)
 	}
-	if sh.machine.State() == "handing-over" || sh.op != nil || !m.logFresh() {
+	if sh.machine.State() == "handing-over" || sh.op != nil || now < sh.backoff || !m.logFresh() {
 		return
 	}
 	if !m.draining {
@@ -406,7 +416,8 @@
 func (m *Manager) nameSuccessor(i int, now gypsumtide.Millis, live []candidate, b *batch) {
 	sh := &m.shards[i]
 	old := sh.home.Successor
-	if old != "" && !m.gone(old) && now-sh.lastAck < m.cfg.SuccessorLost {
+	// After an outage of the log the peers need a moment to become ready again.
+	if old != "" && !m.gone(old) && now-max(sh.lastAck, m.logBack) < m.cfg.SuccessorLost {
 		return
 	}
 	next := m.pick(i, live, m.cfg.Self.Incarnation, old)
@@ -446,7 +457,7 @@
 func (m *Manager) handover(i int, now gypsumtide.Millis, live []candidate, b *batch) bool {
 	sh := &m.shards[i]
 	state := sh.machine.State()
-	if sh.home.Home != m.cfg.Self.Incarnation || sh.op != nil || state != "serving" && (state != "stopped" || !m.draining) {
+	if sh.home.Home != m.cfg.Self.Incarnation || sh.op != nil || now < sh.backoff || state != "serving" && (state != "stopped" || !m.draining) {
 		return false
 	}
 	to := m.target(i, now, live)
@@ -476,7 +487,7 @@
 		}
 		return m.pick(i, live, self)
 	}
-	if !m.ready() {
+	if !m.eligible() {
 		return ""
 	}
 	best := ranked(uint64(i), live)[0]
