Add a benchmark of a start and a test of the programs

Cause: the cost of a start and the command lines were not measured or tested. Change: sessions and requests of the agent can be replaced in a benchmark; a test runs both programs and stops them while a task runs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,8 @@
 	runCtx context.Context
 	client *http.Client
 
+	// request sends a started task to its upstream.
+	request func(it *item, budget gypsumtide.Millis) wire.Result
 	// stops counts the stop requests in progress.
 	stops sync.WaitGroup
 
@@ -120,6 +122,9 @@
 		Health:             upstream.HealthConfig(cfg.Ejection),
 	}, func() { notify(a.offer); notify(a.wake) })
 	a.counts = newCounts(a)
+	a.request = func(it *item, budget gypsumtide.Millis) wire.Result {
+		return it.slot.Run(a.runCtx, &it.dispatch, budget)
+	}
 	return a, nil
 }
 
--- /dev/null
+++ b/internal/agent/bench_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"gypsumtide"
+	"gypsumtide/internal/settings"
+	"gypsumtide/internal/upstream"
+	"gypsumtide/internal/wire"
+)
+
+// frames takes messages without a network.
+type frames struct{ frame wire.Frame }
+
+func (s *frames) Update(add func(f *wire.Frame)) bool {
+	s.frame = wire.Frame{}
+	add(&s.frame)
+	return true
+}
+
+// BenchmarkDispatchToStart measures a task from the decoded dispatch frame to
+// its start and its result frame, without network and upstream.
+func BenchmarkDispatchToStart(b *testing.B) {
+	cfg := settings.DefaultAgent()
+	// The log writes to nothing; the ledger keeps no results, as for a home that reads them.
+	cfg.ResultBytes = 0
+	a, err := New(cfg, logr.Discard(), gypsumtide.NewSystemClock())
+	if err != nil {
+		b.Fatal(err)
+	}
+	a.request = func(it *item, _ gypsumtide.Millis) wire.Result {
+		return wire.Result{TaskRef: it.dispatch.TaskRef, State: wire.TaskDone, Status: 200, Upstream: it.slot.Upstream()}
+	}
+	if _, err := a.registry.Announce(upstream.Announcement{Name: "u", URL: "http://127.0.0.1:1", Services: []string{"echo"}, TTL: 3_600_000}); err != nil {
+		b.Fatal(err)
+	}
+	l := &link{number: 1, session: &frames{}, welcome: &wire.Welcome{}}
+	a.links[1] = l
+	id, err := gypsumtide.NewSubmissionID()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		binary.BigEndian.PutUint64(id[8:], uint64(i)|1<<63)
+		f := &wire.Frame{Echo: a.clock.Now(), Dispatches: []wire.Dispatch{{TaskRef: wire.TaskRef{Submission: id, Epoch: 1}, Service: "echo", Budget: 1000}}}
+		if err := a.handle(l, f); err != nil {
+			b.Fatal(err)
+		}
+		a.finish(<-a.ended)
+	}
+	if n := a.counts.started.Get(); n != uint64(b.N) {
+		b.Fatalf("%d starts for %d dispatches", n, b.N)
+	}
+}
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -105,7 +105,7 @@
 			r = wire.Result{TaskRef: it.dispatch.TaskRef, State: wire.TaskUnknown, Reason: "agent-fault", Upstream: it.slot.Upstream()}
 		}
 	}()
-	return it.slot.Run(a.runCtx, &it.dispatch, budget)
+	return a.request(it, budget)
 }
 
 // finish records the end of a task and sends its result to the home that asked last.
--- /dev/null
+++ b/internal/agent/program_test.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide/internal/wire"
+)
+
+// Guards against programs whose command lines, settings or signal handling
+// break what the packages do: results lost at SIGTERM, tasks started twice.
+func TestPrograms(t *testing.T) {
+	Convey("agent and stand-in as processes, stopped while a task runs", t, func() {
+		dir := t.TempDir()
+		out, err := exec.Command("go", "build", "-o", dir+"/", "gypsumtide/cmd/gypsumtide-agent", "gypsumtide/cmd/standin-upstream").CombinedOutput()
+		So(string(out), ShouldEqual, "")
+		So(err, ShouldBeNil)
+		e := newFakeEntry(t, "entry")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		listen := l.Addr().String()
+		So(l.Close(), ShouldBeNil)
+		config := filepath.Join(dir, "agent.yaml")
+		So(os.WriteFile(config, fmt.Appendf(nil, "name: a1\nlisten: %s\nentries: [%s]\n", listen, e.server.URL), 0o600), ShouldBeNil)
+		history := filepath.Join(dir, "history")
+		var logs strings.Builder
+		agent := startProgram(t, &logs, dir+"/gypsumtide-agent", "--settings", config)
+		up := startProgram(t, nil, dir+"/standin-upstream", "--agent", "http://"+listen, "--history", history)
+		e.announced("upstream", serving(8))
+		id := newID(t)
+		short, long := wire.TaskRef{Submission: id, Task: 0, Epoch: 1}, wire.TaskRef{Submission: id, Task: 1, Epoch: 1}
+		e.dispatch(dispatch(short, `{"run-ms":1}`), dispatch(long, `{"run-ms":700}`))
+		So(e.result(short, 1).State, ShouldEqual, wire.TaskDone)
+		So(up.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+		So(agent.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+		So(agent.Wait(), ShouldBeNil)
+		So(up.Wait(), ShouldBeNil)
+		So(e.result(long, 1).State, ShouldEqual, wire.TaskDone)
+		data, err := os.ReadFile(history)
+		So(err, ShouldBeNil)
+		So(strings.Count(string(data), `"event":"start"`), ShouldEqual, 2)
+		So(strings.Count(string(data), `"event":"end"`), ShouldEqual, 2)
+		So(logs.String(), ShouldContainSubstring, `"msg":"task started"`)
+	})
+}
+
+// startProgram starts a program that the end of the test kills by its own handle.
+func startProgram(t *testing.T, logs *strings.Builder, path string, args ...string) *exec.Cmd {
+	cmd := exec.Command(path, args...)
+	if logs != nil {
+		cmd.Stderr = logs
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	return cmd
+}
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -23,10 +23,16 @@
 
 var errSecondSession = errors.New("another session to the same entry exists")
 
+// sender is the part of a session that messages are added to.
+type sender interface {
+	// Update adds messages to the next frame.
+	Update(add func(f *wire.Frame)) bool
+}
+
 // link is an established session. Numbers rise with each session.
 type link struct {
 	number  uint64
-	session *wire.Session
+	session sender
 	welcome *wire.Welcome
 	// counters are the session's own, so that a drain can tell when a frame is written.
 	counters *wire.Counters
