Tell refused connections from cut requests by the proxy's own record

Change: the proxy records connections that found no listener, and the schedule marks their attempts as not connected; the excuse in the checker is gone, so it is stricter.

--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -39,6 +39,8 @@
 	delay   time.Duration
 	changed chan struct{}
 	conns   map[*pair]struct{}
+	// refused holds the callers whose connection found no listener at the target.
+	refused map[string]bool
 }
 
 // pair is one proxied connection. A pair that lost bytes cannot carry data again.
@@ -60,7 +62,7 @@
 		return nil, fmt.Errorf("faultproxy: listen: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Proxy{ln: ln, target: target, stop: stop, changed: make(chan struct{}), conns: map[*pair]struct{}{}}
+	p := &Proxy{ln: ln, target: target, stop: stop, changed: make(chan struct{}), conns: map[*pair]struct{}{}, refused: map[string]bool{}}
 	p.done = group.Go(ctx, p.accept)
 	return p, nil
 }
@@ -181,6 +183,14 @@
 	ways.Wait()
 }
 
+// Refused reports whether a connection from the address found no listener at
+// the target. Its caller sees a reset, although nothing reached the target.
+func (p *Proxy) Refused(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[addr]
+}
+
 // dial connects to the target once the mode lets a connection through.
 func (p *Proxy) dial(ctx context.Context, c *pair) bool {
 	m, _, ok := p.await(ctx, func(m mode) bool { return m == forward || m == cut })
@@ -189,6 +199,9 @@
 	}
 	target, err := (&net.Dialer{Timeout: 5 * time.Second}).DialContext(ctx, "tcp", p.target)
 	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.refused[c.caller.RemoteAddr().String()] = true
 		return false
 	}
 	p.mu.Lock()
--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -204,7 +204,7 @@
 func (s *submission) checkCuts(faults []Fault) []Violation {
 	var all []Violation
 	for _, a := range s.attempts {
-		cut := a.Status == 0 && a.Step == StepAnswer && !s.idleClose(a) && !s.refusedByProxy(a, faults)
+		cut := a.Status == 0 && a.Step == StepAnswer && !s.idleClose(a)
 		lost := a.Outcome == string(gypsumtide.OutcomeUnknown) && !a.Cancelled && a.Received < a.Sent+a.Deadline
 		if (cut || lost) && !disturbed(a, faults) {
 			all = append(all, s.violation(RuleCut, "attempt %d at %s: outcome %q, step %s, %s", a.Attempt, a.Entry, a.Outcome, a.Step, a.Detail))
@@ -220,20 +220,6 @@
 	return a.Reused && a.Received-a.Sent < idleRace && len(s.starts) == 0
 }
 
-// restartTime is how long a restarted entry may take until it listens.
-const restartTime = 1_000
-
-// refusedByProxy reports whether the request met a proxy of a stopped entry
-// and cannot have been accepted, as no task of it started.
-func (s *submission) refusedByProxy(a Attempt, faults []Fault) bool {
-	for _, f := range faults {
-		if f.Entry != "" && f.Entry == a.Entry && f.From <= a.Sent && a.Sent <= f.Until+restartTime && len(s.starts) == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // disturbed reports whether a fault other than a graceful stop can have touched the attempt.
 func disturbed(a Attempt, faults []Fault) bool {
 	for _, f := range faults {
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -38,6 +38,8 @@
 	// Reused marks a request on a connection that had been idle. The entry may
 	// have closed it before the request arrived.
 	Reused bool `json:"reused-connection,omitempty"`
+	// Local is the caller's address of the connection.
+	Local string `json:"local,omitempty"`
 }
 
 // Values of Attempt.Check.
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -118,7 +118,9 @@
 		return 0, fmt.Errorf("load: request: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { h.Reused = c.Reused }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		h.Reused, h.Local = c.Reused, c.Conn.LocalAddr().String()
+	}}
 	res, err := r.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return 0, fmt.Errorf("load: submit: %w", err)
--- a/internal/standin/schedule/run.go
+++ b/internal/standin/schedule/run.go
@@ -94,6 +94,7 @@
 		return nil, err
 	}
 	res.Faults, res.Problems = r.faults, r.problems
+	markRefused(res.Attempts, d)
 	res.Violations = history.Check(res.Attempts, events, r.faults)
 	return res, nil
 }
@@ -254,3 +255,16 @@
 	}
 	return errors.Join(errs...)
 }
+
+// markRefused corrects the step of requests that only reached a proxy, since
+// the entry behind it had closed its listener.
+func markRefused(attempts []history.Attempt, d *deployment.Deployment) {
+	for i := range attempts {
+		a := &attempts[i]
+		for _, p := range d.Links() {
+			if a.Status == 0 && p.Refused(a.Local) {
+				a.Step = history.StepConnect
+			}
+		}
+	}
+}
