Charge a start to the attempt that caused it

Cause: the rule cut-by-shutdown reported 9 requests that met the proxy of a stopped entry, because it counted the starts of the retry through another entry as theirs. The rule was wrong: those starts happened after the retry was sent. Change: a start counts for an attempt unless another answered attempt was sent before it; the two excuses use this, and two mutated histories guard both sides.

--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -217,17 +217,26 @@
 // as the request was sent, which HTTP/1.1 cannot rule out. A request whose
 // tasks started was in progress.
 func (s *submission) idleClose(a Attempt) bool {
-	return a.Reused && a.Received-a.Sent < idleRace && len(s.starts) == 0
+	return a.Reused && a.Received-a.Sent < idleRace && !s.startedBy(a)
+}
+
+// startedBy reports whether a task started that no answered attempt but a can have caused.
+func (s *submission) startedBy(a Attempt) bool {
+	return slices.ContainsFunc(s.starts, func(e Event) bool {
+		return a.Sent <= e.Wall+tolerance && !slices.ContainsFunc(s.attempts, func(b Attempt) bool {
+			return b.Attempt != a.Attempt && b.Status != 0 && b.mayStart() && b.Sent <= e.Wall+tolerance
+		})
+	})
 }
 
 // restartTime is how long a restarted entry may take until it listens.
 const restartTime = 1_000
 
 // refusedByProxy reports whether the request met a proxy of a stopped entry
-// and cannot have been accepted, as no task of it started.
+// and cannot have been accepted, as it started no task.
 func (s *submission) refusedByProxy(a Attempt, faults []Fault) bool {
 	for _, f := range faults {
-		if f.Entry != "" && f.Entry == a.Entry && f.From <= a.Sent && a.Sent <= f.Until+restartTime && len(s.starts) == 0 {
+		if f.Entry != "" && f.Entry == a.Entry && f.From <= a.Sent && a.Sent <= f.Until+restartTime && !s.startedBy(a) {
 			return true
 		}
 	}
--- a/internal/standin/history/check_test.go
+++ b/internal/standin/history/check_test.go
@@ -115,6 +115,23 @@
 			w.attempts[5].Entry = "e2"
 			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
 		}, nil},
+		// The retry through another entry starts the job, not the refused request.
+		{"proxy of a stopped entry, then a retry", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 790, Until: 850}
+			w.attempts[5].Entry, w.attempts[5].Received = "e2", 801
+			retry := w.attempts[4]
+			retry.Submission, retry.Sent, retry.Received = "d", 802, 950
+			w.attempts = append(w.attempts, retry)
+			w.events = append(w.events, Event{Event: EventStart, Submission: "d", Task: 1, Wall: 850, Upstream: "u1"})
+		}, nil},
+		{"start before the retry", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 790, Until: 850}
+			w.attempts[5].Entry, w.attempts[5].Received = "e2", 801
+			retry := w.attempts[4]
+			retry.Submission, retry.Sent, retry.Received = "d", 852, 950
+			w.attempts = append(w.attempts, retry)
+			w.events = append(w.events, Event{Event: EventStart, Submission: "d", Task: 1, Wall: 855, Upstream: "u1"})
+		}, []Rule{RuleCut}},
 		{"request sent before its entry stopped", func(w *world) {
 			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 810, Until: 850}
 			w.attempts[5].Entry = "e2"
--- a/internal/standin/schedule/run.go
+++ b/internal/standin/schedule/run.go
@@ -80,10 +80,12 @@
 	if res.Report, err = r.disturb(ctx); err != nil {
 		return nil, err
 	}
+	ended := time.Now()
 	if err := d.WaitReady(ctx); err != nil {
 		r.problem("no recovery after the last fault: %v", err)
 		r.saveStatus(ctx)
 	}
+	r.printf("ready %s after load and faults", time.Since(ended).Round(time.Millisecond))
 	r.checkRevision(ctx)
 	r.checkAlive()
 	if res.Attempts, err = history.Read[history.Attempt](path); err != nil {
@@ -136,6 +138,7 @@
 	if err := g.Wait(); err != nil {
 		return nil, fmt.Errorf("schedule: %w", err)
 	}
+	r.printf("load and faults ended after %s", time.Since(started).Round(time.Millisecond))
 	return rep, nil
 }
 
