--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -32,6 +33,7 @@
 		Version: Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7000", Usage: "`URL` of an entry", Sources: cli.EnvVars("GYPSUMTIDE_ENTRY")},
+			&cli.BoolFlag{Name: "json", Usage: "print the answer of the entry as JSON"},
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the key of the operators", Sources: cli.EnvVars("GYPSUMTIDE_KEY_FILE")},
 		},
 		Commands: []*cli.Command{
@@ -184,6 +186,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := writeJSON(cmd, current); done {
+		return err
+	}
 	w := cmd.Root().Writer
 	if current.Revision == 0 {
 		fmt.Fprintln(w, "# revision 0: nothing published, the defaults apply")
@@ -197,6 +202,16 @@
 	return nil
 }
 
+// writeJSON prints an answer if the flag json asks for it.
+func writeJSON(cmd *cli.Command, answer any) (done bool, err error) {
+	if !cmd.Bool("json") {
+		return false, nil
+	}
+	enc := json.NewEncoder(cmd.Root().Writer)
+	enc.SetIndent("", "  ")
+	return true, enc.Encode(answer)
+}
+
 func timeText(m gypsumtide.Millis) string {
 	return time.UnixMilli(int64(m)).UTC().Format(time.RFC3339)
 }
@@ -210,6 +225,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := writeJSON(cmd, history); done {
+		return err
+	}
 	return writeTable(cmd.Root().Writer, "TIME\tAUTHOR\tBASE\tRESULT", len(history), func(i int) string {
 		e := history[i]
 		result := fmt.Sprintf("revision %d", e.Revision)
@@ -229,6 +247,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := writeJSON(cmd, e); done {
+		return err
+	}
 	w := cmd.Root().Writer
 	fmt.Fprintf(w, "revision %d\npool %s: placement %s, queue %s, overcommit %d, reserve-short-percent %d\n",
 		e.Revision, e.Pool.Name, e.Pool.Placement, e.Pool.Queue, e.Pool.Overcommit, e.Pool.ReserveShortPercent)
@@ -265,6 +286,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := writeJSON(cmd, nodes); done {
+		return err
+	}
 	return writeTable(cmd.Root().Writer, "NAME\tKIND\tZONE\tRACK\tSTATE\tREVISION\tSHARDS\tSLOTS\tRUNNING\tQUEUED", len(nodes), func(i int) string {
 		n := nodes[i]
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d", n.Name, n.Kind, n.Zone, n.Rack, n.State, n.Revision, n.Shards, n.Slots, n.Running, n.Queued)
--- a/internal/journal/client_test.go
+++ b/internal/journal/client_test.go
@@ -61,6 +61,39 @@
 			}
 		})
 	}
+	Convey("Client and stand-in keep the contract of gypsumtide.Log", t, func() {
+		s, url := startLog(t, 0)
+		client := NewClient(url, &http.Client{}, 0)
+		for i := range uint64(3) {
+			offset, err := client.Append(context.Background(), "s", []byte{byte(i)})
+			So(err, ShouldBeNil)
+			So(offset, ShouldEqual, i)
+		}
+		s.Trim("s", 1)
+		for _, c := range []struct {
+			from, next, first uint64
+			records           int
+			wait              gypsumtide.Millis
+			err               bool
+		}{
+			{from: 1, next: 3, records: 2, wait: 5000},
+			{from: 2, next: 3, records: 1},
+			{from: 3, next: 3, wait: 50},
+			{from: 0, first: 1, err: true},
+			{from: 4, err: true},
+		} {
+			began := time.Now()
+			records, next, err := client.Read(context.Background(), "s", c.from, c.wait)
+			So(err != nil, ShouldEqual, c.err)
+			So(next, ShouldEqual, c.next)
+			So(records, ShouldHaveLength, c.records)
+			// Only a read at the end of the stream waits.
+			So(time.Since(began), ShouldBeLessThan, 4*time.Second)
+			So(c.wait != 50 || time.Since(began) >= 50*time.Millisecond, ShouldBeTrue)
+			var trimmed *gypsumtide.TrimmedError
+			So(errors.As(err, &trimmed), ShouldEqual, c.first > 0)
+		}
+	})
 	Convey("A log that does not answer ends both calls in time", t, func() {
 		release := make(chan struct{})
 		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -108,6 +108,21 @@
 	return f.ready
 }
 
+// AwaitReady waits until the follower is ready or ctx is done.
+func (f *Follower) AwaitReady(ctx context.Context) error {
+	for {
+		changed := f.Changed()
+		if f.Ready() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("journal: await %s: %w: %w", f.stream, ErrNotReady, ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
 // Position returns the offset after the last record that the fold contains.
 func (f *Follower) Position() uint64 {
 	f.mu.RLock()
