object: look references up by map and bound limit chains

Cause: a set for 390 teams took 220 ms to parse, because each reference sorted all names; the parser runs while readers of the fold wait. Chains of parents had no bound.

--- a/internal/object/parse_test.go
+++ b/internal/object/parse_test.go
@@ -87,6 +87,17 @@
 			}
 		})
 	}
+	Convey("A chain of limits is bounded", t, func() {
+		var text strings.Builder
+		for i := range maxLimitDepth + 1 {
+			fmt.Fprintf(&text, "kind: limit\nname: l%d\nrate: 1\nparent: l%d\n---\n", i, i+1)
+		}
+		text.WriteString(limit)
+		_, err := Parse(File{"a.yaml", []byte(strings.Replace(text.String(), "name: l\n", "name: l17\n", 1))})
+		So(err, ShouldNotBeNil)
+		So(strings.Split(err.Error(), "\n"), ShouldHaveLength, 2)
+		So(err.Error(), ShouldStartWith, "a.yaml:4: limit l0: parent: more than 16 limits in a chain\n")
+	})
 	Convey("Errors of several files follow the order of the files", t, func() {
 		_, err := Parse(File{"z.yaml", []byte("kind: a\n")}, File{"b.yaml", []byte("kind: pool\nname: p\n---\nkind: b\n")}, File{"c.yaml", []byte("kind: pool\nname: p\n")})
 		So(err, ShouldNotBeNil)
--- a/internal/object/reference.go
+++ b/internal/object/reference.go
@@ -35,11 +35,24 @@
 			continue
 		}
 		at := p.at[from]
-		p.fail(at.file, at.key(key), "%s %s: %s: there is no %s %q%s", from.kind, from.name, key, kind, name, hint(name, p.set.names(kind)))
+		near := ""
+		if len(p.errs) < maxHints {
+			near = hint(name, p.set.names(kind))
+		}
+		p.fail(at.file, at.key(key), "%s %s: %s: there is no %s %q%s", from.kind, from.name, key, kind, name, near)
 	}
 }
 
-// checkCycle reports a cycle of parents once, at its first limit by name.
+const (
+	// maxHints bounds the search for similar names, which compares each
+	// missing name with all others.
+	maxHints = 100
+	// maxLimitDepth bounds the limits that one task is charged to.
+	maxLimitDepth = 16
+)
+
+// checkCycle reports a cycle of parents once, at its first limit by name, and
+// chains that are too long.
 func (p *parser) checkCycle(o Limit) {
 	path := []string{o.Name}
 	for next := o.Parent; next != ""; next = p.set.limits[next].Parent {
@@ -53,6 +66,11 @@
 		if slices.Contains(path, next) {
 			return
 		}
+		if len(path) == maxLimitDepth {
+			at := p.at[ref{KindLimit, o.Name}]
+			p.fail(at.file, at.key("parent"), "limit %s: parent: more than %d limits in a chain", o.Name, maxLimitDepth)
+			return
+		}
 		path = append(path, next)
 	}
 }
--- a/internal/object/set.go
+++ b/internal/object/set.go
@@ -113,7 +113,22 @@
 	return nil
 }
 
-func (s *Set) has(kind, name string) bool { return slices.Contains(s.names(kind), name) }
+func (s *Set) has(kind, name string) bool {
+	var ok bool
+	switch kind {
+	case KindService:
+		_, ok = s.services[name]
+	case KindPool:
+		_, ok = s.pools[name]
+	case KindLimit:
+		_, ok = s.limits[name]
+	case KindRoute:
+		_, ok = s.routes[name]
+	case KindTeam:
+		_, ok = s.teams[name]
+	}
+	return ok
+}
 
 // LimitChain returns the limits with the given names and their parents, each once.
 func (s *Set) LimitChain(names ...string) []Limit {
