--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -49,7 +49,6 @@
 	offer chan struct{}
 	// runCtx ends the requests to upstreams when the agent stops.
 	runCtx context.Context
-	client *http.Client
 
 	// request sends a started task to its upstream.
 	request func(it *item, budget gypsumtide.Millis) wire.Result
@@ -94,13 +93,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := clientTLS(cfg.TLS); err != nil {
+		return nil, err
+	}
 	a := &Agent{
 		cfg:         cfg,
 		key:         key,
 		log:         log,
 		clock:       clock,
 		incarnation: id.String(),
-		client:      &http.Client{},
 		ended:       make(chan ended, 64),
 		wake:        make(chan struct{}, 1),
 		offer:       make(chan struct{}, 1),
@@ -119,6 +120,7 @@
 		MaxRunTime:         cfg.MaxRunTime,
 		MaxBody:            maxBody,
 		Key:                key,
+		TLS:                func() (*tls.Config, error) { return clientTLS(cfg.TLS) },
 		Health:             upstream.HealthConfig(cfg.Ejection),
 	}, func() { notify(a.offer); notify(a.wake) })
 	a.counts = newCounts(a)
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,9 +35,22 @@
 }
 
 func newFakeEntry(t *testing.T, name string) *fakeEntry {
+	return newFakeEntryTLS(t, name, nil)
+}
+
+// newFakeEntryTLS returns an entry that serves TLS if secure is set.
+func newFakeEntryTLS(t *testing.T, name string, secure *tls.Config) *fakeEntry {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &fakeEntry{t: t, incarnation: name + "-1", clock: gypsumtide.NewSystemClock(), ctx: ctx}
-	e.server = httptest.NewServer(http.HandlerFunc(e.accept))
+	e.server = httptest.NewUnstartedServer(http.HandlerFunc(e.accept))
+	if secure != nil {
+		// StartTLS would add its own certificate, which wins over secure.
+		e.server.Listener = tls.NewListener(e.server.Listener, secure)
+	}
+	e.server.Start()
+	if secure != nil {
+		e.server.URL = strings.Replace(e.server.URL, "http:", "https:", 1)
+	}
 	t.Cleanup(func() {
 		cancel()
 		e.server.Close()
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -46,10 +47,17 @@
 }
 
 func (a *Agent) listen() (net.Listener, error) {
+	secure, err := serverTLS(a.cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
 	l, err := net.Listen("tcp", a.cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("agent: listen: %w", err)
 	}
+	if secure != nil {
+		l = tls.NewListener(l, secure)
+	}
 	a.mu.Lock()
 	a.address = l.Addr().String()
 	a.mu.Unlock()
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -106,7 +107,15 @@
 	timing := wire.Timing{Heartbeat: a.cfg.Heartbeat, Silence: a.cfg.Silence}
 	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	s, err := wire.Dial(hctx, a.client, sessionURL(t.url), a.key, a.clock, timing, counters)
+	secure, err := clientTLS(a.cfg.TLS)
+	if err != nil {
+		return false, err
+	}
+	// WebSocket needs HTTP/1.1.
+	transport := &http.Transport{TLSClientConfig: secure, Protocols: new(http.Protocols)}
+	transport.Protocols.SetHTTP1(true)
+	defer transport.CloseIdleConnections()
+	s, err := wire.Dial(hctx, &http.Client{Transport: transport}, sessionURL(t.url), a.key, a.clock, timing, counters)
 	if err != nil {
 		return false, err
 	}
--- a/internal/cli/standin_upstream.go
+++ b/internal/cli/standin_upstream.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 
@@ -33,6 +36,7 @@
 			&cli.Int64Flag{Name: "ttl-ms", Value: int64(d.TTL), Usage: "time to live of the lease"},
 			&cli.Int64Flag{Name: "usage-lag-ms", Value: int64(d.UsageLag), Usage: "age of the reported use"},
 			&cli.StringFlag{Name: "history", Usage: "append starts and ends to `FILE`"},
+			&cli.StringFlag{Name: "authority-file", Usage: "PEM `FILE` that verifies the agent"},
 			&cli.StringFlag{Name: "shared-key-file", Usage: "`FILE` with the shared key"},
 		},
 		Action: runStandinUpstream,
@@ -59,9 +63,29 @@
 		}
 		cfg.Key = strings.TrimSpace(string(data))
 	}
+	if path := cmd.String("authority-file"); path != "" {
+		client, err := clientWith(path)
+		if err != nil {
+			return err
+		}
+		cfg.Client = client
+	}
 	w, err := worker.New(cfg)
 	if err != nil {
 		return err
 	}
 	return w.Run(ctx)
 }
+
+// clientWith returns a client that verifies servers by the PEM file.
+func clientWith(path string) (*http.Client, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("standin-upstream: authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("standin-upstream: authority: no certificate in %s", path)
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}}}, nil
+}
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -87,7 +87,7 @@
 	if w.cfg.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+w.cfg.Key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := w.cfg.Client.Do(req)
 	if err != nil {
 		return gypsumtide.NewError(method+" "+path, w.cfg.Agent, err)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -39,6 +39,8 @@
 	History string
 	// Key is presented to the agent and asked from it, if it is set.
 	Key string
+	// Client calls the agent; nil means the default client.
+	Client *http.Client
 	// Exit ends the process for the fault die. It must not return to the caller's work.
 	Exit func()
 }
@@ -86,6 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Client == nil {
+		cfg.Client = http.DefaultClient
+	}
 	set := metrics.NewSet()
 	return &Worker{
 		cfg:     cfg,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -22,7 +23,7 @@
 	transport *http.Transport
 }
 
-func newClient(connections int) *client {
+func newClient(connections int, secure *tls.Config) *client {
 	dialer := &net.Dialer{Timeout: 2 * time.Second}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -32,6 +33,7 @@
 			}
 			return &countedConn{Conn: conn}, nil
 		},
+		TLSClientConfig:     secure,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net/url"
@@ -36,6 +37,8 @@
 	MaxBody int64
 	// Key is presented to upstreams and asked from them, if it is set.
 	Key string
+	// TLS returns the configuration for upstreams with an https URL; nil means the default.
+	TLS func() (*tls.Config, error)
 	// Health controls ejection.
 	Health HealthConfig
 }
@@ -100,6 +103,10 @@
 	if err := r.complete(&a); err != nil {
 		return Lease{}, fmt.Errorf("upstream: announce: %w", err)
 	}
+	secure, err := r.tls()
+	if err != nil {
+		return Lease{}, fmt.Errorf("upstream: announce: %w", err)
+	}
 	r.mu.Lock()
 	e := r.upstreams[a.Name]
 	if e == nil {
@@ -108,7 +115,7 @@
 	}
 	if e.client == nil || e.URL != a.URL || e.Connections != a.Connections {
 		e.client.close()
-		e.client = newClient(a.Connections)
+		e.client = newClient(a.Connections, secure)
 	}
 	r.generation++
 	e.Announcement = a
@@ -121,6 +128,13 @@
 	return lease, nil
 }
 
+func (r *Registry) tls() (*tls.Config, error) {
+	if r.cfg.TLS == nil {
+		return nil, nil
+	}
+	return r.cfg.TLS()
+}
+
 func (r *Registry) complete(a *Announcement) error {
 	if a.Name == "" {
 		return errors.New("name must not be empty")
--- a/internal/upstream/run_test.go
+++ b/internal/upstream/run_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
@@ -232,6 +234,42 @@
 	})
 }
 
+// Guards against a false "not started" over TLS, where the counted connection
+// lies below another one, and against upstreams that are not verified.
+func TestRunTLS(t *testing.T) {
+	broken := false
+	srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("x"))
+	}))
+	defer srv.Close()
+	pool := x509.NewCertPool()
+	pool.AddCert(srv.Certificate())
+	for _, c := range []struct {
+		name    string
+		trusted bool
+		broken  bool
+		state   wire.TaskState
+	}{
+		{"answer", true, false, wire.TaskDone},
+		{"broken after the request", true, true, wire.TaskUnknown},
+		{"not trusted", false, false, wire.TaskNotStarted},
+	} {
+		Convey(c.name, t, func() {
+			broken = c.broken
+			cfg := testConfig()
+			if c.trusted {
+				cfg.TLS = func() (*tls.Config, error) { return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}, nil }
+			}
+			r := New(&testClock{now: 1}, cfg, func() {})
+			announce(r, "u", func(a *Announcement) { a.URL = srv.URL })
+			So(sendOn(r, 1, "payload").State, ShouldEqual, c.state)
+		})
+	}
+}
+
 // BenchmarkSlot measures the registry's share of a start, without the network.
 func BenchmarkSlot(b *testing.B) {
 	r := New(&testClock{now: 1}, testConfig(), func() {})
