Bound wall clock jumps, second addresses and idle cost of the agent

Cause: a wall clock that jumped ahead and back made the ledger refuse all new ids for the length of the jump; an entry with two addresses was dialled each second; an unknown task lost its reason. Change: the ledger's wall clock advances at most at twice the monotonic speed; an address of a connected entry is not dialled; entries keep the reason.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -334,6 +334,26 @@
 	})
 }
 
+// Guards against an agent that dials an entry by two addresses in turn, which
+// would break the first session with each dial.
+func TestSecondAddress(t *testing.T) {
+	Convey("two addresses of one entry make one session", t, func() {
+		e := newFakeEntry(t, "entry")
+		a, _ := startAgent(t, func(cfg *settings.Agent) {
+			cfg.Entries = append(cfg.Entries, strings.Replace(e.server.URL, "127.0.0.1", "localhost", 1))
+		}, e)
+		e.session(1)
+		time.Sleep(700 * time.Millisecond)
+		e.mu.Lock()
+		dials := len(e.keys)
+		e.mu.Unlock()
+		So(dials, ShouldBeLessThanOrEqualTo, 2)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		So(len(a.links), ShouldEqual, 1)
+	})
+}
+
 // Guards against wrong statements about tasks when the upstream fails.
 func TestUpstreamFaults(t *testing.T) {
 	Convey("a refusal is a promise, and the task may come again", t, func() {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -19,6 +19,9 @@
 		if !accepted {
 			a.reply(l, answer)
 			a.follow(l, answer)
+			if answer.State == 0 {
+				continue
+			}
 			a.decide("task not accepted", &d.TaskRef, answer.State.String(), answer.Reason, "")
 			continue
 		}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -48,7 +48,7 @@
 
 // decide writes the log line of a decision, sampled, and counts refusals by reason.
 func (a *Agent) decide(event string, ref *wire.TaskRef, state, reason, upstream string) {
-	if reason != "" {
+	if state == wire.TaskNotStarted.String() {
 		a.metrics.GetOrCreateCounter(`gypsumtide_agent_refusals_total{reason="` + reason + `"}`).Inc()
 	}
 	n := a.cfg.Log.DecisionSample
--- a/internal/agent/program_test.go
+++ b/internal/agent/program_test.go
@@ -6,9 +6,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -52,6 +54,46 @@
 	})
 }
 
+// Guards against an idle agent that costs more than the design page allows for
+// the control of a node: 2% of a core, 64 MB, 10 KB/s.
+func TestIdleCost(t *testing.T) {
+	Convey("an idle agent with two entries", t, func() {
+		dir := t.TempDir()
+		out, err := exec.Command("go", "build", "-o", dir+"/", "gypsumtide/cmd/gypsumtide-agent").CombinedOutput()
+		So(string(out), ShouldEqual, "")
+		So(err, ShouldBeNil)
+		one, two := newFakeEntry(t, "one"), newFakeEntry(t, "two")
+		config := filepath.Join(dir, "agent.yaml")
+		So(os.WriteFile(config, fmt.Appendf(nil, "listen: 127.0.0.1:0\nentries: [%s, %s]\n", one.server.URL, two.server.URL), 0o600), ShouldBeNil)
+		cmd := startProgram(t, nil, dir+"/gypsumtide-agent", "--settings", config)
+		one.session(1)
+		two.session(1)
+		ticks := func() (n int64) {
+			data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", cmd.Process.Pid))
+			So(err, ShouldBeNil)
+			// Fields 14 and 15 are the user and system time in hundredths of a second.
+			fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')'):]))
+			for _, f := range fields[12:14] {
+				v, err := strconv.ParseInt(f, 10, 64)
+				So(err, ShouldBeNil)
+				n += v
+			}
+			return n
+		}
+		counters := func() uint64 { return one.counters.BytesReceived() + one.counters.BytesSent() }
+		cpu, bytes := ticks(), counters()
+		time.Sleep(4 * time.Second)
+		cpu, bytes = ticks()-cpu, counters()-bytes
+		So(cmd.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+		So(cmd.Wait(), ShouldBeNil)
+		memory := cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss
+		t.Logf("%.2f%% of a core, %d KiB, %d bytes/s with one entry", float64(cpu)/4, memory, bytes/4)
+		So(cpu, ShouldBeLessThanOrEqualTo, 8)
+		So(memory, ShouldBeLessThanOrEqualTo, 64<<10)
+		So(2*bytes/4, ShouldBeLessThanOrEqualTo, 10_000)
+	})
+}
+
 // startProgram starts a program that the end of the test kills by its own handle.
 func startProgram(t *testing.T, logs *strings.Builder, path string, args ...string) *exec.Cmd {
 	cmd := exec.Command(path, args...)
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"gypsumtide"
+	"gypsumtide/internal/group"
 	"gypsumtide/internal/wire"
 )
 
@@ -47,21 +47,23 @@
 	fixed  bool
 	cancel context.CancelFunc
 	link   *link
+	// incarnation is the entry met at the address last.
+	incarnation string
 }
 
 // dialEntries keeps a session to each entry until ctx is done.
 func (a *Agent) dialEntries(ctx context.Context) error {
-	var wg sync.WaitGroup
+	g := group.New(ctx)
 	a.mu.Lock()
 	a.dial = func(url string, fixed bool) {
-		tctx, cancel := context.WithCancel(ctx)
+		tctx, cancel := context.WithCancel(g.Context())
 		t := &target{url: url, fixed: fixed, cancel: cancel}
 		a.targets[url] = t
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		g.Add("session "+url, func(context.Context) error {
+			defer cancel()
 			a.keepSession(tctx, t)
-		}()
+			return nil
+		})
 	}
 	for _, url := range a.cfg.Entries {
 		if url = normalURL(url); a.targets[url] == nil {
@@ -69,12 +71,15 @@
 		}
 	}
 	a.mu.Unlock()
-	<-ctx.Done()
-	a.mu.Lock()
-	a.dial = nil
-	a.mu.Unlock()
-	wg.Wait()
-	return ctx.Err()
+	// This member keeps the group open for entries that are learned later.
+	g.Add("learn", func(ctx context.Context) error {
+		<-ctx.Done()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.dial = nil
+		return nil
+	})
+	return g.Wait()
 }
 
 // keepSession dials again after each break, with a growing back-off.
@@ -103,6 +108,13 @@
 }
 
 func (a *Agent) runSession(ctx context.Context, t *target) (established bool, err error) {
+	a.mu.Lock()
+	second := a.connected(t.incarnation)
+	a.mu.Unlock()
+	if second {
+		// A dial would make the entry replace the session of the other address.
+		return false, errSecondSession
+	}
 	counters := &wire.Counters{}
 	timing := wire.Timing{Heartbeat: a.cfg.Heartbeat, Silence: a.cfg.Silence}
 	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -155,7 +167,8 @@
 func (a *Agent) open(t *target, l *link) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.connected(l.welcome.Incarnation) {
+	t.incarnation = l.welcome.Incarnation
+	if a.connected(t.incarnation) {
 		return errSecondSession
 	}
 	a.lastLink++
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -24,8 +24,10 @@
 	// epoch is that of the dispatch; for a promise it is the epoch that the promise covers.
 	epoch uint64
 	kept  *retained
-	task  uint32
-	state state
+	// reason says why the state is unknown.
+	reason string
+	task   uint32
+	state  state
 }
 
 type submission struct {
@@ -119,7 +121,7 @@
 	case stateRunning:
 		return wire.Result{TaskRef: ref, State: wire.TaskRunning}
 	}
-	return wire.Result{TaskRef: ref, State: wire.TaskUnknown, Reason: ReasonResultDropped}
+	return wire.Result{TaskRef: ref, State: wire.TaskUnknown, Reason: e.reason}
 }
 
 func (e *entry) started() bool {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -88,6 +88,8 @@
 	// horizon is the stamp below which ids are refused. It never falls, so that
 	// a wall clock set back does not readmit an id that was forgotten.
 	horizon  gypsumtide.Millis
+	wall     gypsumtide.Millis
+	wallAt   gypsumtide.Millis
 	retained []*retained
 	bytes    int
 	entries  int
@@ -99,6 +101,8 @@
 		clock:   clock,
 		limits:  limits,
 		buckets: make(map[int64]map[gypsumtide.SubmissionID]*submission),
+		wall:    clock.Wall(),
+		wallAt:  clock.Now(),
 	}
 	for i := range l.queued {
 		l.queued[i] = make(map[*entry]struct{})
@@ -145,6 +149,7 @@
 		l.move(e, statePromised)
 	default:
 		l.move(e, stateUnknown)
+		e.reason = r.Reason
 	}
 	return Answer{asker: e.asker, result: r}, nil
 }
--- a/internal/ledger/retain.go
+++ b/internal/ledger/retain.go
@@ -36,6 +36,7 @@
 		l.bytes -= k.bytes
 		k.entry.kept = nil
 		l.move(k.entry, stateUnknown)
+		k.entry.reason = ReasonResultDropped
 		n++
 	}
 	clear(l.retained[:n])
@@ -80,9 +81,14 @@
 }
 
 // advanceHorizon moves the horizon to a bucket boundary, so that a bucket is
-// either wholly refused or wholly remembered.
+// either wholly refused or wholly remembered. The wall clock counts at most at
+// twice the speed of the monotonic one: after a jump ahead that is corrected
+// soon, the ledger would otherwise refuse all new ids for the length of the jump.
 func (l *Ledger) advanceHorizon() {
-	h := gypsumtide.Millis(bucketOf(l.clock.Wall()-l.limits.IDRetention)) * bucketMillis
+	now := l.clock.Now()
+	l.wall = max(l.wall, min(l.clock.Wall(), l.wall+2*(now-l.wallAt)))
+	l.wallAt = now
+	h := gypsumtide.Millis(bucketOf(l.wall-l.limits.IDRetention)) * bucketMillis
 	l.horizon = max(l.horizon, h)
 }
 
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -228,7 +228,7 @@
 			continue
 		}
 		state := e.health.stateAt(now)
-		u := wire.Upstream{Name: e.Name, Services: e.Services, Slots: e.Slots, Capacity: e.Capacity, Leaving: e.leaving, Ejected: state == healthEjected}
+		u := wire.Upstream{Name: e.Name, Services: e.Services, Slots: min(e.Slots, e.Connections), Capacity: e.Capacity, Leaving: e.leaving, Ejected: state == healthEjected}
 		if state == healthProbing {
 			u.Slots = 1
 		}
