Admit by the forecast of the queue's backlog, per pool and class

Change: one admission per pool and class, fed with the backlog, the slowest run time of the job and the free slots.

--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -17,7 +17,7 @@
 	queue      gypsumtide.Queue
 	placer     gypsumtide.Placer
 	learner    *queue.Learner
-	admission  *limit.Admission
+	admission  [2]*limit.Admission
 	retries    *limit.RetryBudget
 	candidates map[string]*candidates
 	slots      int
@@ -48,8 +48,11 @@
 	}
 	return &pool{
 		spec: spec, queue: q, placer: placer,
-		learner:    queue.NewLearner(queue.LearnerOptions{}),
-		admission:  limit.NewAdmission(limit.AdmissionOptions{}),
+		learner: queue.NewLearner(queue.LearnerOptions{}),
+		admission: [2]*limit.Admission{
+			gypsumtide.ClassShort: limit.NewAdmission(limit.AdmissionOptions{}),
+			gypsumtide.ClassLong:  limit.NewAdmission(limit.AdmissionOptions{}),
+		},
 		retries:    limit.NewRetryBudget(limit.RetryOptions{}, now),
 		candidates: make(map[string]*candidates),
 	}, nil
@@ -99,7 +102,7 @@
 func (p *pool) observe(c *agentConn, t *gypsumtide.Task, r *wire.Result, now gypsumtide.Millis) {
 	p.learner.Observe(t.Service(), c.record.Name, r.RunTime)
 	c.view.SetSpeed(p.learner.Speed(c.record.Name))
-	p.admission.Served(1, p.queue.Len(), now)
+	p.admission[t.Class()].Served(1, p.queue.Len(), now)
 }
 
 // admit asks the deadline admission and the quotas whether the job may enter.
@@ -107,10 +110,13 @@
 	req := aj.Request()
 	n := len(req.Tasks)
 	class := p.learner.Classify(req.Service, req.Tasks[0].RunTime)
-	v := p.admission.Admit(limit.Forecast{
-		Ahead: p.ahead(req.Team, class, n), Tasks: n,
-		RunTime: p.learner.Quantile(req.Service, 0.5), MeanRunTime: p.learner.Mean(req.Service),
-		Slots: p.slots, Deadline: aj.Deadline(),
+	v := p.admission[class].Admit(limit.Forecast{
+		Tasks:       n,
+		Backlog:     p.backlog(req.Team, class, now),
+		Slowest:     func(n int) gypsumtide.Millis { return p.learner.Slowest(req.Service, n) },
+		MeanRunTime: p.learner.Mean(req.Service),
+		Slots:       p.slots, Free: p.free(req.Service),
+		Deadline: aj.Deadline(),
 	}, now)
 	if !v.Admit() {
 		return v
@@ -132,14 +138,26 @@
 	return gypsumtide.Admitted()
 }
 
-// ahead counts the waiting tasks that leave before the last task of a job of n tasks.
-func (p *pool) ahead(team string, class gypsumtide.Class, n int) int {
-	if q, ok := p.queue.(interface {
-		AheadOfJob(team string, class gypsumtide.Class, n int) int
-	}); ok {
-		return q.AheadOfJob(team, class, n)
-	}
-	return p.queue.Ahead(team, class)
+// backlog describes what waits for a new job of the team and class.
+func (p *pool) backlog(team string, class gypsumtide.Class, now gypsumtide.Millis) queue.Backlog {
+	q, ok := p.queue.(queue.Backlogger)
+	if !ok {
+		return queue.Backlog{Share: 1, Total: p.queue.Len()}
+	}
+	return q.Backlog(team, class, now)
+}
+
+// free returns the number of slots for the service that are believed free.
+func (p *pool) free(service string) int {
+	c := p.candidates[service]
+	if c == nil {
+		return 0
+	}
+	n := 0
+	for _, v := range c.views {
+		n += max(0, v.Slots()-v.Open())
+	}
+	return n
 }
 
 // candidates are the agents that serve a service, as the placement sees them.
