--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -93,7 +93,8 @@
 
 // ReadAt returns the sending time, on the monotonic clock, of the newest
 // successful read that reached the end of the stream; 0 means never. The
-// records of that read have been applied.
+// records of that read have been applied, so a View after ReadAt shows a fold
+// that is at least as new as the time returned.
 func (f *Follower) ReadAt() gypsumtide.Millis {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
