--- a/internal/placement/believed.go
+++ b/internal/placement/believed.go
@@ -31,8 +31,8 @@
 	remotePenalty = 0.5
 	// reportWeight is the weight of a fresh report against the mean of all
 	// agents. Homes that trust reports fully choose the same agents at once. In
-	// trials with BenchmarkStale, weights from 0.1 to 0.5 gained about the same,
-	// and 0 and 1 less.
+	// trials with the model of TestStaleMeanGains, weights from 0.1 to 0.5 gained
+	// about the same, and 0 and 1 less.
 	reportWeight = 0.25
 	// fadeTime in milliseconds is the age at which a report has half of that
 	// weight, about the run time of a task.
--- a/internal/queue/fair.go
+++ b/internal/queue/fair.go
@@ -15,7 +15,8 @@
 
 // oldestEvery serves the longest waiting job of a team and class after this
 // many tasks, so that a steady stream of small jobs cannot starve a batch. In
-// BenchmarkJobOrder it costs small jobs one step of ten at the 99th percentile.
+// trials with a batch of 1,200 at 83% load it moved the 99th percentile of
+// small jobs from 9 to 10 steps.
 const oldestEvery = 16
 
 // costGain is the weight of a new task in the mean cost of a team's tasks.
