Keep dialling an unlisted entry for a grace period

Cause: an entry that the other entries' older lists do not name was dropped after one broken session, although it still ran. Change: it is dropped after 30 s (entry-grace) without a session or a listing. Conclusion: a short break of an entry costs no session.

--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -43,10 +43,11 @@
 
 // target is an entry address that the agent keeps dialling.
 type target struct {
-	url    string
-	fixed  bool
-	cancel context.CancelFunc
-	link   *link
+	url   string
+	fixed bool
+	link  *link
+	// seen is the last time at which the entry was listed or had a session.
+	seen gypsumtide.Millis
 	// incarnation is the entry met at the address last.
 	incarnation string
 }
@@ -56,12 +57,10 @@
 	g := group.New(ctx)
 	a.mu.Lock()
 	a.dial = func(url string, fixed bool) {
-		tctx, cancel := context.WithCancel(g.Context())
-		t := &target{url: url, fixed: fixed, cancel: cancel}
+		t := &target{url: url, fixed: fixed, seen: a.clock.Now()}
 		a.targets[url] = t
-		g.Add("session "+url, func(context.Context) error {
-			defer cancel()
-			a.keepSession(tctx, t)
+		g.Add("session "+url, func(ctx context.Context) error {
+			a.keepSession(ctx, t)
 			return nil
 		})
 	}
@@ -196,9 +195,11 @@
 	defer a.mu.Unlock()
 	delete(a.links, l.number)
 	t.link = nil
+	t.seen = a.clock.Now()
 }
 
-// learn dials entries that are new in a welcome and drops those that left.
+// learn dials entries that are new in a welcome. Those that left are dropped
+// when a dial fails.
 func (a *Agent) learn(l *link, w *wire.Welcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -212,13 +213,6 @@
 			a.dial(url, false)
 		}
 	}
-	for _, t := range a.targets {
-		// A target with a session is dropped when the session ends.
-		if t.link == nil && !t.fixed && !a.listed(t.url) {
-			t.cancel()
-			delete(a.targets, t.url)
-		}
-	}
 }
 
 // listed reports whether a connected entry lists the address.
@@ -231,12 +225,19 @@
 	return false
 }
 
-// forgotten drops a target that no connected entry lists any more. Without any
-// session the agent keeps dialling, since nothing says that the entry left.
+// forgotten drops a target that no connected entry has listed, and that had no
+// session, for the grace period. The period covers a short break, since the
+// lists of other entries may be older than the entry. Without any session the
+// agent keeps dialling, since nothing says that the entry left.
 func (a *Agent) forgotten(t *target) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
 	if t.fixed || len(a.links) == 0 || a.listed(t.url) {
+		t.seen = now
+		return false
+	}
+	if now-t.seen < a.cfg.EntryGrace {
 		return false
 	}
 	delete(a.targets, t.url)
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -35,6 +35,8 @@
 	Heartbeat gypsumtide.Millis `yaml:"heartbeat"`
 	// Silence is the time without a frame after which a session is broken.
 	Silence gypsumtide.Millis `yaml:"silence"`
+	// EntryGrace is the time for which an entry is dialled that no other entry lists.
+	EntryGrace gypsumtide.Millis `yaml:"entry-grace"`
 	// Credit is the age at which the agent rejects the echo in a dispatch.
 	Credit   gypsumtide.Millis `yaml:"credit"`
 	Ejection Ejection          `yaml:"ejection"`
@@ -71,6 +73,7 @@
 		DrainTimeout:    30_000,
 		Heartbeat:       300,
 		Silence:         1500,
+		EntryGrace:      30_000,
 		Credit:          1000,
 		Ejection:        Ejection{Window: 5000, MinResults: 8, FailurePercent: 80, BackOff: 1000, MaxBackOff: 30_000, Probes: 3},
 	}
@@ -100,6 +103,7 @@
 	errs = append(errs, CheckMillis("drain-timeout", a.DrainTimeout, 0, 600_000)...)
 	errs = append(errs, CheckMillis("heartbeat", a.Heartbeat, 10, 10_000)...)
 	errs = append(errs, CheckMillis("silence", a.Silence, 2*a.Heartbeat, 60_000)...)
+	errs = append(errs, CheckMillis("entry-grace", a.EntryGrace, 0, 3_600_000)...)
 	errs = append(errs, CheckMillis("credit", a.Credit, 2*a.Heartbeat, 1000)...)
 	return append(errs, a.Ejection.check()...)
 }
