Recall queued tasks from full agents, and observe service rates by class

Cause: a 1056-task job with a 30 s deadline was refused, because the service rate of one class was taken while only the other class waited. Change: the rate counts while tasks of the same class wait; tasks queued at full agents move to idle ones within the recall budget.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -24,6 +24,8 @@
 	task   *gypsumtide.Task
 	epoch  uint64
 	sentAt gypsumtide.Millis
+	// recalled means that the home has asked for the task back once.
+	recalled bool
 }
 
 // agentConn is one incarnation of an agent. The home's mutex guards it.
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -25,6 +25,8 @@
 	agentAbsence gypsumtide.Millis = 5_000
 	// queueRetry is the Retry-After of a job that a full queue refused.
 	queueRetry gypsumtide.Millis = 500
+	// recallInterval is the time between two looks for tasks to take back.
+	recallInterval gypsumtide.Millis = 20
 	// serviceAbsence is the time for which jobs of a service without upstreams
 	// wait instead of being refused.
 	serviceAbsence gypsumtide.Millis = 30_000
@@ -402,6 +404,7 @@
 	h.table.Expire(now, h.clock.Wall()-h.rules.Retention())
 	for _, p := range h.pools {
 		h.pump(p, now)
+		h.recall(p, now)
 	}
 }
 
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 
 	"gypsumtide"
 	"gypsumtide/internal/limit"
@@ -14,15 +15,23 @@
 // pool is the runtime of one pool: its queue, its policies and its agents.
 type pool struct {
 	spec       poolSpec
-	queue      gypsumtide.Queue
+	queue      waitingQueue
 	placer     gypsumtide.Placer
 	learner    *queue.Learner
 	admission  [2]*limit.Admission
 	retries    *limit.RetryBudget
+	recaller   *placement.Recaller
+	recalledAt gypsumtide.Millis
 	candidates map[string]*candidates
 	slots      int
 }
 
+// waitingQueue is a queue that describes what waits, for admission.
+type waitingQueue interface {
+	gypsumtide.Queue
+	queue.Backlogger
+}
+
 // poolSpec holds the settings of a pool that the configuration in force gives.
 type poolSpec struct {
 	name         string
@@ -34,10 +43,14 @@
 }
 
 func newPool(spec poolSpec, zone string, now gypsumtide.Millis) (*pool, error) {
-	q, err := queue.New(spec.queue)
+	base, err := queue.New(spec.queue)
 	if err != nil {
 		return nil, err
 	}
+	q, ok := base.(waitingQueue)
+	if !ok {
+		return nil, fmt.Errorf("queue %q does not describe its backlog", base.Name())
+	}
 	overcommit := spec.overcommit
 	if overcommit == 0 {
 		overcommit = -1
@@ -54,6 +67,7 @@
 			gypsumtide.ClassLong:  limit.NewAdmission(limit.AdmissionOptions{}),
 		},
 		retries:    limit.NewRetryBudget(limit.RetryOptions{}, now),
+		recaller:   placement.NewRecaller(placement.RecallOptions{}),
 		candidates: make(map[string]*candidates),
 	}, nil
 }
@@ -80,7 +94,7 @@
 
 // take moves the waiting tasks and the estimates of the pool whose settings changed.
 func (p *pool) take(old *pool, h *home) {
-	p.learner, p.admission, p.retries = old.learner, old.admission, old.retries
+	p.learner, p.admission, p.retries, p.recaller = old.learner, old.admission, old.retries, old.recaller
 	for _, aj := range h.jobs {
 		if aj.pool != old {
 			continue
@@ -103,7 +117,7 @@
 func (p *pool) observe(c *agentConn, t *gypsumtide.Task, r *wire.Result, now gypsumtide.Millis) {
 	p.learner.Observe(t.Service(), c.record.Name, r.RunTime)
 	c.view.SetSpeed(p.learner.Speed(c.record.Name))
-	p.admission[t.Class()].Served(1, p.queue.Len(), now)
+	p.admission[t.Class()].Served(1, p.queue.Waiting(t.Class()), now)
 }
 
 // admit asks the deadline admission and the quotas whether the job may enter.
@@ -113,7 +127,7 @@
 	class := p.learner.Class(req.Service, req.Tasks[0].RunTime)
 	v := p.admission[class].Admit(limit.Forecast{
 		Tasks:       n,
-		Backlog:     p.backlog(req.Team, class, now),
+		Backlog:     p.queue.Backlog(req.Team, class, now),
 		Slowest:     func(n int) gypsumtide.Millis { return p.learner.Slowest(req.Service, n) },
 		MeanRunTime: p.learner.Mean(req.Service),
 		Slots:       p.slots, Free: p.free(req.Service),
@@ -139,15 +153,6 @@
 	return gypsumtide.Admitted()
 }
 
-// backlog describes what waits for a new job of the team and class.
-func (p *pool) backlog(team string, class gypsumtide.Class, now gypsumtide.Millis) queue.Backlog {
-	q, ok := p.queue.(queue.Backlogger)
-	if !ok {
-		return queue.Backlog{Share: 1, Total: p.queue.Len()}
-	}
-	return q.Backlog(team, class, now)
-}
-
 // free returns the number of slots for the service that are believed free.
 func (p *pool) free(service string) int {
 	c := p.candidates[service]
@@ -311,6 +316,7 @@
 	c.open[taskKey{submission: t.Submission(), index: t.Index()}] = openTask{task: t, epoch: aj.Epoch(), sentAt: now}
 	c.view.Assign(t)
 	h.metrics.dispatches.Inc()
+	aj.pool.recaller.Dispatched(1)
 	return true
 }
 
@@ -346,3 +352,51 @@
 	}
 	return connected < h.present()
 }
+
+// recall takes queued tasks back from full agents while others are idle and
+// nothing waits at this home.
+func (h *home) recall(p *pool, now gypsumtide.Millis) {
+	if now-p.recalledAt < recallInterval || p.queue.Len() > 0 {
+		return
+	}
+	p.recalledAt = now
+	for service, c := range p.candidates {
+		if overfull(c.views) {
+			h.recallFrom(p, service, c, now)
+		}
+	}
+}
+
+func overfull(views []*gypsumtide.AgentView) bool {
+	return slices.ContainsFunc(views, func(v *gypsumtide.AgentView) bool { return v.Open() > v.Slots() || v.Ejected() })
+}
+
+func (h *home) recallFrom(p *pool, service string, c *candidates, now gypsumtide.Millis) {
+	var sent []placement.Sent
+	var refs []wire.TaskRef
+	for i, conn := range c.conns {
+		for k, o := range conn.open {
+			if o.task.Service() != service || o.recalled || h.runs(k) {
+				continue
+			}
+			sent = append(sent, placement.Sent{Task: o.task, Agent: i, At: o.sentAt})
+			refs = append(refs, wire.TaskRef{Submission: k.submission, Task: k.index, Epoch: o.epoch})
+		}
+	}
+	for _, i := range p.recaller.Recall(now, sent, c.views) {
+		conn := c.conns[sent[i].Agent]
+		key := keyOf(refs[i])
+		o := conn.open[key]
+		o.recalled = true
+		conn.open[key] = o
+		conn.session.Update(func(f *wire.Frame) { f.Recalls = append(f.Recalls, refs[i]) })
+		h.metrics.recalls.Inc()
+		h.decisions.log("recall", "submission", refs[i].Submission.String(), "task", refs[i].Task, "agent", conn.record.Name)
+	}
+}
+
+// runs reports whether a task is known to run.
+func (h *home) runs(k taskKey) bool {
+	aj := h.jobs[k.submission]
+	return aj == nil || aj.Running(k.index)
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -135,6 +135,9 @@
 	return j.states[i] == taskDispatched || j.states[i] == taskStarted
 }
 
+// Running reports whether task i is known to run at an agent.
+func (j *Job) Running(i uint32) bool { return j.states[i] == taskStarted }
+
 // OpenTasks returns the number of tasks at agents.
 func (j *Job) OpenTasks() int { return j.open }
 
--- a/internal/queue/backlog.go
+++ b/internal/queue/backlog.go
@@ -11,6 +11,8 @@
 	// Backlog describes what waits for a new job of the team and class. It is
 	// valid until the next call of the queue.
 	Backlog(team string, class gypsumtide.Class, now gypsumtide.Millis) Backlog
+	// Waiting returns the number of waiting tasks of the class.
+	Waiting(class gypsumtide.Class) int
 }
 
 // Backlog describes the waiting tasks from the view of a new job of a team and
@@ -62,6 +64,9 @@
 	return (i - e<<3) << e
 }
 
+// Waiting implements Backlogger.
+func (q *fair) Waiting(class gypsumtide.Class) int { return q.classes[class].n }
+
 // Backlog implements Backlogger.
 func (q *fair) Backlog(team string, class gypsumtide.Class, now gypsumtide.Millis) Backlog {
 	c := &q.classes[class]
@@ -99,3 +104,6 @@
 func (q *fifo) Backlog(string, gypsumtide.Class, gypsumtide.Millis) Backlog {
 	return Backlog{Ranges: []SizeRange{{Tasks: q.Len()}}, Share: 1, Total: q.Len()}
 }
+
+// Waiting implements Backlogger. The queue does not tell classes apart.
+func (q *fifo) Waiting(gypsumtide.Class) int { return q.Len() }
