Keep the wait for promises cheap

Cause: a shard that waits for one dead agent scanned the whole roster in each Tick, and each request looked up each agent per shard. Change: a list of the agents still awaited, shortened at the front; requests go through the agents once.

--- a/internal/shard/contract_test.go
+++ b/internal/shard/contract_test.go
@@ -119,6 +119,23 @@
 		_, ok = l.Serving(7)
 		So(ok, ShouldBeTrue)
 	})
+	Convey("a home stops before it hands over", t, func() {
+		l := newLone("a1")
+		l.pass(0, "b1", "c1")
+		_, ok := l.Serving(7)
+		So(ok, ShouldBeTrue)
+		l.Drain()
+		id, r := record(l.Tick(), Claim)
+		So(r.Home, ShouldEqual, "b1")
+		l.LogRead(l.clock.Now())
+		_, ok = l.Serving(7)
+		So(ok, ShouldBeFalse)
+		l.Appended(id, 0, errors.New("refused"))
+		l.w.now++
+		l.LogRead(l.clock.Now())
+		_, ok = l.Serving(7)
+		So(ok, ShouldBeTrue)
+	})
 	Convey("after a claim that certainly failed acknowledgements resume", t, func() {
 		l := newLone("b1")
 		id, r := record(l.pass(900, "c1"), Claim)
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -109,6 +109,7 @@
 	// backoff is the time before which no operation starts after a failed one.
 	backoff gypsumtide.Millis
 	op      *operation
+	waiting waiting
 }
 
 // peer is what an entry knows of another entry.
--- a/internal/shard/roster.go
+++ b/internal/shard/roster.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -15,7 +16,9 @@
 
 // roster is what an entry knows of the agents.
 type roster struct {
-	turn    uint64
+	turn uint64
+	// version changes with the set of agents whose promises a takeover needs.
+	version uint64
 	present map[string]AgentMember
 	members []member
 	groups  groups
@@ -61,6 +64,7 @@
 		return
 	}
 	r.turn = turn
+	r.version++
 	clear(r.present)
 	r.members = r.members[:0]
 	for _, a := range agents {
@@ -121,40 +125,54 @@
 	return false
 }
 
+// waiting is the list of agents that a shard may still wait for. Agents that
+// are settled leave it at the front, so that a shard which waits for one agent
+// costs little per Tick.
+type waiting struct {
+	version uint64
+	agents  []string
+}
+
 // allPromised reports whether no present agent starts a task of the shard
 // under an epoch below the given one.
-func (r *roster) allPromised(i int, epoch uint64) bool {
-	for k := range r.present {
-		if p := r.promised[k]; p == nil || p[i] < epoch {
-			return false
+func (r *roster) allPromised(w *waiting, i int, epoch uint64) bool {
+	if w.version != r.version {
+		w.version = r.version
+		w.agents = slices.AppendSeq(w.agents[:0], maps.Keys(r.present))
+		for k, u := range r.unlogged {
+			if u.noted {
+				w.agents = append(w.agents, k)
+			}
 		}
 	}
-	for k, u := range r.unlogged {
-		if p := r.promised[k]; u.noted && (p == nil || p[i] < epoch) {
+	for len(w.agents) > 0 {
+		if p := r.promised[w.agents[0]]; p == nil || p[i] < epoch {
 			return false
 		}
+		w.agents = w.agents[1:]
 	}
 	return true
 }
 
-// unsettled adds the shard to the requests of each connected agent that has not promised.
-func (r *roster) unsettled(i int, epoch uint64, ask map[string][]gypsumtide.ShardID) {
-	for k := range r.up {
-		if p := r.promised[k]; p == nil || p[i] < epoch {
-			ask[k] = append(ask[k], gypsumtide.ShardID(i))
-		}
+// promiseRequests asks each connected agent once for the shards that it has not promised.
+func (m *Manager) promiseRequests(shards []int) []Action {
+	if len(shards) == 0 {
+		return nil
 	}
-}
-
-func (m *Manager) promiseRequests(ask map[string][]gypsumtide.ShardID) []Action {
 	var out []Action
-	for _, k := range slices.Sorted(maps.Keys(ask)) {
+	for k := range m.agents.up {
 		a := Action{Kind: ActionPromise, Peer: k}
-		for _, id := range ask[k] {
-			a.Promises = append(a.Promises, wire.Promise{Shard: id, Epoch: m.shards[id].home.Epoch})
+		p := m.agents.promised[k]
+		for _, i := range shards {
+			if epoch := m.shards[i].home.Epoch; p == nil || p[i] < epoch {
+				a.Promises = append(a.Promises, wire.Promise{Shard: gypsumtide.ShardID(i), Epoch: epoch})
+			}
+		}
+		if len(a.Promises) > 0 {
+			out = append(out, a)
 		}
-		out = append(out, a)
 	}
+	slices.SortFunc(out, func(a, b Action) int { return cmp.Compare(a.Peer, b.Peer) })
 	return out
 }
 
@@ -251,6 +269,7 @@
 	for _, rec := range notes {
 		if !m.state.knowsAgent(rec.Incarnation) {
 			m.agents.add(rec, now).noted = true
+			m.agents.version++
 		} else if _, ok := m.agents.present[rec.Incarnation]; !ok {
 			continue
 		}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -83,6 +83,7 @@
 		return
 	}
 	sh.lease, sh.readBack, sh.tookOver, sh.proven, sh.askedAt = 0, now, 0, 0, 0
+	sh.waiting = waiting{}
 	m.publish(i, 0)
 	outside := state == "remote" || state == "homeless" || state == "claiming"
 	if h.Home != m.cfg.Self.Incarnation {
@@ -115,9 +116,9 @@
 	}
 	out = append(out, m.retryOperations(now)...)
 	var b batch
-	ask := map[string][]gypsumtide.ShardID{}
+	var ask []int
 	for i := range m.shards {
-		m.step(i, now, live, &b, ask)
+		ask = m.step(i, now, live, &b, ask)
 	}
 	m.rebalance(now, live, &b)
 	m.finishDrain()
@@ -238,12 +239,13 @@
 	return ""
 }
 
-func (m *Manager) step(i int, now gypsumtide.Millis, live []candidate, b *batch, ask map[string][]gypsumtide.ShardID) {
+// step runs one shard and adds it to ask if its agents must be asked for promises.
+func (m *Manager) step(i int, now gypsumtide.Millis, live []candidate, b *batch, ask []int) []int {
 	if m.shards[i].home.Home == m.cfg.Self.Incarnation {
-		m.stepHome(i, now, live, b, ask)
-		return
+		return m.stepHome(i, now, live, b, ask)
 	}
 	m.stepOther(i, now, live, b)
+	return ask
 }
 
 // stepOther watches a shard of another home, or of none.
@@ -329,32 +331,33 @@
 }
 
 // stepHome runs a shard that this entry is home for.
-func (m *Manager) stepHome(i int, now gypsumtide.Millis, live []candidate, b *batch, ask map[string][]gypsumtide.ShardID) {
+func (m *Manager) stepHome(i int, now gypsumtide.Millis, live []candidate, b *batch, ask []int) []int {
 	sh := &m.shards[i]
 	if sh.machine.State() == "promising" {
-		m.promising(i, now, ask)
+		ask = m.promising(i, now, ask)
 	}
 	if sh.machine.State() == "serving" && now >= sh.lease {
 		m.fire(sh, "lease-lost")
 		m.publish(i, 0)
 	}
 	if sh.machine.State() == "handing-over" || sh.op != nil || now < sh.backoff || !m.logFresh() {
-		return
+		return ask
 	}
 	if !m.draining {
 		m.nameSuccessor(i, now, live, b)
 	}
+	return ask
 }
 
 // promising waits until the agents of the earlier homes are settled.
-func (m *Manager) promising(i int, now gypsumtide.Millis, ask map[string][]gypsumtide.ShardID) {
+func (m *Manager) promising(i int, now gypsumtide.Millis, ask []int) []int {
 	sh := &m.shards[i]
 	if !m.settled(i, now) {
 		if sh.askedAt == 0 || now-sh.askedAt >= m.cfg.Ask {
 			sh.askedAt = now
-			m.agents.unsettled(i, sh.home.Epoch, ask)
+			ask = append(ask, i)
 		}
-		return
+		return ask
 	}
 	sh.tookOver = m.clock.Wall()
 	m.fire(sh, "settled")
@@ -362,6 +365,7 @@
 		m.fire(sh, "lease-gained")
 		m.publish(i, sh.lease)
 	}
+	return ask
 }
 
 // settled reports whether no earlier home can start a task of the shard any
@@ -375,7 +379,7 @@
 	if m.mutation.noTimeRule {
 		wait = 0
 	}
-	promised := m.agents.allPromised(i, sh.home.Epoch)
+	promised := m.agents.allPromised(&sh.waiting, i, sh.home.Epoch)
 	if sh.tenure.Timed {
 		return promised || now-sh.readBack >= wait
 	}
