Serve TLS at the entry and require the shared key of operators

Cause: the entry served plain text whatever its settings said, never read the key file, so that anyone could open a session, publish, drain and retire, and did not verify the entries it dialled. Change: internal/certificate holds the TLS files and the key for the agent and the entry. Certificate files are looked at once a second at most. Links and the log client verify servers with the authority file; links read it at each dial, the log client at the start. Sessions, publishing, draining and retiring need the key if it is set; the key counts as a bearer token only.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/ledger"
 	"gypsumtide/internal/settings"
@@ -89,12 +90,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent: incarnation: %w", err)
 	}
-	key, err := readKey(cfg.SharedKey)
+	key, err := certificate.ReadKey(cfg.SharedKey)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("agent: %w", err)
 	}
-	if _, err := clientTLS(cfg.TLS); err != nil {
-		return nil, err
+	if _, err := certificate.Client(cfg.TLS); err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
 	}
 	a := &Agent{
 		cfg:         cfg,
@@ -120,7 +121,7 @@
 		MaxRunTime:         cfg.MaxRunTime,
 		MaxBody:            maxBody,
 		Key:                key,
-		TLS:                func() (*tls.Config, error) { return clientTLS(cfg.TLS) },
+		TLS:                func() (*tls.Config, error) { return certificate.Client(cfg.TLS) },
 		Health:             upstream.HealthConfig(cfg.Ejection),
 	}, func() { notify(a.offer); notify(a.wake) })
 	a.counts = newCounts(a)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -8,11 +8,10 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 	"time"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 	"gypsumtide/internal/wire"
 )
 
@@ -47,9 +46,9 @@
 }
 
 func (a *Agent) listen() (net.Listener, error) {
-	secure, err := serverTLS(a.cfg.TLS)
+	secure, err := certificate.Server(a.cfg.TLS)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("agent: %w", err)
 	}
 	l, err := net.Listen("tcp", a.cfg.Listen)
 	if err != nil {
@@ -134,18 +133,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s)
 }
-
-func readKey(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return "", fmt.Errorf("agent: shared key: %w", err)
-	}
-	key := strings.TrimSpace(string(data))
-	if key == "" {
-		return "", fmt.Errorf("agent: shared key: %s is empty", path)
-	}
-	return key, nil
-}
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/wire"
 )
@@ -119,13 +120,10 @@
 	timing := wire.Timing{Heartbeat: a.cfg.Heartbeat, Silence: a.cfg.Silence}
 	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	secure, err := clientTLS(a.cfg.TLS)
+	transport, err := certificate.Transport(a.cfg.TLS)
 	if err != nil {
-		return false, err
+		return false, gypsumtide.NewError("dial session", t.url, err)
 	}
-	// WebSocket needs HTTP/1.1.
-	transport := &http.Transport{TLSClientConfig: secure, Protocols: new(http.Protocols)}
-	transport.Protocols.SetHTTP1(true)
 	defer transport.CloseIdleConnections()
 	s, err := wire.Dial(hctx, &http.Client{Transport: transport}, sessionURL(t.url), a.key, a.clock, timing, counters)
 	if err != nil {
--- /dev/null
+++ b/internal/certificate/certificate_test.go
@@ -0,0 +1,76 @@
+package certificate
+
+import (
+	"crypto/x509"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide/internal/settings"
+	"gypsumtide/internal/standin/authority"
+)
+
+// Guards against a renewed certificate that is never served, half written files
+// that end the service, and a look at the files on every handshake.
+func TestServer(t *testing.T) {
+	Convey("the certificate is read again at most once a second", t, func() {
+		dir := t.TempDir()
+		cfg, err := authority.Write(dir, 1)
+		So(err, ShouldBeNil)
+		now := time.Now()
+		secure, err := server(cfg, func() time.Time { return now })
+		So(err, ShouldBeNil)
+		serial := func() int64 {
+			cert, err := secure.GetCertificate(nil)
+			So(err, ShouldBeNil)
+			leaf, err := x509.ParseCertificate(cert.Certificate[0])
+			So(err, ShouldBeNil)
+			return leaf.SerialNumber.Int64()
+		}
+		So(serial(), ShouldEqual, 1)
+		_, err = authority.Write(dir, 2)
+		So(err, ShouldBeNil)
+		now = now.Add(checkInterval - 1)
+		So(serial(), ShouldEqual, 1)
+		now = now.Add(1)
+		So(serial(), ShouldEqual, 2)
+		So(os.WriteFile(cfg.Key, []byte("half"), 0o600), ShouldBeNil)
+		now = now.Add(checkInterval)
+		So(serial(), ShouldEqual, 2)
+		_, err = authority.Write(dir, 3)
+		So(err, ShouldBeNil)
+		now = now.Add(checkInterval)
+		So(serial(), ShouldEqual, 3)
+	})
+	Convey("faulty files show at the start, and no files mean no TLS", t, func() {
+		empty := filepath.Join(t.TempDir(), "empty")
+		So(os.WriteFile(empty, []byte("\n"), 0o600), ShouldBeNil)
+		_, err := Server(settings.TLS{Certificate: empty, Key: empty})
+		So(err, ShouldNotBeNil)
+		_, err = Transport(settings.TLS{Authority: empty})
+		So(err, ShouldNotBeNil)
+		_, err = Transport(settings.TLS{Authority: empty + "-missing"})
+		So(err, ShouldNotBeNil)
+		_, err = ReadKey(empty)
+		So(err, ShouldNotBeNil)
+		secure, err := Server(settings.TLS{})
+		So(secure, ShouldBeNil)
+		So(err, ShouldBeNil)
+	})
+}
+
+// Guards against a key that is accepted in another form than a bearer token.
+func TestAuthorized(t *testing.T) {
+	for header, want := range map[string]bool{"": false, "k": false, "Bearer ": false, "Bearer kk": false, "Bearer k": true} {
+		Convey("header "+header, t, func() {
+			r := httptest.NewRequest("GET", "/", nil)
+			r.Header.Set("Authorization", header)
+			So(Authorized(r, "k"), ShouldEqual, want)
+			So(Authorized(r, ""), ShouldBeTrue)
+		})
+	}
+}
--- a/internal/cli/gypsumctl_test.go
+++ b/internal/cli/gypsumctl_test.go
@@ -41,7 +41,7 @@
 	done := group.Go(ctx, follower.Run)
 	So(follower.AwaitReady(ctx), ShouldBeNil)
 	mux := http.NewServeMux()
-	operator.NewHandler(object.NewPublisher(follower, publication, clock), nodes{}, logr.Discard()).Register(mux)
+	operator.NewHandler(object.NewPublisher(follower, publication, clock), nodes{}, logr.Discard()).Register(mux, func(next http.HandlerFunc) http.HandlerFunc { return next })
 	server := httptest.NewServer(mux)
 	t.Cleanup(func() { server.Close(); cancel(); <-done; _ = log.Stop() })
 	return server.URL
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 	"github.com/google/uuid"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/journal"
 	"gypsumtide/internal/object"
@@ -42,7 +44,6 @@
 	log         logr.Logger
 	incarnation string
 	key         string
-	client      *http.Client
 	counters    wire.Counters
 	metrics     *meters
 	owner       *shard.Manager
@@ -68,16 +69,24 @@
 
 // New returns an entry that is ready to run.
 func New(cfg *settings.Entry, clock gypsumtide.Clock, log logr.Logger) (*Entry, error) {
+	key, err := certificate.ReadKey(cfg.SharedKey)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	transport, err := certificate.Transport(cfg.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
 	e := &Entry{
-		cfg: cfg, clock: clock, log: log, incarnation: uuid.NewString(), metrics: newMeters(),
-		client: &http.Client{}, learned: make(map[string]bool),
+		cfg: cfg, clock: clock, log: log, incarnation: uuid.NewString(), key: key, metrics: newMeters(),
+		learned: make(map[string]bool),
 	}
 	self := wire.EntryInfo{Name: cfg.Name, Incarnation: e.incarnation, URL: cfg.URL, Zone: cfg.Zone}
 	e.state = shard.NewState()
 	constants := shard.DefaultConfig(self)
 	constants.MaxSkew = cfg.MaxSkew
 	e.owner = shard.New(constants, e.state, clock)
-	platformLog := journal.NewClient(cfg.LogURL, e.client, logTimeout)
+	platformLog := journal.NewClient(cfg.LogURL, &http.Client{Transport: transport}, logTimeout)
 	e.shards = journal.New(platformLog, shardsStream, e.state, clock, log)
 	e.shards.SetRetention(cfg.LogRetention)
 	publication := object.NewPublication()
@@ -101,9 +110,9 @@
 
 // Run serves until ctx is done, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", e.cfg.Listen)
+	listener, err := e.listen()
 	if err != nil {
-		return gypsumtide.NewError("listen", e.cfg.Listen, err)
+		return err
 	}
 	// The members outlive ctx: a graceful stop finishes the requests in progress first.
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -131,6 +140,22 @@
 	return g.Wait()
 }
 
+// listen opens the listener, with TLS if the settings name a certificate.
+func (e *Entry) listen() (net.Listener, error) {
+	secure, err := certificate.Server(e.cfg.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	listener, err := net.Listen("tcp", e.cfg.Listen)
+	if err != nil {
+		return nil, gypsumtide.NewError("listen", e.cfg.Listen, err)
+	}
+	if secure != nil {
+		listener = tls.NewListener(listener, secure)
+	}
+	return listener, nil
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("entry: %w", err)
@@ -220,8 +245,8 @@
 	mux.HandleFunc("GET /v1/jobs/{id}", e.handleFetch)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.handleCancel)
 	mux.HandleFunc("POST /v1/submission-ids", e.handleIssue)
-	mux.HandleFunc("GET /v1/session", e.handleSession)
-	operator.NewHandler(e.publisher, operators{e}, e.log).Register(mux)
+	mux.HandleFunc("GET /v1/session", e.withKey(e.handleSession))
+	operator.NewHandler(e.publisher, operators{e}, e.log).Register(mux, e.withKey)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.metrics.set.WritePrometheus(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/wire"
 )
@@ -114,8 +116,13 @@
 // connect dials url and serves the session until it breaks.
 func (l *links) connect(ctx context.Context, url string) error {
 	e := l.entry
+	transport, err := certificate.Transport(e.cfg.TLS)
+	if err != nil {
+		return gypsumtide.NewError("open link", url, err)
+	}
+	defer transport.CloseIdleConnections()
 	dctx, cancel := context.WithTimeout(ctx, redialMax)
-	s, err := wire.Dial(dctx, e.client, url+"/v1/session", e.key, e.clock, wire.Timing{Heartbeat: heartbeat, Silence: entrySilence}, &e.counters)
+	s, err := wire.Dial(dctx, &http.Client{Transport: transport}, url+"/v1/session", e.key, e.clock, wire.Timing{Heartbeat: heartbeat, Silence: entrySilence}, &e.counters)
 	cancel()
 	if err != nil {
 		return err
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"errors"
 	"net/http"
-	"strings"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/wire"
 )
@@ -21,10 +20,6 @@
 
 // handleSession accepts the sessions of agents and other entries.
 func (e *Entry) handleSession(w http.ResponseWriter, r *http.Request) {
-	if !e.authorized(r) {
-		writeProblem(w, r, &wire.Problem{Type: "unauthorized", Status: http.StatusUnauthorized, Step: "open session", Detail: "shared key missing or wrong"}, "", nil)
-		return
-	}
 	s, err := wire.Accept(w, r, e.clock, wire.Timing{Heartbeat: agentHeartbeat, Silence: agentSilence}, &e.counters)
 	if err != nil {
 		e.log.Info("session refused", "peer", r.RemoteAddr, "error", err.Error())
@@ -35,13 +30,16 @@
 	e.log.V(1).Info("session ended", "peer", r.RemoteAddr, "error", errorText(err))
 }
 
-// authorized checks the shared key of the system's own processes.
-func (e *Entry) authorized(r *http.Request) bool {
-	if e.key == "" {
-		return true
+// withKey refuses requests without the shared key of the system's own
+// processes and operators.
+func (e *Entry) withKey(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !certificate.Authorized(r, e.key) {
+			writeProblem(w, r, &wire.Problem{Type: "unauthorized", Status: http.StatusUnauthorized, Step: "check key", Detail: "shared key missing or wrong"}, "", nil)
+			return
+		}
+		next(w, r)
 	}
-	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	return subtle.ConstantTimeCompare([]byte(key), []byte(e.key)) == 1
 }
 
 func (e *Entry) serveSession(ctx context.Context, s *wire.Session) error {
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -18,7 +18,7 @@
 	actionTimeout = 5 * time.Second
 )
 
-// Handler serves the operators' HTTP interface. The entry checks the key.
+// Handler serves the operators' HTTP interface.
 type Handler struct {
 	configuration Configuration
 	backend       Backend
@@ -31,15 +31,16 @@
 	return &Handler{configuration: configuration, backend: backend, logger: logger, timeout: actionTimeout}
 }
 
-// Register adds the patterns of the interface to the mux.
-func (h *Handler) Register(mux *http.ServeMux) {
+// Register adds the patterns of the interface to the mux. Requests that change
+// something pass guard first, which checks the key.
+func (h *Handler) Register(mux *http.ServeMux, guard func(http.HandlerFunc) http.HandlerFunc) {
 	mux.HandleFunc("GET /v1/configuration", h.getConfiguration)
-	mux.HandleFunc("PUT /v1/configuration", h.putConfiguration)
+	mux.HandleFunc("PUT /v1/configuration", guard(h.putConfiguration))
 	mux.HandleFunc("GET /v1/configuration/history", h.getHistory)
 	mux.HandleFunc("GET /v1/explain", h.getExplain)
 	mux.HandleFunc("GET /v1/nodes", h.getNodes)
-	mux.HandleFunc("POST /v1/nodes/{name}/drain", h.postDrain)
-	mux.HandleFunc("POST /v1/agents/{name}/retire", h.postRetire)
+	mux.HandleFunc("POST /v1/nodes/{name}/drain", guard(h.postDrain))
+	mux.HandleFunc("POST /v1/agents/{name}/retire", guard(h.postRetire))
 }
 
 // action returns the context of an action that waits for the log or a peer.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -75,7 +75,7 @@
 	h := NewHandler(e.publisher, e.backend, logr.Discard())
 	h.timeout = 400 * time.Millisecond
 	mux := http.NewServeMux()
-	h.Register(mux)
+	h.Register(mux, func(next http.HandlerFunc) http.HandlerFunc { return next })
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	e.url = server.URL
--- /dev/null
+++ b/internal/settings/entry_test.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against an entry that serves other hosts in plain text or without a
+// key, and against a URL that names the wrong scheme.
+func TestEntrySecurity(t *testing.T) {
+	files := TLS{Certificate: "c", Key: "k"}
+	for _, c := range []struct {
+		name   string
+		listen string
+		tls    TLS
+		key    string
+		allow  bool
+		want   string
+	}{
+		{name: "loopback", listen: "127.0.0.1:1"},
+		{name: "no TLS and no key", listen: "192.0.2.1:1", want: "is not loopback"},
+		{name: "no TLS", listen: "192.0.2.1:1", key: "s", want: "is not loopback"},
+		{name: "no key", listen: "192.0.2.1:1", tls: files, want: "is not loopback"},
+		{name: "every address", listen: "0.0.0.0:1", want: "is not loopback"},
+		{name: "TLS and a key", listen: "192.0.2.1:1", tls: files, key: "s"},
+		{name: "allowed", listen: "192.0.2.1:1", allow: true},
+		{name: "certificate without a key file", listen: "127.0.0.1:1", tls: TLS{Certificate: "c"}, want: "go together"},
+		{name: "host name", listen: "localhost:1", want: "not an IP address"},
+	} {
+		Convey(c.name, t, func() {
+			cfg := NewEntry()
+			cfg.Listen, cfg.TLS, cfg.SharedKey, cfg.AllowInsecure = c.listen, c.tls, c.key, c.allow
+			err := errors.Join(cfg.Check()...)
+			if c.want == "" {
+				So(err, ShouldBeNil)
+				So(cfg.URL[:5] == "https", ShouldEqual, c.tls.Certificate != "")
+				return
+			}
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, c.want)
+		})
+	}
+}
--- a/internal/upstream/handler.go
+++ b/internal/upstream/handler.go
@@ -1,13 +1,13 @@
 package upstream
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 
 	"gypsumtide"
+	"gypsumtide/internal/certificate"
 )
 
 // maxRequest bounds the body of an announcement.
@@ -25,12 +25,8 @@
 	mux.HandleFunc("POST /v1/upstreams", r.announce)
 	mux.HandleFunc("PUT /v1/upstreams/{name}/lease", r.renew)
 	mux.HandleFunc("DELETE /v1/upstreams/{name}", r.leave)
-	if r.cfg.Key == "" {
-		return mux
-	}
-	want := []byte("Bearer " + r.cfg.Key)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(req.Header.Get("Authorization")), want) != 1 {
+		if !certificate.Authorized(req, r.cfg.Key) {
 			writeError(w, http.StatusUnauthorized, errors.New("the shared key is missing or wrong"))
 			return
 		}
