Replace one, two and three entries in the tests

Change: each missing rule runs with the faults that it is meant for, and again with all rules on; replacement at one to three entries.

--- a/internal/shard/mutation_test.go
+++ b/internal/shard/mutation_test.go
@@ -1,45 +1,50 @@
 package shard
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 )
 
-// randomPlan returns the faults of one run.
-func randomPlan(seed uint64) []int {
-	r := rand.New(rand.NewPCG(seed, 2))
-	plan := make([]int, 3+r.IntN(12))
-	for i := range plan {
-		plan[i] = r.IntN(len(faults))
-	}
-	return plan
-}
-
-// firstViolation returns the first violation of up to n runs.
-func firstViolation(n uint64, prepare func(*world)) string {
-	for seed := range n {
-		if w := simulate(seed, 2+int(seed%3), randomPlan(seed), prepare); w.violation != "" {
-			return fmt.Sprintf("seed %d %s", seed, w.violation)
-		}
-	}
-	return ""
-}
-
 // Guards against a checker that cannot fail: each rule that is switched off
-// must lead to a violation.
+// must lead to a violation. The faults are those that the rule is meant for.
 func TestCheckerNoticesMissingRules(t *testing.T) {
-	for name, prepare := range map[string]func(*world){
-		"fencing off":       func(w *world) { w.noFencing = true },
-		"wait of L + C off": func(w *world) { w.mutation.noTimeRule = true },
-		"roster rule off":   func(w *world) { w.mutation.noRoster = true },
+	for name, tt := range map[string]struct {
+		prepare func(*world)
+		faults  []string
+	}{
+		"fencing off": {func(w *world) { w.noFencing = true }, []string{"isolate entry", "pause", "heal links"}},
+		"wait of L + C off": {func(w *world) { w.mutation.noTimeRule = true },
+			[]string{"isolate entry", "cut agent", "log lost to an entry", "heal links", "heal log"}},
+		"roster rule off": {func(w *world) { w.mutation.noRoster = true },
+			[]string{"new agent at an entry without log", "kill entry", "isolate entry", "heal links"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			v := firstViolation(1000, prepare)
-			if v == "" {
-				t.Fatal("no violation in 1000 runs")
+			for seed := range uint64(500) {
+				plan := planOf(seed, tt.faults)
+				if w := simulate(seed, 3, plan, tt.prepare); w.violation != "" {
+					t.Logf("seed %d %s", seed, w.violation)
+					if w := simulate(seed, 3, plan, nil); w.violation != "" {
+						t.Fatalf("with all rules on: %s", w.violation)
+					}
+					return
+				}
 			}
-			t.Log(v)
+			t.Fatal("no violation in 500 runs")
 		})
 	}
 }
+
+// planOf draws 8 of the named faults.
+func planOf(seed uint64, names []string) []int {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var plan []int
+	for range 8 {
+		name := names[r.IntN(len(names))]
+		for i, f := range faults {
+			if f.name == name {
+				plan = append(plan, i)
+			}
+		}
+	}
+	return plan
+}
--- a/internal/shard/scenario_test.go
+++ b/internal/shard/scenario_test.go
@@ -129,22 +129,24 @@
 		"drained": func(e *simEntry) { e.m.Drain() },
 		"killed":  func(e *simEntry) { e.dead = true },
 	} {
-		Convey(name, t, func() {
-			w := quiet(3)
-			for i := range 3 {
-				w.addEntry(fmt.Sprintf("new-%d", i))
-				w.run(8000)
-				remove(w.entries[i])
-				So(w.until(10_000, w.served), ShouldBeLessThanOrEqualTo, 3000)
-				w.run(9000)
-				So(w.entries[i].dead || w.entries[i].m.Left(), ShouldBeTrue)
-			}
-			So(w.served(), ShouldBeTrue)
-			So(w.violation, ShouldEqual, "")
-			for _, s := range simShards {
-				So(w.homeOf(s), ShouldBeGreaterThanOrEqualTo, 3)
-			}
-		})
+		for n := 1; n <= 3; n++ {
+			Convey(fmt.Sprintf("%d entries, %s", n, name), t, func() {
+				w := quiet(n)
+				for i := range n {
+					w.addEntry(fmt.Sprintf("new-%d", i))
+					w.run(8000)
+					remove(w.entries[i])
+					So(w.until(10_000, w.served), ShouldBeLessThanOrEqualTo, 3000)
+					w.run(9000)
+					So(w.entries[i].dead || w.entries[i].m.Left(), ShouldBeTrue)
+				}
+				So(w.served(), ShouldBeTrue)
+				So(w.violation, ShouldEqual, "")
+				for _, s := range simShards {
+					So(w.homeOf(s), ShouldBeGreaterThanOrEqualTo, n)
+				}
+			})
+		}
 	}
 }
 
--- a/internal/shard/sim_test.go
+++ b/internal/shard/sim_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 
 	"gypsumtide"
 	"gypsumtide/internal/wire"
@@ -91,21 +90,29 @@
 }
 
 func (w *world) addEntry(name string) *simEntry {
+	w.entries = append(w.entries, w.newEntry(name))
+	return w.entries[len(w.entries)-1]
+}
+
+func (w *world) newEntry(name string) *simEntry {
 	w.counter++
 	e := &simEntry{w: w, clock: w.newClock(), state: NewState(), credit: map[*simAgent]gypsumtide.Millis{}, sessions: map[*simAgent]bool{}, known: map[string]bool{}}
 	e.info = wire.EntryInfo{Name: name, Incarnation: fmt.Sprintf("%s#%06d", name, w.counter)}
 	e.m = New(DefaultConfig(e.info), e.state, e.clock)
 	e.m.mutation = w.mutation
-	w.entries = append(w.entries, e)
 	return e
 }
 
 func (w *world) addAgent(name string) *simAgent {
+	w.agents = append(w.agents, w.newAgent(name))
+	return w.agents[len(w.agents)-1]
+}
+
+func (w *world) newAgent(name string) *simAgent {
 	w.counter++
 	a := &simAgent{w: w, clock: w.newClock(), epochs: map[gypsumtide.ShardID]uint64{}, fenced: map[gypsumtide.SubmissionID]uint64{}}
 	a.ledger, a.queued = map[gypsumtide.SubmissionID]bool{}, map[gypsumtide.SubmissionID]uint64{}
 	a.record = wire.AgentRecord{Name: name, Incarnation: fmt.Sprintf("%s#%06d", name, w.counter), Zone: "z" + name[len(name)-1:]}
-	w.agents = append(w.agents, a)
 	return a
 }
 
@@ -462,19 +469,14 @@
 }
 
 func (w *world) restartEntry(i int) {
-	old := w.entries[i]
-	old.dead = true
-	e := w.addEntry(old.info.Name)
-	w.entries = slices.Delete(w.entries, len(w.entries)-1, len(w.entries))
-	w.entries[i] = e
+	w.entries[i].dead = true
+	w.entries[i] = w.newEntry(w.entries[i].info.Name)
 }
 
 func (w *world) restartAgent(i int) {
 	old := w.agents[i]
 	old.dead = true
-	a := w.addAgent(old.record.Name)
-	w.agents = slices.Delete(w.agents, len(w.agents)-1, len(w.agents))
-	w.agents[i] = a
+	w.agents[i] = w.newAgent(old.record.Name)
 	for _, e := range w.entries {
 		if e.sessions[old] {
 			delete(e.sessions, old)
