--- a/internal/shard/doc.go
+++ b/internal/shard/doc.go
@@ -1,6 +1,16 @@
 // Package shard decides which entry is the home of each shard. State folds the
 // shards stream of the log; Manager decides for one entry incarnation.
 //
+// # Use
+//
+// The owner of a Manager reads the shards stream to its end about every 50 ms,
+// applies the records to the State, calls LogRead with the time at which it sent
+// the read, then Tick, and executes the actions. Every 200 ms it sends the result
+// of one Heartbeat call to every other entry, and it answers a received one with
+// the result of HandleHeartbeat. It reports each other frame of an entry with
+// Heard, and the sessions and promises of agents. A dispatch is added to a frame
+// whose echo has been read before Serving and Usable were called for it.
+//
 // # Why two homes never both start a task of one shard
 //
 // Let H be the home of an epoch e and N the home of the next epoch. N starts
