--- a/internal/standin/history/check_test.go
+++ b/internal/standin/history/check_test.go
@@ -99,6 +99,16 @@
 		{"cut by a graceful stop", func(w *world) { w.faults[0].Graceful = true }, []Rule{RuleCut}},
 		{"cut after the effect of a fault", func(w *world) { w.attempts[5].Sent += 8000; w.attempts[5].Received += 8000; w.events[12].Wall += 8000 }, []Rule{RuleCut}},
 		{"outcome lost by a graceful stop", func(w *world) { w.faults = nil; w.attempts[5].Status, w.attempts[5].Outcome = 502, "outcome-unknown" }, []Rule{RuleCut}},
+		{"outcome lost without a start", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Stop: true, From: 790, Until: 850}
+			w.attempts[5].Status, w.attempts[5].Outcome = 502, "outcome-unknown"
+			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
+		}, nil},
+		{"outcome lost without a start by a stop during the request", func(w *world) {
+			w.faults[0] = Fault{Graceful: true, Stop: true, From: 801, Until: 850}
+			w.attempts[5].Status, w.attempts[5].Outcome = 502, "outcome-unknown"
+			w.events = slices.DeleteFunc(w.events, func(e Event) bool { return e.Submission == "d" })
+		}, []Rule{RuleCut}},
 		{"outcome lost at the deadline", func(w *world) {
 			w.faults = nil
 			w.attempts[5].Status, w.attempts[5].Outcome, w.attempts[5].Received = 504, "outcome-unknown", 1800
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -82,9 +82,11 @@
 	// proxy. The proxy accepts requests that the entry would refuse.
 	Entry string `json:"entry,omitempty"`
 	// Graceful faults may interrupt no request.
-	Graceful bool    `json:"graceful"`
-	From     float64 `json:"from-wall-ms"`
-	Until    float64 `json:"until-wall-ms"`
+	Graceful bool `json:"graceful"`
+	// Stop marks the graceful stop of a process.
+	Stop  bool    `json:"stop,omitempty"`
+	From  float64 `json:"from-wall-ms"`
+	Until float64 `json:"until-wall-ms"`
 }
 
 // Writer writes JSON lines and is safe for concurrent use.
--- a/internal/standin/schedule/plan.go
+++ b/internal/standin/schedule/plan.go
@@ -48,6 +48,11 @@
 
 func (k Kind) graceful() bool { return slices.Contains(GracefulKinds, k) }
 
+// stop reports whether the kind stops a process gracefully.
+func (k Kind) stop() bool {
+	return k == TerminateEntry || k == TerminateAgent || k == TerminateUpstream
+}
+
 // step is one planned fault.
 type step struct {
 	at     time.Duration
