Check that a leaving upstream receives no new work

Change: a start at an upstream more than 3 s after its own or its agent's graceful stop began, and before its restart, is a violation; two hand-made histories guard the rule. Result: go test -race ./internal/standin/... passes, with the schedules skipped in this tree.

--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -27,6 +27,8 @@
 	RuleFalseNotRun Rule = "false-not-run"
 	// RuleCut: a request broke, or its outcome was lost, while only graceful stops happened.
 	RuleCut Rule = "cut-by-shutdown"
+	// RuleLateStart: an upstream that was leaving received a task after DrainLimit.
+	RuleLateStart Rule = "start-after-drain"
 )
 
 // Violation is a broken rule with its evidence.
@@ -46,6 +48,9 @@
 // outcome-unknown after 5 s, and sessions need time to come back.
 const FaultTail = 7_000
 
+// DrainLimit is the target for a leaving upstream to receive no new work.
+const DrainLimit = 3_000
+
 // idleRace is the time within which a broken request on a reused connection
 // may be due to the entry closing that connection while it was idle.
 const idleRace = 50
@@ -73,6 +78,22 @@
 		all = append(all, s.checkRefusals()...)
 		all = append(all, s.checkCuts(faults)...)
 	}
+	return append(all, checkDrains(events, faults)...)
+}
+
+func checkDrains(events []Event, faults []Fault) []Violation {
+	var all []Violation
+	for _, f := range faults {
+		if !f.Stop || f.Upstream == "" {
+			continue
+		}
+		for _, e := range events {
+			if e.Event == EventStart && e.Upstream == f.Upstream && e.Wall > f.From+DrainLimit+tolerance && e.Wall < f.Until {
+				all = append(all, Violation{Rule: RuleLateStart, Submission: e.Submission,
+					Detail: fmt.Sprintf("task %d started at %s %.0f ms after %s of %s", e.Task, e.Upstream, e.Wall-f.From, f.Kind, f.Target)})
+			}
+		}
+	}
 	return all
 }
 
--- a/internal/standin/history/check_test.go
+++ b/internal/standin/history/check_test.go
@@ -151,6 +151,14 @@
 			w.faults[0] = Fault{Graceful: true, Entry: "e2", From: 790, Until: 850}
 			w.attempts[5].Entry = "e2"
 		}, []Rule{RuleCut}},
+		// An agent that still sends work to an upstream that is leaving.
+		{"start while leaving", func(w *world) {
+			w.faults = append(w.faults, Fault{Graceful: true, Stop: true, Upstream: "u1", From: 840 - DrainLimit, Until: 900})
+		}, []Rule{RuleLateStart}},
+		{"start within the limit, and after the return", func(w *world) {
+			w.faults = append(w.faults, Fault{Graceful: true, Stop: true, Upstream: "u1", From: 845 - DrainLimit, Until: 849},
+				Fault{Graceful: true, Stop: true, Upstream: "u1", From: 849, Until: 9000}, Fault{Graceful: true, Stop: true, Upstream: "u2", From: -5000, Until: 9000})
+		}, nil},
 		{"reused connection cut after a start", func(w *world) { w.faults = nil; w.attempts[5].Reused, w.attempts[5].Received = true, 845 }, []Rule{RuleCut}},
 	}
 	for _, c := range cases {
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -83,6 +83,8 @@
 	Entry string `json:"entry,omitempty"`
 	// Graceful faults may interrupt no request.
 	Graceful bool `json:"graceful"`
+	// Upstream is the upstream that a graceful stop makes leave.
+	Upstream string `json:"upstream,omitempty"`
 	// Stop marks the graceful stop of a process.
 	Stop  bool    `json:"stop,omitempty"`
 	From  float64 `json:"from-wall-ms"`
--- a/internal/standin/schedule/apply.go
+++ b/internal/standin/schedule/apply.go
@@ -56,11 +56,7 @@
 	mu := r.lock(p.Name())
 	mu.Lock()
 	defer mu.Unlock()
-	entry := ""
-	if len(r.d.Links()) > 0 {
-		entry = p.CallerURL()
-	}
-	end := r.began(s.kind, p.Name(), entry)
+	end := r.began(s.kind, p.Name())
 	graceful := s.kind.graceful()
 	defer func() { end(graceful) }()
 	switch s.kind {
@@ -118,7 +114,7 @@
 			fn(proxies[l])
 		}
 	}
-	end := r.began(s.kind, fmt.Sprint(links), "")
+	end := r.began(s.kind, fmt.Sprint(links))
 	defer end(false)
 	each(func(p *faultproxy.Proxy) {
 		switch {
@@ -139,7 +135,7 @@
 	mu := r.lock("log")
 	mu.Lock()
 	defer mu.Unlock()
-	end := r.began(s.kind, "log", "")
+	end := r.began(s.kind, "log")
 	defer end(false)
 	if _, _, err := call(ctx, http.MethodPut, r.d.Log().URL()+"/faults", []byte(faults)); err != nil {
 		return fmt.Errorf("log faults: %w", err)
@@ -153,7 +149,7 @@
 
 // extraLoad adds load for the length of the step.
 func (r *runner) extraLoad(ctx context.Context, s step) error {
-	end := r.began(s.kind, "callers", "")
+	end := r.began(s.kind, "callers")
 	defer end(true)
 	cfg := r.load(r.cfg.Seed<<16 + uint64(s.target))
 	cfg.Duration, cfg.Direct.Rate = millis(s.length), 0
--- a/internal/standin/schedule/publish.go
+++ b/internal/standin/schedule/publish.go
@@ -30,7 +30,7 @@
 // publishRace lets two operators publish at once on the same base revision; at
 // most one may succeed.
 func (r *runner) publishRace(ctx context.Context, s step) {
-	end := r.began(s.kind, "operators", "")
+	end := r.began(s.kind, "operators")
 	defer end(true)
 	entries := r.d.Entries()
 	a, b := pick(entries, s.target), pick(entries, s.target+1)
--- a/internal/standin/schedule/run.go
+++ b/internal/standin/schedule/run.go
@@ -167,14 +167,24 @@
 }
 
 // began records a fault and returns the function that records its end. Until
-// then the fault counts as lasting. The entry is the callers' URL of a stopped
-// entry behind a proxy, which accepts connections that the entry would refuse.
-func (r *runner) began(kind Kind, target, entry string) func(graceful bool) {
+// then the fault counts as lasting.
+func (r *runner) began(kind Kind, target string) func(graceful bool) {
+	now := wallNow()
+	f := history.Fault{Kind: string(kind), Target: target, Graceful: kind.graceful(), Stop: kind.stop(), From: now, Until: now + 1e9}
+	for i, u := range r.d.Upstreams() {
+		if f.Stop && (target == u.Name() || target == r.d.Agents()[i].Name()) {
+			f.Upstream = u.Name()
+		}
+	}
+	for _, e := range r.d.Entries() {
+		if target == e.Name() && len(r.d.Links()) > 0 {
+			f.Entry = e.CallerURL()
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := len(r.faults)
-	now := wallNow()
-	r.faults = append(r.faults, history.Fault{Kind: string(kind), Target: target, Entry: entry, Graceful: kind.graceful(), Stop: kind.stop(), From: now, Until: now + 1e9})
+	r.faults = append(r.faults, f)
 	return func(graceful bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
