Keep used limits across updates and allocate histograms late

Cause: a limit without active teams lost its debt in an update; a limit without a rate collected a debt that blocked it when it got one; a service name that never ran took 32 KiB. Change: all three, with tests for the updates. Conclusion: none.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -87,7 +87,9 @@
 // demand, and for each home one task or one job larger than its part of the
 // burst. Open tasks exceed the concurrency by at most one job for each other
 // home. Both bounds are tested with random demand and are not proven. Groups of
-// homes that cannot hear one another each use up to the whole limit. It is not safe for concurrent use.
+// homes that cannot hear one another each use up to the whole limit.
+//
+// It is not safe for concurrent use.
 type Quotas struct {
 	o      Options
 	config Config
@@ -169,6 +171,12 @@
 			s.open += t.open
 		}
 	}
+	// A limit that no active team uses keeps what was used of it.
+	for key, s := range old {
+		if l, ok := q.byName[key]; ok && q.limits[key] == nil {
+			q.limits[key] = q.newState(l, s, now)
+		}
+	}
 	q.divide(now, false)
 	return nil
 }
@@ -179,7 +187,8 @@
 	key := limit
 	if !listed {
 		limit = q.config.Default
-		key = limit + "/" + name
+		// No name of a limit has this form.
+		key = limit + "\x00" + name
 		own = key
 	}
 	for limit != "" {
@@ -206,6 +215,9 @@
 	if old != nil {
 		old.fill(now)
 		s := &state{limit: l, tokens: old.tokens, filled: now, demands: old.demands, share: old.share}
+		if old.limit.Rate == 0 {
+			s.tokens = s.bucket()
+		}
 		s.tokens = min(s.tokens, s.bucket())
 		return s
 	}
--- a/internal/limit/quota_test.go
+++ b/internal/limit/quota_test.go
@@ -118,11 +118,29 @@
 		So(q.Admit("a", 1, 1).Admit(), ShouldBeFalse)
 		So(q.Update(cfg(-1, 0), 1), ShouldNotBeNil)
 		So(q.Admit("a", 1, 1).Admit(), ShouldBeFalse)
-		q.Done("a", 32, 1)
+		So(q.Update(cfg(0, 50), 1), ShouldBeNil)
+		So(q.Admit("a", 10, 1).Admit(), ShouldBeTrue)
+		So(q.Update(cfg(10, 0), 1), ShouldBeNil)
+		So(q.Admit("a", 10, 1).Admit(), ShouldBeTrue)
+		So(q.Admit("a", 1, 1).Admit(), ShouldBeFalse)
+		q.Done("a", 52, 1)
 		So(q.teams["a"].open, ShouldEqual, 0)
 	})
 }
 
+// Guards against a debt that is forgotten when the limits change while no team is active.
+func TestUpdateKeepsIdleLimits(t *testing.T) {
+	Convey("A large job is paid back across an update", t, func() {
+		cfg := Config{Limits: []Limit{{Name: "l", Rate: 1, Burst: 10}}, Teams: map[string]string{"a": "l"}}
+		q := mustQuotas(cfg)
+		So(q.Admit("a", 1000, 1).Admit(), ShouldBeTrue)
+		q.Done("a", 1000, 1)
+		So(q.Usage(60_000), ShouldBeEmpty)
+		So(q.Update(cfg, 60_000), ShouldBeNil)
+		So(q.Admit("a", 1, 60_000).Admit(), ShouldBeFalse)
+	})
+}
+
 // Guards against memory that grows with every team name that was ever seen.
 func TestIdleTeamsAreForgotten(t *testing.T) {
 	Convey("Idle teams leave no state", t, func() {
--- a/internal/queue/learner.go
+++ b/internal/queue/learner.go
@@ -87,7 +87,7 @@
 func (l *Learner) service(name string) *service {
 	s := l.services[name]
 	if s == nil {
-		s = &service{window: hdrhistogram.NewWindowed(2, 1, int64(maxRunTime), 2)}
+		s = &service{}
 		l.services[name] = s
 	}
 	return s
@@ -114,6 +114,9 @@
 func (l *Learner) Observe(name, agent string, runTime gypsumtide.Millis) {
 	runTime = min(max(runTime, 1), maxRunTime)
 	s := l.service(name)
+	if s.window == nil {
+		s.window = hdrhistogram.NewWindowed(2, 1, int64(maxRunTime), 2)
+	}
 	if s.count > 0 {
 		l.observeAgent(agent, float64(runTime)/s.mean)
 	}
