Recall by class, and from slow agents first

Cause: a recalled long task could find only reserved slots, and waits at slow agents are longer. Change: recalls are bounded by the room for their class and ordered by waiting time weighted by the agent's speed. Measured: go test ./internal/placement passes.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -254,6 +254,9 @@
 		So(r.Recall(1000, sent, agents), ShouldResemble, []int{10, 8})
 		So(r.Recall(155, sent, agents), ShouldResemble, []int{10})
 		So(r.Recall(1000, sent, agents[:2]), ShouldBeEmpty)
+		sent[9].Task.SetClass(gypsumtide.ClassLong)
+		agents[2] = view{long: 6}.build()
+		So(r.Recall(1000, sent, agents), ShouldResemble, []int{10, 8})
 	})
 	Convey("Recalls stay within their share of the dispatches", t, func() {
 		agents := []*gypsumtide.AgentView{view{short: 9}.build(), view{}.build()}
--- a/internal/placement/recall.go
+++ b/internal/placement/recall.go
@@ -58,32 +58,34 @@
 	r.tokens = min(r.tokens+r.o.Share*float64(n), maxRecalls)
 }
 
-// Recall returns the indexes in sent of the tasks to recall, the longest
-// waiting first. An agent runs its tasks in the order of arrival, so only the
-// youngest ones are taken back, and no more than its tasks exceed its slots.
-// All tasks are taken back from an ejected agent. There are never more recalls
-// than free slots elsewhere.
+// Recall returns the indexes in sent of the tasks to recall, those first that
+// waited longest, weighted by the slowness of their agent. An agent runs its
+// tasks in the order of arrival, so only the youngest ones are taken back, and
+// no more than its tasks exceed its slots. All tasks are taken back from an
+// ejected agent. There are never more recalls than free slots elsewhere that
+// take their class.
 func (r *Recaller) Recall(now gypsumtide.Millis, sent []Sent, agents []*gypsumtide.AgentView) []int {
-	most := min(idleSlots(agents), int(r.tokens))
-	if most <= 0 {
+	room, longRoom := Room(agents, 0)
+	if min(room, int(r.tokens)) <= 0 {
 		return nil
 	}
-	chosen := queued(sent, agents)
-	chosen = slices.DeleteFunc(chosen, func(i int) bool { return now-sent[i].At < r.o.MinAge })
-	slices.SortFunc(chosen, func(a, b int) int { return cmp.Compare(sent[a].At, sent[b].At) })
-	chosen = chosen[:min(len(chosen), most)]
-	r.tokens -= float64(len(chosen))
-	return chosen
-}
-
-func idleSlots(agents []*gypsumtide.AgentView) int {
-	idle := 0
-	for _, v := range agents {
-		if !v.Ejected() {
-			idle += max(0, v.Slots()-v.Open())
+	waiting := queued(sent, agents)
+	urgency := func(i int) float64 { return float64(now-sent[i].At) * agents[sent[i].Agent].Speed() }
+	slices.SortFunc(waiting, func(a, b int) int { return cmp.Compare(urgency(b), urgency(a)) })
+	var chosen []int
+	for _, i := range waiting {
+		long := sent[i].Task.Class() == gypsumtide.ClassLong
+		if room == 0 || r.tokens < 1 || now-sent[i].At < r.o.MinAge || long && longRoom == 0 {
+			continue
+		}
+		chosen = append(chosen, i)
+		room--
+		r.tokens--
+		if long {
+			longRoom--
 		}
 	}
-	return idle
+	return chosen
 }
 
 // queued returns the indexes in sent of the tasks that probably wait at their agents.
