capacity: measure the slopes of each role

Cause: the design page gives targets for 3,000 workers, and no command shows how the cost of an entry and of an agent grows with the number of agents, entries, tasks, ids and teams.

Entry.Counters gives the traffic of an entry's sessions.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,6 +99,9 @@
 	return e, nil
 }
 
+// Counters returns the traffic of this entry's sessions.
+func (e *Entry) Counters() *wire.Counters { return &e.counters }
+
 // Run serves until ctx is done, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", e.cfg.Listen)
--- /dev/null
+++ b/internal/standin/capacity/bare.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// keepBareAgent speaks the agent's side of the protocol without ledger, HTTP
+// server and upstream: it answers each dispatch at once.
+func keepBareAgent(ctx context.Context, i int, url string, counters *wire.Counters, ev *events) {
+	clock := gypsumtide.NewSystemClock()
+	timing := wire.Timing{Heartbeat: 300, Silence: 1500}
+	for ctx.Err() == nil {
+		if err := runBareAgent(ctx, i, url, clock, timing, counters, ev); err != nil {
+			time.Sleep(50*time.Millisecond + rand.N(200*time.Millisecond))
+		}
+	}
+}
+
+func runBareAgent(ctx context.Context, i int, url string, clock gypsumtide.Clock, timing wire.Timing, counters *wire.Counters, ev *events) error {
+	s, err := wire.Dial(ctx, &http.Client{}, "ws"+strings.TrimPrefix(url, "http")+"/v1/session", "", clock, timing, counters)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	hello := &wire.Hello{Kind: "agent", Name: agentName(i), Incarnation: fmt.Sprintf("%s-%d", agentName(i), time.Now().UnixNano()), Zone: fmt.Sprint("zone-", i%6), Rack: fmt.Sprint("rack-", i/3)}
+	if err := s.WriteFrame(ctx, &wire.Frame{Hello: hello}); err != nil {
+		return err
+	}
+	if _, err := s.ReadFrame(ctx); err != nil {
+		return err
+	}
+	ev.connected.Add(1)
+	s.Update(func(f *wire.Frame) {
+		f.Announcement = &wire.Announcement{Upstreams: []wire.Upstream{{Name: "u", Services: []string{service}, Slots: 8}}}
+		f.Load = &gypsumtide.Load{}
+	})
+	return s.Run(ctx, func(f *wire.Frame) error {
+		if len(f.Dispatches)+len(f.Promises) == 0 {
+			return nil
+		}
+		s.Update(func(out *wire.Frame) {
+			out.Load = &gypsumtide.Load{}
+			out.Promised = append(out.Promised, f.Promises...)
+			for _, d := range f.Dispatches {
+				out.Results = append(out.Results, wire.Result{TaskRef: d.TaskRef, State: wire.TaskDone, Status: 200, Body: []byte("1"), RunTime: 50, Upstream: "u", ContentType: "application/json"})
+			}
+		})
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/standin/capacity/fit.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// point is one measured value at one size.
+type point struct{ size, value float64 }
+
+// line is a least-squares fit value = base + slope * size.
+type line struct {
+	base, slope float64
+	// spread is the root mean square of the residuals.
+	spread float64
+}
+
+func fit(points []point) line {
+	n := float64(len(points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range points {
+		sx += p.size
+		sy += p.value
+		sxx += p.size * p.size
+		sxy += p.size * p.value
+	}
+	l := line{}
+	if d := n*sxx - sx*sx; d != 0 {
+		l.slope = (n*sxy - sx*sy) / d
+	}
+	l.base = (sy - l.slope*sx) / n
+	var sum float64
+	for _, p := range points {
+		r := p.value - l.base - l.slope*p.size
+		sum += r * r
+	}
+	l.spread = math.Sqrt(sum / n)
+	return l
+}
+
+// series collects the points of one measure in the order of their first use.
+type series struct {
+	names  []string
+	points map[string][]point
+}
+
+func newSeries() *series { return &series{points: make(map[string][]point)} }
+
+func (s *series) add(name string, size int, value float64) {
+	if !slices.Contains(s.names, name) {
+		s.names = append(s.names, name)
+	}
+	s.points[name] = append(s.points[name], point{size: float64(size), value: value})
+}
+
+// print writes the points and the fit of each measure, and the fit's value at full.
+func (s *series) print(title string, full int) {
+	fmt.Printf("\n## %s\n", title)
+	for _, name := range s.names {
+		l := fit(s.points[name])
+		fmt.Printf("%-44s", name)
+		for _, p := range s.points[name] {
+			fmt.Printf(" %.0f:%.4g", p.size, p.value)
+		}
+		fmt.Printf("\n%-44s slope %.4g base %.4g spread %.3g; at %d: %.4g\n", "", l.slope, l.base, l.spread, full, l.base+l.slope*float64(full))
+	}
+}
--- /dev/null
+++ b/internal/standin/capacity/main.go
@@ -0,0 +1,48 @@
+// The capacity program measures how the cost of each role grows with its size.
+// It runs an entry and agents as child processes on loopback, so that the
+// processor time of each role is separate. docs/CAPACITY.md rests on its output.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+// fullAgents is the number of agents to design for.
+const fullAgents = 3000
+
+var measures = map[string]func() error{
+	"sessions": measureSessions,
+	"entries":  measureEntries,
+	"starts":   measureStarts,
+	"spread":   measureSpread,
+	"memory":   measureMemory,
+	"bytes":    measureBytes,
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) > 0 && args[0] == "child" {
+		return runChild(args[1:])
+	}
+	if len(args) == 0 {
+		return errors.New("name one or more of sessions, entries, starts, spread, memory, bytes")
+	}
+	for _, name := range args {
+		measure, ok := measures[name]
+		if !ok {
+			return fmt.Errorf("unknown measure %q", name)
+		}
+		if err := measure(); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
