entry, agent: send changes of the configuration, not the whole text

Cause: each entry sent the whole text of a revision to each agent, and again on each new session.

Change: an agent that reported the revision before gets the bytes that differ, one that has the revision gets nothing, any other gets the compressed text. An entry sends after the first frame of a session, which tells the agent's revision. A message that does not apply ends the session.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"gypsumtide/internal/group"
@@ -17,7 +18,9 @@
 // cancels go after dispatches, because they may name a task of the same frame.
 func (a *Agent) handle(l *link, f *wire.Frame) error {
 	if f.Config != nil {
-		a.configure(f.Config)
+		if err := a.configure(f.Config); err != nil {
+			return err
+		}
 	}
 	if f.Welcome != nil {
 		a.learn(l, f.Welcome)
@@ -111,18 +114,28 @@
 	}
 }
 
-// configure keeps the highest revision, so that a node never reverts.
-func (a *Agent) configure(c *wire.Config) {
+// configure keeps the highest revision, so that a node never reverts. An error
+// ends the session, and the entry sends the whole text on the next one.
+func (a *Agent) configure(c *wire.Config) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.config != nil && c.Revision <= a.config.Revision {
-		return
+	if c.Revision <= a.revision() {
+		return nil
 	}
-	a.config = c
+	var own []byte
+	if a.config != nil {
+		own = a.config.Objects
+	}
+	text, err := c.Text(a.revision(), own)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	a.config = &wire.Config{Revision: c.Revision, Objects: text}
 	a.log.Info("configuration in force", "revision", c.Revision)
 	for _, l := range a.links {
 		a.update(l, func(*wire.Frame) {})
 	}
+	return nil
 }
 
 // deliver sends the answers for discarded tasks to their homes.
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -155,7 +155,9 @@
 		return nil, err
 	}
 	if f.Config != nil {
-		a.configure(f.Config)
+		if err := a.configure(f.Config); err != nil {
+			return nil, err
+		}
 	}
 	if f.Welcome == nil {
 		return nil, gypsumtide.NewError("handshake", s.Peer(), errors.New("no welcome"))
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -314,7 +314,8 @@
 	rec := wire.AgentRecord{Name: hello.Name, Incarnation: hello.Incarnation, Zone: hello.Zone, Rack: hello.Rack}
 	var c *agentConn
 	err := s.Run(ctx, func(f *wire.Frame) error {
-		if c == nil {
+		first := c == nil
+		if first {
 			c = e.agentUp(rec, s)
 		}
 		for _, p := range f.Promised {
@@ -323,6 +324,10 @@
 		if e.home.handleAgent(c, f) {
 			e.owner.AgentLeft(rec.Incarnation)
 		}
+		if first {
+			// The first frame told which revision the agent has.
+			e.home.sendConfig(c, e.config.Load())
+		}
 		return nil
 	})
 	if c == nil {
@@ -340,6 +345,5 @@
 	c := e.home.agentUp(rec, s)
 	e.owner.AgentUp(rec)
 	e.log.Info("agent connected", "agent", rec.Name, "incarnation", rec.Incarnation, "zone", rec.Zone)
-	e.sendConfig(s)
 	return c
 }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -36,17 +36,73 @@
 		return
 	}
 	e.revision.Store(rev.Number())
-	e.home.eachAgent(e.sendConfig)
+	messages, err := newConfigMessages(e.config.Load(), rev)
+	if err != nil {
+		e.log.Error(err, "configuration not sent to agents", "revision", rev.Number())
+		return
+	}
+	e.config.Store(messages)
+	e.home.sendConfigs(messages)
 	e.log.Info("configuration in force", "revision", rev.Number(), "author", rev.Author())
 }
 
-// sendConfig sends the configuration in force to an agent.
-func (e *Entry) sendConfig(s *wire.Session) {
-	rev := e.publisher.Current()
-	if rev.Number() == 0 {
+// configMessages are the messages that bring a revision to agents.
+type configMessages struct {
+	revision uint64
+	objects  []byte
+	whole    *wire.Config
+	// change leads from the revision before; it is nil if this entry did not have that one.
+	change *wire.Config
+}
+
+func newConfigMessages(before *configMessages, rev object.Revision) (*configMessages, error) {
+	m := &configMessages{revision: rev.Number(), objects: rev.Objects()}
+	var err error
+	if m.whole, err = wire.WholeConfig(m.revision, m.objects); err != nil {
+		return nil, err
+	}
+	if before != nil && before.revision+1 == m.revision {
+		m.change = wire.ConfigChange(before.revision, before.objects, m.revision, m.objects)
+	}
+	return m, nil
+}
+
+// message returns what an agent that reported a revision needs, or nil. An
+// agent never reverts, so a change from the reported revision always applies
+// or comes after another entry's message of the same revision.
+func (m *configMessages) message(reported uint64) *wire.Config {
+	switch {
+	case reported >= m.revision:
+		return nil
+	case m.change != nil && reported == m.change.Base:
+		return m.change
+	}
+	return m.whole
+}
+
+// sendConfigs sends a configuration to every connected agent.
+func (h *home) sendConfigs(m *configMessages) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.agents {
+		c.sendConfig(m)
+	}
+}
+
+// sendConfig sends a configuration to an agent that has just connected.
+func (h *home) sendConfig(c *agentConn, m *configMessages) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c.sendConfig(m)
+}
+
+func (c *agentConn) sendConfig(m *configMessages) {
+	if c.session == nil || m == nil {
 		return
 	}
-	s.Update(func(f *wire.Frame) { f.Config = &wire.Config{Revision: rev.Number(), Objects: rev.Objects()} })
+	if config := m.message(c.revision); config != nil {
+		c.session.Update(func(f *wire.Frame) { f.Config = config })
+	}
 }
 
 // configure applies changed pools, weights and limits to what runs.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	publisher   *object.Publisher
 	router      *router
 	revision    atomic.Uint64
+	config      atomic.Pointer[configMessages]
 	home        *home
 	links       *links
 	sessionCtx  context.Context
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxConfigBytes bounds the text of a configuration after decompression.
+const maxConfigBytes = 32 << 20
+
+// ErrConfigBase means that a change applies to a revision that the receiver does not have.
+var ErrConfigBase = errors.New("configuration change has another base")
+
+// WholeConfig returns the message that carries the whole text of a revision.
+func WholeConfig(revision uint64, text []byte) (*Config, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.DefaultCompression)
+	if err != nil {
+		return nil, fmt.Errorf("wire: compress configuration: %w", err)
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil, fmt.Errorf("wire: compress configuration: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("wire: compress configuration: %w", err)
+	}
+	return &Config{Revision: revision, Objects: b.Bytes(), Deflated: true}, nil
+}
+
+// ConfigChange returns the message that leads from the text of the revision
+// base to that of revision.
+func ConfigChange(base uint64, from []byte, revision uint64, to []byte) *Config {
+	n := min(len(from), len(to))
+	prefix := 0
+	for prefix < n && from[prefix] == to[prefix] {
+		prefix++
+	}
+	suffix := 0
+	for suffix < n-prefix && from[len(from)-1-suffix] == to[len(to)-1-suffix] {
+		suffix++
+	}
+	return &Config{Revision: revision, Objects: to[prefix : len(to)-suffix], Base: base, Prefix: prefix, Suffix: suffix}
+}
+
+// Text returns the whole text. A change is applied to the text of the revision
+// that the receiver has.
+func (c *Config) Text(revision uint64, text []byte) ([]byte, error) {
+	if c.Base != 0 {
+		if c.Base != revision || c.Prefix < 0 || c.Suffix < 0 || c.Prefix > len(text) || c.Suffix > len(text)-c.Prefix {
+			return nil, fmt.Errorf("wire: configuration %d: %w", c.Revision, ErrConfigBase)
+		}
+		return bytes.Join([][]byte{text[:c.Prefix], c.Objects, text[len(text)-c.Suffix:]}, nil), nil
+	}
+	if !c.Deflated {
+		return c.Objects, nil
+	}
+	whole, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(c.Objects)), maxConfigBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("wire: decompress configuration %d: %w", c.Revision, err)
+	}
+	if len(whole) > maxConfigBytes {
+		return nil, fmt.Errorf("wire: configuration %d is larger than %d bytes", c.Revision, maxConfigBytes)
+	}
+	return whole, nil
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -94,11 +94,18 @@
 	Ejected bool `cbor:"6,keyasint,omitempty" json:"ejected,omitempty"`
 }
 
-// Config is a whole published set of objects.
+// Config is a published set of objects, or its difference from another one.
 type Config struct {
 	Revision uint64 `cbor:"1,keyasint"`
 	// Objects is the YAML text of the set.
 	Objects []byte `cbor:"2,keyasint,omitempty"`
+	// Base is set in a change: Objects replaces the text of revision Base
+	// except for its first Prefix and its last Suffix bytes.
+	Base   uint64 `cbor:"3,keyasint,omitempty"`
+	Prefix int    `cbor:"4,keyasint,omitempty"`
+	Suffix int    `cbor:"5,keyasint,omitempty"`
+	// Deflated means that Objects is compressed.
+	Deflated bool `cbor:"6,keyasint,omitempty"`
 }
 
 // TaskRef names a task of a submission. Epoch is the epoch of its dispatch.
