agent: do not send two heartbeats

Cause: announce and the session's own timer both ran at the heartbeat interval, and an idle agent sent 4.4 frames a second instead of 3.3.

Change: the session's timer is the fallback, at one and a half intervals.

--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -116,7 +116,9 @@
 		return false, errSecondSession
 	}
 	counters := &wire.Counters{}
-	timing := wire.Timing{Heartbeat: a.cfg.Heartbeat, Silence: a.cfg.Silence}
+	// announce sends each heartbeat. The session's own timer is a fallback and
+	// longer, since two equal timers sent 4.4 frames a second instead of 3.3.
+	timing := wire.Timing{Heartbeat: a.cfg.Heartbeat * 3 / 2, Silence: a.cfg.Silence}
 	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	secure, err := clientTLS(a.cfg.TLS)
