entry: choose a task's agents without a scan of all agents

Cause: for each task the home looked at every agent that serves the service, to keep those of the job's candidate set.

Change: a job keeps its candidates among the agents that serve, until an agent connects, leaves or announces something else. The roster rule is still checked for each task.

--- /dev/null
+++ b/internal/entry/eligible_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gypsumtide"
+	"gypsumtide/internal/job"
+	"gypsumtide/internal/shard"
+	"gypsumtide/internal/wire"
+)
+
+// fixedOwner names the first agents as candidates and may declare agents unusable.
+type fixedOwner struct {
+	ownership
+	names    []string
+	unusable map[string]bool
+}
+
+func (o *fixedOwner) Usable(incarnation string, _ gypsumtide.ShardID) bool {
+	return !o.unusable[incarnation]
+}
+
+func (o *fixedOwner) Candidates(_ gypsumtide.SubmissionID, n int) []string {
+	return o.names[:min(len(o.names), max(16, (n+7)/8))]
+}
+
+func (o *fixedOwner) RecoveryCandidates(gypsumtide.SubmissionID, int) ([]shard.RecoveryCandidate, bool) {
+	return nil, true
+}
+
+// newEligible returns a home with connected agents and a job of n tasks.
+func newEligible(t testing.TB, agents, n int) (*home, *fixedOwner, *pool, *activeJob) {
+	t.Helper()
+	o := &fixedOwner{unusable: map[string]bool{}}
+	h, err := newHome(homeOptions{clock: gypsumtide.NewSystemClock(), router: newRouter(), metrics: newMeters(), owner: o})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range agents {
+		rec := wire.AgentRecord{Name: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint("agent-", i, "#1"), Zone: fmt.Sprint("zone-", i%6)}
+		c := h.agentUp(rec, &wire.Session{})
+		h.announced(c, &wire.Announcement{Upstreams: []wire.Upstream{{Name: "u", Services: []string{"echo"}, Slots: 8}}})
+		o.names = append(o.names, rec.Incarnation)
+	}
+	p, err := h.pool("default")
+	if err != nil {
+		t.Fatal(err)
+	}
+	req := &wire.Job{Service: "echo", Tasks: make([]wire.JobTask, n)}
+	return h, o, p, &activeJob{Job: job.New(req, 1, 1, 10_000), pool: p}
+}
+
+func names(c *candidates) []string {
+	var list []string
+	for i, conn := range c.conns {
+		if conn.view != c.views[i] {
+			return []string{"connections and views differ"}
+		}
+		list = append(list, conn.record.Incarnation)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Guards against a task that is placed on an agent outside the job's candidate
+// set, one that the roster rule excludes, or one that has left since the job's last placement.
+func TestEligible(t *testing.T) {
+	h, o, p, aj := newEligible(t, 20, 10)
+	task := aj.Tasks()[0]
+	want := func(what string, list []string) {
+		t.Helper()
+		list = slices.Sorted(slices.Values(list))
+		if got := names(p.eligible(h, aj, task)); !slices.Equal(got, list) {
+			t.Errorf("%s: got %v, want %v", what, got, list)
+		}
+	}
+	want("candidates only", o.names[:16])
+	o.unusable[o.names[3]] = true
+	want("unusable agent", slices.Concat(o.names[:3], o.names[4:16]))
+	delete(o.unusable, o.names[3])
+	want("usable again", o.names[:16])
+	c := h.agents[o.names[5]]
+	h.announced(c, &wire.Announcement{Draining: true})
+	want("draining agent", slices.Concat(o.names[:5], o.names[6:16]))
+	c = h.agents[o.names[0]]
+	h.agentDown(c, c.session)
+	want("broken session", slices.Concat(o.names[1:5], o.names[6:16]))
+	h.agentUp(c.record, &wire.Session{})
+	want("session restored", slices.Concat(o.names[:5], o.names[6:16]))
+}
+
+// Measures the choice of the agents for one more task of a job.
+func BenchmarkEligible(b *testing.B) {
+	for _, agents := range []int{11, 100, 300, 1000, 3000} {
+		for _, tasks := range []int{10, 1200} {
+			b.Run(fmt.Sprintf("agents=%d/tasks=%d", agents, tasks), func(b *testing.B) {
+				h, _, p, aj := newEligible(b, agents, tasks)
+				task := aj.Tasks()[0]
+				b.ReportAllocs()
+				for b.Loop() {
+					p.eligible(h, aj, task)
+				}
+			})
+		}
+	}
+}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -53,9 +53,13 @@
 type activeJob struct {
 	*job.Job
 	pool       *pool
-	candidates map[string]bool
-	closeBy    gypsumtide.Millis
-	recovery   *recovery
+	candidates []string
+	// serving holds the candidates among servingOf, the agents that served the
+	// job's service at the last placement.
+	serving   *candidates
+	servingOf *candidates
+	closeBy   gypsumtide.Millis
+	recovery  *recovery
 	// quotaKey and limits are what the job's route and team are charged to.
 	quotaKey string
 	limits   []object.Limit
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -164,6 +164,24 @@
 type candidates struct {
 	conns []*agentConn
 	views []*gypsumtide.AgentView
+	// byIncarnation finds an agent among all that serve the service.
+	byIncarnation map[string]*agentConn
+}
+
+func (c *candidates) add(conn *agentConn) {
+	c.conns = append(c.conns, conn)
+	c.views = append(c.views, conn.view)
+}
+
+// among returns the agents that the incarnations name.
+func (c *candidates) among(incarnations []string) *candidates {
+	some := &candidates{}
+	for _, inc := range incarnations {
+		if conn := c.byIncarnation[inc]; conn != nil {
+			some.add(conn)
+		}
+	}
+	return some
 }
 
 // invalidate rebuilds the candidate lists at their next use.
@@ -206,13 +224,13 @@
 	if c != nil {
 		return c
 	}
-	c = &candidates{}
+	c = &candidates{byIncarnation: make(map[string]*agentConn)}
 	p.slots = 0
 	for _, conn := range h.agents {
 		if conn.serves(service) && h.router.inPool(p.spec.name, conn.record.Zone) {
 			conn.view.SetSlots(conn.view.Slots(), conn.view.Slots()*p.spec.reserveShort/100)
-			c.conns = append(c.conns, conn)
-			c.views = append(c.views, conn.view)
+			c.add(conn)
+			c.byIncarnation[conn.record.Incarnation] = conn
 			p.slots += conn.view.Slots()
 		}
 	}
@@ -256,33 +274,36 @@
 // eligible returns the agents of the job's candidate set that may receive tasks of its shard.
 func (p *pool) eligible(h *home, aj *activeJob, t *gypsumtide.Task) *candidates {
 	all := p.serving(h, t.Service())
-	shard := t.Submission().Shard()
-	if aj.candidates == nil {
-		aj.candidates = make(map[string]bool)
-		for _, inc := range h.owner.Candidates(t.Submission(), len(aj.Tasks())) {
-			aj.candidates[inc] = true
-		}
-	}
-	usable := func(c *agentConn) bool {
-		return aj.candidates[c.record.Incarnation] && h.owner.Usable(c.record.Incarnation, shard)
+	if aj.servingOf != all {
+		aj.serving, aj.servingOf = all.among(h.candidates(aj)), all
 	}
+	mine := aj.serving
+	shard := t.Submission().Shard()
+	usable := func(c *agentConn) bool { return h.owner.Usable(c.record.Incarnation, shard) }
 	first := 0
-	for first < len(all.conns) && usable(all.conns[first]) {
+	for first < len(mine.conns) && usable(mine.conns[first]) {
 		first++
 	}
-	if first == len(all.conns) {
-		return all
+	if first == len(mine.conns) {
+		return mine
 	}
 	some := &candidates{}
-	for i, c := range all.conns {
+	for i, c := range mine.conns {
 		if i < first || usable(c) {
-			some.conns = append(some.conns, c)
-			some.views = append(some.views, all.views[i])
+			some.add(c)
 		}
 	}
 	return some
 }
 
+// candidates returns the incarnations of the job's candidate set.
+func (h *home) candidates(aj *activeJob) []string {
+	if aj.candidates == nil {
+		aj.candidates = h.owner.Candidates(aj.Submission(), len(aj.Tasks()))
+	}
+	return aj.candidates
+}
+
 // dispatch sends the task to the agent unless the lease of its shard has expired.
 func (h *home) dispatch(c *agentConn, aj *activeJob, t *gypsumtide.Task, now gypsumtide.Millis) bool {
 	req := &aj.Request().Tasks[t.Index()]
