--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,7 @@
 	publisher   *object.Publisher
 	router      *router
 	revision    atomic.Uint64
+	config      atomic.Pointer[configMessages]
 	home        *home
 	links       *links
 	sessionCtx  context.Context
@@ -108,6 +109,9 @@
 	return e, nil
 }
 
+// Counters returns the traffic of this entry's sessions.
+func (e *Entry) Counters() *wire.Counters { return &e.counters }
+
 // Run serves until ctx is done, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	listener, err := e.listen()
