Make the incarnations of an entry ascend

Cause: the fold takes the entry with the higher incarnation text as the newer one of a name, and entries drew random UUIDs. Ruled out: a stuck control loop (the log was read on). Change: UUIDv7.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,8 +78,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
+	// Incarnations of one name must ascend as text: a higher one proves that
+	// the lower one has ended.
+	incarnation, err := uuid.NewV7()
+	if err != nil {
+		return nil, fmt.Errorf("entry: incarnation: %w", err)
+	}
 	e := &Entry{
-		cfg: cfg, clock: clock, log: log, incarnation: uuid.NewString(), key: key, metrics: newMeters(),
+		cfg: cfg, clock: clock, log: log, incarnation: incarnation.String(), key: key, metrics: newMeters(),
 		learned: make(map[string]bool),
 	}
 	self := wire.EntryInfo{Name: cfg.Name, Incarnation: e.incarnation, URL: cfg.URL, Zone: cfg.Zone}
