--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 BIN := bin
 
-.PHONY: build test lint demo faults capacity
+.PHONY: build check test lint demo faults measure capacity
 
 build:
 	go build -o $(BIN)/ ./cmd/...
 
+check: lint build test
+
 test:
 	go test -race ./...
 
