job: take the states of jobs and tasks from the charts

Cause: internal/job kept states of its own, and a task that its agent had reported as running could not be taken back. An agent writes the ledger before the upstream can refuse the task; asked in between after a broken session, it answers running first and not-started later. The home then kept the task open without an agent until the deadline. End refuses an answer that the chart does not permit and answers outcome-unknown instead.

--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -166,6 +166,46 @@
 	return c.states[t], true
 }
 
+// State and Event are a state and an event of one chart, for use on hot paths.
+type (
+	State int16
+	Event int16
+)
+
+// Initial returns the initial state.
+func (c *Chart) Initial() State { return State(c.initial) }
+
+// MustState returns the named state. It panics if the chart has none, so it is
+// for the initialization of packages.
+func (c *Chart) MustState(name string) State {
+	s, ok := c.stateByID[name]
+	if !ok {
+		panic(fmt.Sprintf("chart: %s has no state %s", c.name, name))
+	}
+	return State(s)
+}
+
+// MustEvent returns the named event and panics if the chart has none.
+func (c *Chart) MustEvent(name string) Event {
+	e, ok := c.eventByID[name]
+	if !ok {
+		panic(fmt.Sprintf("chart: %s has no event %s", c.name, name))
+	}
+	return Event(e)
+}
+
+// Step returns the state that follows. For an event that s rejects it returns s
+// and false.
+func (c *Chart) Step(s State, e Event) (State, bool) {
+	if t := c.next[int(s)*len(c.events)+int(e)]; t >= 0 {
+		return State(t), true
+	}
+	return s, false
+}
+
+// StateName returns the name of a state.
+func (c *Chart) StateName(s State) string { return c.states[s] }
+
 // Machine is the current state of one thing that a chart describes. The zero
 // value has no chart; Chart.Start makes one.
 type Machine struct {
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -339,7 +339,8 @@
 
 // end gives the final answer, remembers it, and releases what the job holds.
 func (h *home) end(aj *activeJob, a wire.Answer) {
-	if !aj.End(a) {
+	a, ended := aj.End(a)
+	if !ended {
 		return
 	}
 	now := h.clock.Now()
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -175,10 +175,10 @@
 // remembered, since the agent may come back and tell.
 func (h *home) failRecovery(aj *activeJob, peer, why string) {
 	id := aj.Submission()
-	if !aj.End(wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeUnknown, Problem: &wire.Problem{
+	if _, ended := aj.End(wire.Answer{Submission: id, Outcome: gypsumtide.OutcomeUnknown, Problem: &wire.Problem{
 		Type: "outcome-unknown", Status: http.StatusServiceUnavailable, Step: "recover submission", Peer: peer,
 		Detail: "an earlier home may have started tasks there: " + why,
-	}}) {
+	}}); !ended {
 		return
 	}
 	for _, c := range h.agents {
--- /dev/null
+++ b/internal/job/bench_test.go
@@ -0,0 +1,41 @@
+package job
+
+import (
+	"testing"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// request returns a job with n tasks.
+func request(n int) *wire.Job {
+	id, err := gypsumtide.NewSubmissionID()
+	if err != nil {
+		panic(err)
+	}
+	r := &wire.Job{Submission: id, Service: "s", Team: "t", Tasks: make([]wire.JobTask, n)}
+	for i := range r.Tasks {
+		r.Tasks[i].Payload = []byte("{}")
+	}
+	return r
+}
+
+// BenchmarkJob measures a job of 100 tasks from its admission to its end.
+func BenchmarkJob(b *testing.B) {
+	req := request(100)
+	result := wire.TaskResult{Status: 200}
+	b.ReportAllocs()
+	for b.Loop() {
+		j := New(req, 1, 0, 1_000)
+		for i := range uint32(100) {
+			j.Dispatch(i)
+		}
+		for i := range uint32(100) {
+			j.Finish(i, result)
+		}
+		if !j.Complete() || !j.Settled() {
+			b.Fatal("not complete")
+		}
+		j.End(j.Answer())
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -9,22 +9,48 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumtide"
+	"gypsumtide/internal/chart"
 	"gypsumtide/internal/wire"
 )
 
-// taskState is the state of a task as the home knows it.
-type taskState uint8
-
-const (
-	taskQueued taskState = iota
-	// taskDispatched means sent to an agent: it may have started.
-	taskDispatched
-	// taskStarted means that the agent reported it as running.
-	taskStarted
-	taskDone
-	taskUnknown
+// The states and events of the charts that the code names.
+var (
+	queued     = chart.Task.MustState("queued")
+	dispatched = chart.Task.MustState("dispatched")
+	running    = chart.Task.MustState("running")
+	unknown    = chart.Task.MustState("unknown")
+
+	dispatch     = chart.Task.MustEvent("dispatch")
+	start        = chart.Task.MustEvent("start")
+	notStarted   = chart.Task.MustEvent("not-started")
+	finish       = chart.Task.MustEvent("finish")
+	fail         = chart.Task.MustEvent("fail")
+	lose         = chart.Task.MustEvent("lose")
+	foundRunning = chart.Task.MustEvent("found-running")
+	foundDone    = chart.Task.MustEvent("found-done")
+	foundFailed  = chart.Task.MustEvent("found-failed")
+	foundLost    = chart.Task.MustEvent("found-lost")
+	cancel       = chart.Task.MustEvent("cancel")
+	move         = chart.Task.MustEvent("move")
+
+	jobStart = chart.Job.MustEvent("start")
+	jobMove  = chart.Job.MustEvent("move")
+	// jobEnds holds the event that ends a job with an outcome.
+	jobEnds = map[gypsumtide.Outcome]chart.Event{
+		gypsumtide.OutcomeComplete: chart.Job.MustEvent("complete"),
+		gypsumtide.OutcomeFailed:   chart.Job.MustEvent("fail"),
+		gypsumtide.OutcomeNotRun:   chart.Job.MustEvent("refuse"),
+		gypsumtide.OutcomeUnknown:  chart.Job.MustEvent("lose"),
+	}
 )
 
+// openIn holds 1 for the states of a task that is at an agent.
+var openIn = func() []int {
+	open := make([]int, len(chart.Task.States()))
+	open[dispatched], open[running] = 1, 1
+	return open
+}()
+
 // Job is a submission in progress at its home. It is not safe for concurrent use.
 type Job struct {
 	request    *wire.Job
@@ -33,11 +59,12 @@
 	deadline   gypsumtide.Millis
 	admitted   gypsumtide.Millis
 	tasks      []*gypsumtide.Task
-	states     []taskState
+	state      chart.State
+	states     []chart.State
 	results    []wire.TaskResult
 	open       int
 	done       int
-	started    bool
+	started    int
 	recovering bool
 	closing    *wire.Problem
 	charged    bool
@@ -56,13 +83,15 @@
 		admitted: now,
 		deadline: deadline,
 		tasks:    make([]*gypsumtide.Task, n),
-		states:   make([]taskState, n),
+		state:    chart.Job.Initial(),
+		states:   make([]chart.State, n),
 		results:  make([]wire.TaskResult, n),
 	}
 	for i := range request.Tasks {
 		t := gypsumtide.NewTask(request.Submission, uint32(i), request.Service, request.Team, n, deadline)
 		t.SetSize(request.Tasks[i].Size)
 		j.tasks[i] = t
+		j.states[i] = chart.Task.Initial()
 	}
 	return j
 }
@@ -105,6 +134,12 @@
 // Ended reports whether the job has its final answer.
 func (j *Job) Ended() bool { return j.ended }
 
+// State returns the name of the job's state.
+func (j *Job) State() string { return chart.Job.StateName(j.state) }
+
+// TaskState returns the name of the state of task i.
+func (j *Job) TaskState(i uint32) string { return chart.Task.StateName(j.states[i]) }
+
 // Recovering reports whether the home still asks agents what they started.
 func (j *Job) Recovering() bool { return j.recovering }
 
@@ -128,57 +163,88 @@
 }
 
 // Queued reports whether task i waits at the home.
-func (j *Job) Queued(i uint32) bool { return j.states[i] == taskQueued }
+func (j *Job) Queued(i uint32) bool { return j.states[i] == queued }
 
 // Open reports whether task i is at an agent.
 func (j *Job) Open(i uint32) bool {
-	return j.states[i] == taskDispatched || j.states[i] == taskStarted
+	return j.states[i] == dispatched || j.states[i] == running
 }
 
 // OpenTasks returns the number of tasks at agents.
 func (j *Job) OpenTasks() int { return j.open }
 
 // Started reports whether any task is known to have started.
-func (j *Job) Started() bool { return j.started }
+func (j *Job) Started() bool { return j.started > 0 }
+
+// fire takes a transition of task i. An event that the state rejects changes
+// nothing: it is a repeat, or comes after the task or the job has ended.
+func (j *Job) fire(i uint32, e chart.Event) bool {
+	from := j.states[i]
+	to, ok := chart.Task.Step(from, e)
+	if !ok || j.ended {
+		return false
+	}
+	j.states[i] = to
+	j.open += openIn[to] - openIn[from]
+	return true
+}
 
-// Dispatch marks task i as sent to an agent.
-func (j *Job) Dispatch(i uint32) {
-	j.states[i] = taskDispatched
-	j.open++
+// begin notes that a task is known to have started.
+func (j *Job) begin() {
+	j.started++
+	if j.started == 1 {
+		j.state, _ = chart.Job.Step(j.state, jobStart)
+	}
+}
+
+// at returns found for a task that waits here, of which a recovery has found
+// that an earlier home started it, and e for any other.
+func (j *Job) at(i uint32, e, found chart.Event) chart.Event {
+	if j.states[i] == queued {
+		return found
+	}
+	return e
 }
 
+// Dispatch marks task i as sent to an agent.
+func (j *Job) Dispatch(i uint32) { j.fire(i, dispatch) }
+
 // Start marks task i as running at an agent.
 func (j *Job) Start(i uint32) {
-	if j.states[i] == taskQueued {
-		j.open++
+	if j.fire(i, j.at(i, start, foundRunning)) {
+		j.begin()
 	}
-	j.states[i] = taskStarted
-	j.started = true
 }
 
 // Requeue takes task i back after its agent promised that it has not started.
-// It reports false if the task was not at an agent, or is known to have started.
+// An agent that had reported it as running takes that back if the upstream
+// refused the task. It reports false if the task was not at an agent.
 func (j *Job) Requeue(i uint32) bool {
-	if j.states[i] != taskDispatched {
+	wasRunning := j.states[i] == running
+	if !j.fire(i, notStarted) {
 		return false
 	}
-	j.states[i] = taskQueued
-	j.open--
+	if wasRunning {
+		j.started--
+	}
 	return true
 }
 
 // Finish records the upstream's answer to task i.
 func (j *Job) Finish(i uint32, r wire.TaskResult) {
-	if j.states[i] == taskDone {
-		return
+	e := j.at(i, finish, foundDone)
+	if FailedStatus(r.Status) {
+		e = j.at(i, fail, foundFailed)
 	}
-	if j.Open(i) {
-		j.open--
+	wasRunning := j.states[i] == running
+	if !j.fire(i, e) {
+		return
 	}
-	j.states[i] = taskDone
 	j.results[i] = r
-	j.started = true
 	j.done++
+	if !wasRunning {
+		j.begin()
+	}
 }
 
 // Result returns the recorded answer to task i.
@@ -186,10 +252,7 @@
 
 // Lose records that task i may have started and that its result is lost.
 func (j *Job) Lose(i uint32) {
-	if j.Open(i) {
-		j.open--
-	}
-	j.states[i] = taskUnknown
+	j.fire(i, j.at(i, lose, foundLost))
 }
 
 // DoneTasks returns the number of tasks with a result.
@@ -211,12 +274,12 @@
 // ClosingOutcome returns the outcome that the known task states prove.
 func (j *Job) ClosingOutcome() gypsumtide.Outcome {
 	for _, s := range j.states {
-		if s == taskUnknown {
+		if s == unknown {
 			return gypsumtide.OutcomeUnknown
 		}
 	}
 	switch {
-	case j.started:
+	case j.started > 0:
 		return gypsumtide.OutcomeFailed
 	case j.open > 0:
 		return gypsumtide.OutcomeUnknown
@@ -229,17 +292,37 @@
 	return wire.Answer{Submission: j.Submission(), Outcome: gypsumtide.OutcomeComplete, Results: j.results}
 }
 
-// End gives the final answer to all that wait. Only the first call has an effect.
-func (j *Job) End(a wire.Answer) bool {
-	if j.ended {
-		return false
+// End gives the final answer to all that wait and returns it. Only the first
+// call has an effect. An answer that the chart does not permit, as complete
+// before any task started, would be false and becomes outcome-unknown.
+func (j *Job) End(a wire.Answer) (wire.Answer, bool) {
+	if j.Ended() {
+		return a, false
+	}
+	e, known := jobEnds[a.Outcome]
+	taskEvent := cancel
+	if a.Moved {
+		e, taskEvent, known = jobMove, move, true
+	}
+	next, ok := chart.Job.Step(j.state, e)
+	if !known || !ok {
+		a = wire.Answer{Submission: j.Submission(), Outcome: gypsumtide.OutcomeUnknown, Problem: &wire.Problem{
+			Type: "internal", Status: http.StatusInternalServerError, Step: "end job",
+			Detail: fmt.Sprintf("a job in state %s cannot end as %q", j.State(), a.Outcome),
+		}}
+		next, _ = chart.Job.Step(j.state, jobEnds[a.Outcome])
 	}
-	j.ended = true
+	if a.Outcome != gypsumtide.OutcomeComplete {
+		for i := range j.states {
+			j.fire(uint32(i), taskEvent)
+		}
+	}
+	j.state, j.ended = next, true
 	for _, ch := range j.waiters {
 		ch <- a
 	}
 	j.waiters = nil
-	return true
+	return a, true
 }
 
 // FailedStatus reports whether an upstream's status fails the job. Client
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,118 @@
+package job
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// Guards against outcomes that the task states do not prove.
+func TestOutcome(t *testing.T) {
+	ok, bad := wire.TaskResult{Status: 200}, wire.TaskResult{Status: 500}
+	for _, c := range []struct {
+		name    string
+		run     func(j *Job)
+		outcome gypsumtide.Outcome
+		first   string
+		open    int
+	}{
+		{"waiting", func(*Job) {}, gypsumtide.OutcomeNotRun, "queued", 0},
+		{"sent", func(j *Job) { j.Dispatch(0) }, gypsumtide.OutcomeUnknown, "dispatched", 1},
+		{"sent twice", func(j *Job) { j.Dispatch(0); j.Dispatch(0) }, gypsumtide.OutcomeUnknown, "dispatched", 1},
+		{"taken back", func(j *Job) { j.Dispatch(0); j.Requeue(0) }, gypsumtide.OutcomeNotRun, "queued", 0},
+		{"started", func(j *Job) { j.Dispatch(0); j.Start(0); j.Start(0) }, gypsumtide.OutcomeFailed, "running", 1},
+		{"refused by the upstream", func(j *Job) { j.Dispatch(0); j.Start(0); j.Requeue(0) }, gypsumtide.OutcomeNotRun, "queued", 0},
+		{"done", func(j *Job) { j.Dispatch(0); j.Finish(0, ok); j.Finish(0, ok); j.Requeue(0); j.Lose(0) }, gypsumtide.OutcomeFailed, "done", 0},
+		{"failed", func(j *Job) { j.Dispatch(0); j.Start(0); j.Finish(0, bad) }, gypsumtide.OutcomeFailed, "failed", 0},
+		{"lost", func(j *Job) { j.Dispatch(0); j.Lose(0); j.Finish(0, ok) }, gypsumtide.OutcomeUnknown, "unknown", 0},
+		{"found running", func(j *Job) { j.Start(0) }, gypsumtide.OutcomeFailed, "running", 1},
+		{"found done", func(j *Job) { j.Finish(0, ok) }, gypsumtide.OutcomeFailed, "done", 0},
+		{"found lost", func(j *Job) { j.Lose(0) }, gypsumtide.OutcomeUnknown, "unknown", 0},
+	} {
+		Convey(c.name, t, func() {
+			j := New(request(2), 1, 0, 100)
+			c.run(j)
+			So(j.ClosingOutcome(), ShouldEqual, c.outcome)
+			So(j.TaskState(0), ShouldEqual, c.first)
+			So(j.OpenTasks(), ShouldEqual, c.open)
+		})
+	}
+}
+
+// Guards against a second answer, a changed job after its end, and an answer
+// that contradicts the chart.
+func TestEnd(t *testing.T) {
+	for _, c := range []struct {
+		answer wire.Answer
+		start  bool
+		want   gypsumtide.Outcome
+		state  string
+		task   string
+	}{
+		{wire.Answer{Outcome: gypsumtide.OutcomeComplete}, true, gypsumtide.OutcomeComplete, "complete", "done"},
+		{wire.Answer{Outcome: gypsumtide.OutcomeComplete}, false, gypsumtide.OutcomeUnknown, "unknown", "cancelled"},
+		{wire.Answer{Outcome: gypsumtide.OutcomeFailed}, false, gypsumtide.OutcomeUnknown, "unknown", "cancelled"},
+		{wire.Answer{Outcome: gypsumtide.OutcomeExpired}, false, gypsumtide.OutcomeUnknown, "unknown", "cancelled"},
+		{wire.Answer{Outcome: gypsumtide.OutcomeNotRun}, false, gypsumtide.OutcomeNotRun, "not-run", "cancelled"},
+		{wire.Answer{Moved: true}, false, "", "moved", "moved"},
+	} {
+		Convey(string(c.answer.Outcome)+" as "+c.state, t, func() {
+			j := New(request(1), 1, 0, 100)
+			if c.start {
+				j.Dispatch(0)
+				j.Finish(0, wire.TaskResult{Status: 200})
+			}
+			ch := j.Wait()
+			a, ended := j.End(c.answer)
+			So(ended, ShouldBeTrue)
+			So(a.Outcome, ShouldEqual, c.want)
+			So(<-ch, ShouldResemble, a)
+			So(j.Ended(), ShouldBeTrue)
+			So(j.State(), ShouldEqual, c.state)
+			_, again := j.End(wire.Answer{Moved: true})
+			So(again, ShouldBeFalse)
+			j.Dispatch(0)
+			j.Finish(0, wire.TaskResult{Status: 500})
+			So(j.State(), ShouldEqual, c.state)
+			So(j.TaskState(0), ShouldEqual, c.task)
+		})
+	}
+}
+
+// Guards against counters that differ from the states of the tasks, and against
+// a not-run outcome after a task has started, in any order of reports.
+func TestCounters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := New(request(3), 1, 0, 100)
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			i := rapid.Uint32Range(0, 2).Draw(t, "task")
+			switch rapid.IntRange(0, 4).Draw(t, "report") {
+			case 0:
+				j.Dispatch(i)
+			case 1:
+				j.Start(i)
+			case 2:
+				j.Requeue(i)
+			case 3:
+				j.Finish(i, wire.TaskResult{Status: rapid.SampledFrom([]int{200, 500}).Draw(t, "status")})
+			case 4:
+				j.Lose(i)
+			}
+			count := make(map[string]int)
+			for k := range uint32(3) {
+				count[j.TaskState(k)]++
+			}
+			done := count["done"] + count["failed"]
+			if j.OpenTasks() != count["dispatched"]+count["running"] || j.DoneTasks() != done || j.Complete() != (done == 3) {
+				t.Fatalf("open %d, done %d, states %v", j.OpenTasks(), j.DoneTasks(), count)
+			}
+			if j.ClosingOutcome() == gypsumtide.OutcomeNotRun && count["queued"] != 3 {
+				t.Fatalf("not-run with states %v", count)
+			}
+		}
+	})
+}
