--- a/internal/submission/table.go
+++ b/internal/submission/table.go
@@ -7,9 +7,14 @@
 	"gypsumtide/internal/wire"
 )
 
-// entryOverhead is the estimated memory of an id without its answer, in bytes:
-// map slot, record and heap item as measured by BenchmarkTableBytes.
-const entryOverhead = 160
+const (
+	// entryOverhead is the memory of an id without its answer, in bytes: map
+	// slot, record, heap item and answer item. BenchmarkTableBytes measures 130
+	// to 139, depending on how full the map is.
+	entryOverhead = 140
+	// answerOverhead is the memory of an answer without results, by the same benchmark.
+	answerOverhead = 80
+)
 
 // Table remembers finished submissions. It is not safe for concurrent use.
 //
@@ -91,6 +96,11 @@
 		return
 	}
 	r := &record{digest: digest, outcome: answer.Outcome, answer: answer, size: answerBytes(answer)}
+	if r.size > t.maxBytes {
+		// To keep it would cost all other answers, and ids after them: the
+		// floor would rise and refuse new submissions as expired.
+		r.size, r.answer = 0, nil
+	}
 	t.records[id] = r
 	t.bytes += r.size + entryOverhead
 	heap.Push(&t.byStamp, id)
@@ -110,7 +120,7 @@
 
 // shrink discards answers first and ids second until the memory bound holds.
 func (t *Table) shrink() {
-	for t.bytes > t.maxBytes && len(t.answers) > 1 {
+	for t.bytes > t.maxBytes && len(t.answers) > 0 {
 		t.dropAnswer()
 	}
 	for t.bytes > t.maxBytes && len(t.byStamp) > 1 {
@@ -138,7 +148,7 @@
 
 func answerBytes(a *wire.Answer) int64 {
 	const resultOverhead = 112
-	n := int64(len(a.Results)) * resultOverhead
+	n := answerOverhead + int64(len(a.Results))*resultOverhead
 	for i := range a.Results {
 		n += int64(len(a.Results[i].Body))
 	}
