--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,4 @@
 	go test -run '^$$' -bench 'BenchmarkEligible' -benchtime 200ms -count 3 ./internal/entry
 	go test -run '^$$' -bench 'BenchmarkTick|BenchmarkCandidates' -benchtime 200ms -count 3 ./internal/shard
 	go test -run '^$$' -bench 'BenchmarkQuotas' -benchtime 200ms -count 3 ./internal/limit
-	go run ./internal/standin/capacity memory bytes spread entries sessions starts
+	go run ./internal/standin/capacity memory bytes spread entries sessions starts takeover
--- a/internal/standin/capacity/bare.go
+++ b/internal/standin/capacity/bare.go
@@ -14,23 +14,23 @@
 
 // keepBareAgent speaks the agent's side of the protocol without ledger, HTTP
 // server and upstream: it answers each dispatch at once.
-func keepBareAgent(ctx context.Context, i int, url string, counters *wire.Counters, ev *events) {
+func keepBareAgent(ctx context.Context, i int, incarnation, url string, counters *wire.Counters, ev *events) {
 	clock := gypsumtide.NewSystemClock()
 	timing := wire.Timing{Heartbeat: 300, Silence: 1500}
 	for ctx.Err() == nil {
-		if err := runBareAgent(ctx, i, url, clock, timing, counters, ev); err != nil {
+		if err := runBareAgent(ctx, i, incarnation, url, clock, timing, counters, ev); err != nil {
 			time.Sleep(50*time.Millisecond + rand.N(200*time.Millisecond))
 		}
 	}
 }
 
-func runBareAgent(ctx context.Context, i int, url string, clock gypsumtide.Clock, timing wire.Timing, counters *wire.Counters, ev *events) error {
+func runBareAgent(ctx context.Context, i int, incarnation, url string, clock gypsumtide.Clock, timing wire.Timing, counters *wire.Counters, ev *events) error {
 	s, err := wire.Dial(ctx, &http.Client{}, "ws"+strings.TrimPrefix(url, "http")+"/v1/session", "", clock, timing, counters)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
-	hello := &wire.Hello{Kind: "agent", Name: agentName(i), Incarnation: fmt.Sprintf("%s-%d", agentName(i), time.Now().UnixNano()), Zone: fmt.Sprint("zone-", i%6), Rack: fmt.Sprint("rack-", i/3)}
+	hello := &wire.Hello{Kind: "agent", Name: agentName(i), Incarnation: incarnation, Zone: fmt.Sprint("zone-", i%6), Rack: fmt.Sprint("rack-", i/3)}
 	if err := s.WriteFrame(ctx, &wire.Frame{Hello: hello}); err != nil {
 		return err
 	}
--- a/internal/standin/capacity/child.go
+++ b/internal/standin/capacity/child.go
@@ -106,7 +106,10 @@
 		n, _ := strconv.Atoi(args[1])
 		counters = &wire.Counters{}
 		for i := range n {
-			go keepBareAgent(ctx, i, args[2], counters, ev)
+			incarnation := fmt.Sprintf("%s-%d", agentName(i), time.Now().UnixNano())
+			for _, url := range args[2:] {
+				go keepBareAgent(ctx, i, incarnation, url, counters, ev)
+			}
 		}
 	default:
 		return fmt.Errorf("unknown role %q", args[0])
--- a/internal/standin/capacity/fit.go
+++ b/internal/standin/capacity/fit.go
@@ -54,14 +54,38 @@
 	s.points[name] = append(s.points[name], point{size: float64(size), value: value})
 }
 
+// ranges returns the lowest and the highest value of each size.
+func ranges(points []point) []string {
+	var out []string
+	seen := map[float64]bool{}
+	for _, p := range points {
+		if seen[p.size] {
+			continue
+		}
+		seen[p.size] = true
+		lo, hi := p.value, p.value
+		for _, q := range points {
+			if q.size == p.size {
+				lo, hi = min(lo, q.value), max(hi, q.value)
+			}
+		}
+		r := fmt.Sprintf("%.0f:%.4g", p.size, lo)
+		if hi != lo {
+			r += fmt.Sprintf("..%.4g", hi)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // print writes the points and the fit of each measure, and the fit's value at full.
 func (s *series) print(title string, full int) {
 	fmt.Printf("\n## %s\n", title)
 	for _, name := range s.names {
 		l := fit(s.points[name])
 		fmt.Printf("%-44s", name)
-		for _, p := range s.points[name] {
-			fmt.Printf(" %.0f:%.4g", p.size, p.value)
+		for _, r := range ranges(s.points[name]) {
+			fmt.Printf(" %s", r)
 		}
 		fmt.Printf("\n%-44s slope %.4g base %.4g spread %.3g; at %d: %.4g\n", "", l.slope, l.base, l.spread, full, l.base+l.slope*float64(full))
 	}
--- a/internal/standin/capacity/main.go
+++ b/internal/standin/capacity/main.go
@@ -17,6 +17,7 @@
 	"entries":  measureEntries,
 	"starts":   measureStarts,
 	"spread":   measureSpread,
+	"takeover": measureTakeover,
 	"memory":   measureMemory,
 	"bytes":    measureBytes,
 }
@@ -33,7 +34,7 @@
 		return runChild(args[1:])
 	}
 	if len(args) == 0 {
-		return errors.New("name one or more of sessions, entries, starts, spread, memory, bytes")
+		return errors.New("name one or more of sessions, entries, starts, takeover, spread, memory, bytes")
 	}
 	for _, name := range args {
 		measure, ok := measures[name]
--- a/internal/standin/capacity/sessions.go
+++ b/internal/standin/capacity/sessions.go
@@ -159,7 +159,33 @@
 	if err := idle(out, n, s, agents); err != nil {
 		return err
 	}
-	return revisions(out, n, s, agents)
+	if err := revisions(out, n, s, agents); err != nil {
+		return err
+	}
+	return reconnect(out, n, s)
+}
+
+// reconnect measures a replaced entry, which all agents dial again.
+func reconnect(out *series, n int, s *site) error {
+	address := strings.TrimPrefix(s.entry.url, "http://")
+	s.entry.stop()
+	start := time.Now()
+	var err error
+	if s.entry, err = startChild("entry", s.proxy.url(), address); err != nil {
+		return err
+	}
+	if _, err := s.entry.await("reconnections", func(u sample) bool { return u.Connected >= int64(n) }); err != nil {
+		return err
+	}
+	out.add("reconnect all to a new entry: s", n, time.Since(start).Seconds())
+	time.Sleep(time.Second)
+	e, err := s.entry.sample()
+	if err != nil {
+		return err
+	}
+	out.add("reconnect all: entry CPU ms until 1 s after", n, 1000*e.CPU)
+	out.add("reconnect all: entry payload out bytes", n, float64(e.BytesOut))
+	return nil
 }
 
 // idle measures the use of both roles while no task runs.
--- /dev/null
+++ b/internal/standin/capacity/takeover.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/standin/platformlog"
+)
+
+// measureTakeover measures the time and the cost at which an entry takes over
+// the shards of another one that dies, with bare agents connected to both.
+func measureTakeover() error {
+	out := newSeries()
+	for range repeats {
+		for _, n := range sessionSizes {
+			if err := takeover(out, n); err != nil {
+				return err
+			}
+		}
+	}
+	out.print("takeover of about half of the shards; sizes are agents", fullAgents)
+	return nil
+}
+
+func takeover(out *series, n int) error {
+	log, err := platformlog.StartLocal(platformlog.DefaultSettings())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Stop() }()
+	var entries [2]*child
+	for i := range entries {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		if entries[i], err = startChild("entry", log.URL(), address); err != nil {
+			return err
+		}
+		defer entries[i].stop()
+	}
+	agents, err := startChild("bare", fmt.Sprint(n), entries[0].url, entries[1].url)
+	if err != nil {
+		return err
+	}
+	defer agents.stop()
+	survivor := entries[1]
+	if _, err := awaitServing(survivor, gypsumtide.ShardCount/3); err != nil {
+		return err
+	}
+	if _, err := survivor.await("connections", func(u sample) bool { return u.Connected >= int64(n) }); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	e0, err := survivor.sample()
+	if err != nil {
+		return err
+	}
+	entries[0].stop()
+	start := time.Now()
+	if _, err := awaitServing(survivor, gypsumtide.ShardCount); err != nil {
+		return err
+	}
+	took := time.Since(start).Seconds()
+	e1, err := survivor.sample()
+	if err != nil {
+		return err
+	}
+	out.add("s until all shards are served", n, took)
+	out.add("survivor CPU ms", n, 1000*(e1.CPU-e0.CPU))
+	out.add("survivor payload bytes out", n, float64(e1.BytesOut-e0.BytesOut))
+	out.add("survivor payload bytes in", n, float64(e1.BytesIn-e0.BytesIn))
+	return nil
+}
+
+// awaitServing waits until the entry serves at least the number of shards.
+func awaitServing(e *child, shards int) (int, error) {
+	deadline := time.Now().Add(40 * time.Second)
+	serving := 0
+	for time.Now().Before(deadline) {
+		var status struct {
+			Shards map[string]int `json:"shards"`
+		}
+		resp, err := http.Get(e.url + "/v1/status")
+		if err == nil {
+			err = json.NewDecoder(resp.Body).Decode(&status)
+			_ = resp.Body.Close()
+		}
+		if serving = status.Shards["serving"]; err == nil && serving >= shards {
+			return serving, nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return serving, fmt.Errorf("%d shards served, want %d", serving, shards)
+}
