Use the chart's states for the running check

Cause: the merge of the chart-driven job states dropped a constant that recall uses. Change: compare with the chart's running state. Builds, vets, tests of job, entry, chart, submission and wire run.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -171,7 +171,7 @@
 }
 
 // Running reports whether task i is known to run at an agent.
-func (j *Job) Running(i uint32) bool { return j.states[i] == taskStarted }
+func (j *Job) Running(i uint32) bool { return j.states[i] == running }
 
 // OpenTasks returns the number of tasks at agents.
 func (j *Job) OpenTasks() int { return j.open }
