Measure takeover, drain and log outage against their targets

Cause: the targets of 3 s had no test. Change: TestTakeover, TestDrainUpstream and TestLogOutage on three entries and workers; a handover passes the ledgers of departed agents on. Fault: in a log outage of 6 s with all entries alive, 27 of 1994 answers were not complete (7 not-run, 20 outcome-unknown); cause not found yet.

--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -36,8 +36,8 @@
 		return ch
 	}
 	for _, c := range candidates {
-		if d := h.departed[c.Incarnation]; d != nil && d.complete {
-			h.recoverDeparted(aj, d, now)
+		if d := h.departed[c.Incarnation]; d != nil && d.covers[id.Shard()] {
+			h.recoverDeparted(aj, d)
 			continue
 		}
 		if conn := h.agents[c.Incarnation]; !c.CanAnswer && (conn == nil || conn.session == nil) {
@@ -204,10 +204,22 @@
 
 // departedLedger is what an agent had started when it left in order.
 type departedLedger struct {
-	conn     *agentConn
-	started  map[gypsumtide.SubmissionID][]wire.Result
-	complete bool
-	at       gypsumtide.Millis
+	name    string
+	started map[gypsumtide.SubmissionID][]wire.Result
+	// covers holds the shards whose part of the ledger is complete here.
+	covers [gypsumtide.ShardCount]bool
+	at     gypsumtide.Millis
+}
+
+// departedFrom returns the ledger of a departed agent, empty if it is new.
+func (h *home) departedFrom(name, incarnation string, now gypsumtide.Millis) *departedLedger {
+	d := h.departed[incarnation]
+	if d == nil {
+		d = &departedLedger{name: name, started: make(map[gypsumtide.SubmissionID][]wire.Result)}
+		h.departed[incarnation] = d
+	}
+	d.at = now
+	return d
 }
 
 // takeDeparture keeps the ledger of a leaving agent, so that this entry can
@@ -216,22 +228,53 @@
 	if len(f.Departures) == 0 && !f.Departed {
 		return
 	}
-	d := h.departed[c.record.Incarnation]
-	if d == nil {
-		d = &departedLedger{conn: c, started: make(map[gypsumtide.SubmissionID][]wire.Result)}
-		h.departed[c.record.Incarnation] = d
+	d := h.departedFrom(c.record.Name, c.record.Incarnation, now)
+	d.add(f.Departures)
+	for s := range d.covers {
+		d.covers[s] = d.covers[s] || f.Departed
 	}
-	for i := range f.Departures {
-		d.started[f.Departures[i].Submission] = f.Departures[i].Tasks
+}
+
+func (d *departedLedger) add(started []wire.Recovered) {
+	for i := range started {
+		d.started[started[i].Submission] = started[i].Tasks
 	}
-	d.complete, d.at = d.complete || f.Departed, now
 }
 
 // recoverDeparted answers for an agent that left.
-func (h *home) recoverDeparted(aj *activeJob, d *departedLedger, now gypsumtide.Millis) {
-	for i := range d.started[aj.Submission()] {
-		h.recoveredTask(d.conn, aj, &d.started[aj.Submission()][i], now)
+func (h *home) recoverDeparted(aj *activeJob, d *departedLedger) {
+	for _, r := range d.started[aj.Submission()] {
+		if int(r.Task) >= len(aj.Tasks()) {
+			continue
+		}
+		if r.State != wire.TaskDone {
+			aj.Lose(r.Task)
+			aj.recovery.lost = d.name
+			continue
+		}
+		aj.Finish(r.Task, wire.TaskResult{
+			Status: r.Status, ContentType: r.ContentType, Body: r.Body, RunTime: r.RunTime, Upstream: d.name + "/" + r.Upstream,
+		})
+	}
+}
+
+// departedOf returns what departed agents had started of a shard's ids, for
+// the next home of the shard.
+func (h *home) departedOf(s gypsumtide.ShardID) []wire.DepartedAgent {
+	var all []wire.DepartedAgent
+	for inc, d := range h.departed {
+		if !d.covers[s] {
+			continue
+		}
+		a := wire.DepartedAgent{Name: d.name, Incarnation: inc}
+		for id, tasks := range d.started {
+			if id.Shard() == s {
+				a.Started = append(a.Started, wire.Recovered{Submission: id, Tasks: tasks})
+			}
+		}
+		all = append(all, a)
 	}
+	return all
 }
 
 // forgetDeparted drops the ledgers whose ids have all expired.
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -37,6 +37,12 @@
 		in.ids[id] = true
 	}
 	h.transfers[t.Shard] = in
+	now := h.clock.Now()
+	for i := range t.Departed {
+		d := h.departedFrom(t.Departed[i].Name, t.Departed[i].Incarnation, now)
+		d.add(t.Departed[i].Started)
+		d.covers[t.Shard] = true
+	}
 }
 
 // transfer lists the ids of a shard that this home accepted or inherited under
@@ -46,7 +52,7 @@
 func (h *home) transfer(s gypsumtide.ShardID, epoch uint64, boundary gypsumtide.Millis) wire.Transfer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t := wire.Transfer{Shard: s, Epoch: epoch + 1, After: boundary}
+	t := wire.Transfer{Shard: s, Epoch: epoch + 1, After: boundary, Departed: h.departedOf(s)}
 	if in := h.transfers[s]; in != nil && in.epoch == epoch {
 		t.After = min(t.After, in.after)
 		for id := range in.ids {
--- /dev/null
+++ b/internal/standin/schedule/bounds_test.go
@@ -0,0 +1,272 @@
+package schedule
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/standin/deployment"
+	"gypsumtide/internal/standin/history"
+	"gypsumtide/internal/standin/load"
+)
+
+const (
+	// takeoverBound and drainBound are the targets of the design page.
+	takeoverBound = 3 * time.Second
+	drainBound    = 3 * time.Second
+)
+
+// repetitions returns how often a measurement is repeated.
+func repetitions(fallback int) int {
+	if n, err := strconv.Atoi(os.Getenv("GYPSUMTIDE_REPETITIONS")); err == nil && n > 0 {
+		return n
+	}
+	return fallback
+}
+
+// startPlain starts three entries and three workers without proxies.
+func startPlain(ctx context.Context, t *testing.T) *deployment.Deployment {
+	t.Helper()
+	d, err := deployment.Start(ctx, deployment.Config{Bin: buildPrograms(t), Dir: t.TempDir(), Entries: 3, Workers: 3, Zones: 3,
+		Services: []string{"stock-check"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+// serving counts the shards that the entries serve.
+func serving(ctx context.Context, entries []*deployment.Process) int {
+	n := 0
+	for _, e := range entries {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL()+"/v1/status", nil)
+		if err != nil {
+			continue
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		var status struct {
+			Shards map[string]int `json:"shards"`
+		}
+		if json.NewDecoder(resp.Body).Decode(&status) == nil {
+			n += status.Shards["serving"]
+		}
+		_ = resp.Body.Close()
+	}
+	return n
+}
+
+// awaitBalanced waits until every entry serves some shards, so that the kill of
+// any one matters.
+func awaitBalanced(ctx context.Context, entries []*deployment.Process) error {
+	for {
+		least, all := 64, 0
+		for _, e := range entries {
+			n := serving(ctx, []*deployment.Process{e})
+			least, all = min(least, n), all+n
+		}
+		if least > 0 && all == 64 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("shards are not spread: %w", ctx.Err())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// awaitServing waits until all shards are served and returns how long it took.
+func awaitServing(ctx context.Context, entries []*deployment.Process) (time.Duration, error) {
+	start := time.Now()
+	for serving(ctx, entries) < 64 {
+		if ctx.Err() != nil {
+			return 0, fmt.Errorf("not all shards are served: %w", ctx.Err())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start), nil
+}
+
+// steadyLoad is stock checks at about half of the slots.
+func steadyLoad(d *deployment.Deployment, duration time.Duration, file string) *load.Config {
+	return &load.Config{Seed: 1, Duration: gypsumtide.FromDuration(duration), Arrivals: "poisson", Targets: d.EntryURLs(), History: file,
+		Classes: []load.Class{{Name: "stock-check", Service: "stock-check", Team: "shop", Rate: 200, TasksMin: 1, TasksMax: 1,
+			Run: load.RunTime{Kind: "fixed", Mean: 50}, Deadline: 3_000}}}
+}
+
+// runLoad runs steady load beside fn and returns the checked history.
+func runLoad(ctx context.Context, t *testing.T, d *deployment.Deployment, duration time.Duration, fn func()) []history.Attempt {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "callers.jsonl")
+	done := make(chan error, 1)
+	go func() {
+		_, err := load.RunFile(ctx, steadyLoad(d, duration, file))
+		done <- err
+	}()
+	fn()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	attempts, err := history.Read[history.Attempt](file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, err := history.Read[history.Event](d.HistoryFiles()...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A kill is no graceful stop, so no request counts as cut by one.
+	killed := []history.Fault{{Kind: "kill", From: 0, Until: 1e15}}
+	for _, v := range history.Check(attempts, events, killed) {
+		t.Errorf("violation: %v", v)
+	}
+	return attempts
+}
+
+// outcomes counts the answers by outcome.
+func outcomes(attempts []history.Attempt) map[string]int {
+	n := make(map[string]int)
+	for _, a := range attempts {
+		key := a.Outcome
+		if key == "" {
+			key = "no answer"
+		}
+		n[key]++
+	}
+	return n
+}
+
+// TestTakeover guards against a shard that stays without service after its
+// home was killed under load.
+func TestTakeover(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	d := startPlain(ctx, t)
+	for i := range repetitions(2) {
+		if err := awaitBalanced(ctx, d.Entries()); err != nil {
+			t.Fatal(err)
+		}
+		victim := d.Entries()[i%3]
+		var took time.Duration
+		attempts := runLoad(ctx, t, d, 6*time.Second, func() {
+			time.Sleep(time.Second)
+			if err := victim.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			var err error
+			if took, err = awaitServing(ctx, d.Entries()); err != nil {
+				t.Fatal(err)
+			}
+		})
+		t.Logf("takeover after the kill of %s: %d ms, outcomes %v", victim.Name(), took.Milliseconds(), outcomes(attempts))
+		if took > takeoverBound {
+			t.Errorf("takeover took %v, more than %v", took, takeoverBound)
+		}
+		if err := victim.Restart(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestDrainUpstream guards against new work for an upstream that leaves.
+func TestDrainUpstream(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	d := startPlain(ctx, t)
+	for i := range repetitions(2) {
+		victim := d.Upstreams()[i%3]
+		var left time.Time
+		runLoad(ctx, t, d, 6*time.Second, func() {
+			time.Sleep(time.Second)
+			left = time.Now()
+			if err := victim.Terminate(ctx); err != nil {
+				t.Fatal(err)
+			}
+		})
+		events, err := history.Read[history.Event](d.HistoryFiles()...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		last := 0.0
+		for _, e := range events {
+			if e.Event == history.EventStart && e.Upstream == victim.Name() {
+				last = max(last, e.Wall)
+			}
+		}
+		after := last - float64(left.UnixMilli())
+		t.Logf("last start %.0f ms after %s was told to leave", after, victim.Name())
+		if after > float64(drainBound.Milliseconds()) {
+			t.Errorf("%s received work %.0f ms after it left", victim.Name(), after)
+		}
+		if err := victim.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.WaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// outage is the length of the log outages: 60 s with GYPSUMTIDE_OUTAGE_S=60.
+func outage() time.Duration {
+	if n, err := strconv.Atoi(os.Getenv("GYPSUMTIDE_OUTAGE_S")); err == nil && n > 0 {
+		return time.Duration(n) * time.Second
+	}
+	return 6 * time.Second
+}
+
+// TestLogOutage guards against refusals while only the log is down, and
+// against false answers when an entry dies in the outage.
+func TestLogOutage(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprintf("entry killed %v", kill), func(t *testing.T) {
+			d := startPlain(ctx, t)
+			if err := awaitBalanced(ctx, d.Entries()); err != nil {
+				t.Fatal(err)
+			}
+			attempts := runLoad(ctx, t, d, outage()+4*time.Second, func() {
+				time.Sleep(time.Second)
+				setLogFaults(ctx, t, d, `{"down":true}`)
+				time.Sleep(outage() / 2)
+				if kill {
+					if err := d.Entries()[0].Kill(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(outage() / 2)
+				setLogFaults(ctx, t, d, `{}`)
+			})
+			n := outcomes(attempts)
+			t.Logf("log down for %v, entry killed %v: outcomes %v", outage(), kill, n)
+			if !kill && n["complete"] != len(attempts) {
+				t.Errorf("%d of %d answers are not complete although only the log was down", len(attempts)-n["complete"], len(attempts))
+			}
+			if _, err := awaitServing(ctx, d.Entries()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func setLogFaults(ctx context.Context, t *testing.T, d *deployment.Deployment, faults string) {
+	t.Helper()
+	if _, _, err := call(ctx, http.MethodPut, d.Log().URL()+"/faults", []byte(faults)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -352,4 +352,13 @@
 	Epoch uint64                    `cbor:"2,keyasint"`
 	After gypsumtide.Millis         `cbor:"3,keyasint"`
 	IDs   []gypsumtide.SubmissionID `cbor:"4,keyasint,omitempty"`
+	// Departed passes on what agents that left had started of the shard's ids.
+	Departed []DepartedAgent `cbor:"5,keyasint,omitempty"`
+}
+
+// DepartedAgent is the part of a departed agent's ledger that concerns a shard.
+type DepartedAgent struct {
+	Name        string      `cbor:"1,keyasint"`
+	Incarnation string      `cbor:"2,keyasint"`
+	Started     []Recovered `cbor:"3,keyasint,omitempty"`
 }
