--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -32,6 +32,9 @@
 	requeueDelay gypsumtide.Millis = 5
 	// requeueBackoff applies when the pool's retry budget is spent.
 	requeueBackoff gypsumtide.Millis = 100
+	// candidateAge is the time for which a job keeps its candidate set. A job
+	// that waits must get the agents that join, or restart, in the meantime.
+	candidateAge gypsumtide.Millis = 200
 )
 
 // ownership answers which shards this entry is home for.
@@ -54,8 +57,10 @@
 	*job.Job
 	pool       *pool
 	candidates map[string]bool
-	closeBy    gypsumtide.Millis
-	recovery   *recovery
+	// candidatesAt is when the candidate set was read from the roster.
+	candidatesAt gypsumtide.Millis
+	closeBy      gypsumtide.Millis
+	recovery     *recovery
 	// quotaKey and limits are what the job's route and team are charged to.
 	quotaKey string
 	limits   []object.Limit
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -236,7 +236,7 @@
 	if aj == nil || aj.Closing() != nil || !aj.Queued(t.Index()) {
 		return true
 	}
-	c := p.eligible(h, aj, t)
+	c := p.eligible(h, aj, t, now)
 	if len(c.conns) == 0 {
 		return false
 	}
@@ -254,11 +254,11 @@
 }
 
 // eligible returns the agents of the job's candidate set that may receive tasks of its shard.
-func (p *pool) eligible(h *home, aj *activeJob, t *gypsumtide.Task) *candidates {
+func (p *pool) eligible(h *home, aj *activeJob, t *gypsumtide.Task, now gypsumtide.Millis) *candidates {
 	all := p.serving(h, t.Service())
 	shard := t.Submission().Shard()
-	if aj.candidates == nil {
-		aj.candidates = make(map[string]bool)
+	if aj.candidates == nil || now-aj.candidatesAt > candidateAge {
+		aj.candidates, aj.candidatesAt = make(map[string]bool), now
 		for _, inc := range h.owner.Candidates(t.Submission(), len(aj.Tasks())) {
 			aj.candidates[inc] = true
 		}
