--- /dev/null
+++ b/internal/wire/session_test.go
@@ -0,0 +1,233 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+)
+
+// steppedClock is set by the test.
+type steppedClock struct{ now atomic.Int64 }
+
+func (c *steppedClock) Now() gypsumtide.Millis  { return gypsumtide.Millis(c.now.Load()) }
+func (c *steppedClock) Wall() gypsumtide.Millis { return c.Now() }
+
+// side is one end of a session with the frames that it received.
+type side struct {
+	*Session
+	clock    *steppedClock
+	counters Counters
+	done     chan error
+
+	mu     sync.Mutex
+	frames []*Frame
+}
+
+func (s *side) run(ctx context.Context) {
+	s.done = make(chan error, 1)
+	go func() {
+		s.done <- s.Run(ctx, func(f *Frame) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.frames = append(s.frames, f)
+			return nil
+		})
+	}()
+}
+
+// find waits for a frame that satisfies cond.
+func (s *side) find(t *testing.T, cond func(f *Frame) bool) *Frame {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		for _, f := range s.frames {
+			if cond(f) {
+				s.mu.Unlock()
+				return f
+			}
+		}
+		s.mu.Unlock()
+	}
+	t.Fatal("timed out waiting for a frame")
+	return nil
+}
+
+// pair returns the two ends of a session. Neither runs yet.
+func pair(t *testing.T, timing Timing) (client, server *side) {
+	client, server = &side{clock: &steppedClock{}}, &side{clock: &steppedClock{}}
+	accepted, closed := make(chan *Session), make(chan struct{})
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer k" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		s, err := Accept(w, r, server.clock, timing, &server.counters)
+		if err == nil {
+			accepted <- s
+			<-closed
+		}
+	}))
+	t.Cleanup(func() { close(closed); hs.Close() })
+	_, err := Dial(context.Background(), http.DefaultClient, hs.URL, "wrong", client.clock, timing, &client.counters)
+	So(err, ShouldNotBeNil)
+	So(err.Error(), ShouldContainSubstring, "status 401")
+	client.Session, err = Dial(context.Background(), http.DefaultClient, hs.URL, "k", client.clock, timing, &client.counters)
+	So(err, ShouldBeNil)
+	server.Session = <-accepted
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return client, server
+}
+
+func addResults(n uint32) func(f *Frame) {
+	return func(f *Frame) {
+		for i := range n {
+			f.Results = append(f.Results, Result{TaskRef: TaskRef{Task: i}, State: TaskDone})
+		}
+	}
+}
+
+// Guards against a frame for each message, an Echo that is newer than the
+// decision to dispatch, peers that stay silent unnoticed, and messages that a
+// broken session takes without sending them.
+func TestSession(t *testing.T) {
+	slow := Timing{Heartbeat: 10_000, Silence: 10_000}
+	Convey("messages added before the write share one frame", t, func() {
+		client, server := pair(t, slow)
+		for range 100 {
+			So(client.Update(addResults(1)), ShouldBeTrue)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		client.run(ctx)
+		server.run(ctx)
+		f := server.find(t, func(f *Frame) bool { return len(f.Results) > 0 })
+		So(f.Results, ShouldHaveLength, 100)
+		So(client.counters.FramesSent(), ShouldEqual, 1)
+		So(server.counters.FramesReceived(), ShouldEqual, 1)
+		So(server.counters.BytesReceived(), ShouldEqual, client.counters.BytesSent())
+	})
+	Convey("the Echo is that of the first message, the Clock that of the write", t, func() {
+		client, server := pair(t, slow)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		credit := func(at int64) {
+			client.clock.now.Store(at)
+			So(client.WriteFrame(ctx, &Frame{}), ShouldBeNil)
+			_, err := server.ReadFrame(ctx)
+			So(err, ShouldBeNil)
+			So(server.PeerClock(), ShouldEqual, at)
+		}
+		credit(70)
+		server.Update(func(f *Frame) { f.Drain = true })
+		credit(90)
+		server.Update(addResults(1))
+		server.clock.now.Store(5)
+		server.run(ctx)
+		f, err := client.ReadFrame(ctx)
+		So(err, ShouldBeNil)
+		So(f.Drain, ShouldBeTrue)
+		So(f.Results, ShouldHaveLength, 1)
+		So(f.Echo, ShouldEqual, 70)
+		So(f.Clock, ShouldEqual, 5)
+		server.Update(addResults(1))
+		f, err = client.ReadFrame(ctx)
+		So(err, ShouldBeNil)
+		So(f.Echo, ShouldEqual, 90)
+	})
+	Convey("an older Clock does not replace a newer one", t, func() {
+		client, server := pair(t, slow)
+		for _, at := range []int64{90, 70} {
+			client.clock.now.Store(at)
+			So(client.WriteFrame(context.Background(), &Frame{}), ShouldBeNil)
+			_, err := server.ReadFrame(context.Background())
+			So(err, ShouldBeNil)
+		}
+		So(server.PeerClock(), ShouldEqual, 90)
+	})
+	Convey("heartbeats keep an idle session, a silent peer ends it", t, func() {
+		client, server := pair(t, Timing{Heartbeat: 20, Silence: 150})
+		beats, stop := context.WithCancel(context.Background())
+		client.run(beats)
+		server.run(context.Background())
+		time.Sleep(400 * time.Millisecond)
+		So(client.Update(addResults(1)), ShouldBeTrue)
+		server.find(t, func(f *Frame) bool { return len(f.Results) == 1 })
+		stop()
+		<-client.done
+		So(<-server.done, ShouldNotBeNil)
+
+		_, server = pair(t, Timing{Heartbeat: 20, Silence: 150})
+		server.run(context.Background())
+		err := <-server.done
+		So(errors.Is(err, ErrSilent), ShouldBeTrue)
+		var e *gypsumtide.Error
+		So(errors.As(err, &e), ShouldBeTrue)
+		So(e.Step(), ShouldEqual, "session")
+		So(e.Peer(), ShouldEqual, server.Peer())
+		So(server.Update(addResults(1)), ShouldBeFalse)
+	})
+	Convey("the close of one side ends the other, which takes no more messages", t, func() {
+		client, server := pair(t, slow)
+		client.run(context.Background())
+		server.run(context.Background())
+		client.Close()
+		So(<-server.done, ShouldNotBeNil)
+		So(<-client.done, ShouldNotBeNil)
+		So(server.Update(addResults(1)), ShouldBeFalse)
+		So(client.Update(addResults(1)), ShouldBeFalse)
+	})
+	Convey("a handler that fails ends the session", t, func() {
+		client, server := pair(t, slow)
+		fault := errors.New("fault")
+		server.done = make(chan error, 1)
+		go func() { server.done <- server.Run(context.Background(), func(*Frame) error { return fault }) }()
+		So(client.WriteFrame(context.Background(), &Frame{}), ShouldBeNil)
+		So(errors.Is(<-server.done, fault), ShouldBeTrue)
+	})
+}
+
+// FuzzUnmarshal guards against frames that make the decoder panic, and against
+// frames that change when they are encoded again.
+func FuzzUnmarshal(f *testing.F) {
+	for _, frame := range []*Frame{
+		{Clock: 5, Echo: 3, Hello: &Hello{Kind: "agent", Name: "a"}},
+		{Dispatches: []Dispatch{{TaskRef: TaskRef{Task: 1, Epoch: 2}, Service: "s", Payload: []byte("x")}}, Drain: true},
+		{Heartbeat: &Heartbeat{Sequence: 1, Shards: []Promise{{Shard: 3, Epoch: 4}}}, Transfers: []Transfer{{Epoch: 2, IDs: make([]gypsumtide.SubmissionID, 2)}}},
+		{Forwards: []Forward{{Kind: ForwardSubmit, Job: &Job{Tasks: []JobTask{{Payload: []byte{1}}}}}}},
+	} {
+		data, err := Marshal(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var first, second Frame
+		if Unmarshal(data, &first) != nil {
+			return
+		}
+		once, err := Marshal(&first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Unmarshal(once, &second); err != nil {
+			t.Fatal(err)
+		}
+		twice, err := Marshal(&second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(once) != string(twice) {
+			t.Fatalf("%x became %x", once, twice)
+		}
+	})
+}
