entry: refuse as not-run only with the lease of the job's epoch

Cause: after a recovery that found nothing started, admission could refuse the job as not-run although the lease had ended while the agents were asked; the next home may have started the job by then. At a deadline a lease of a later epoch counted, although another home had been in between. Change: without the lease a recovered job that is refused ends as moved; both places compare the epoch of the lease with that of the job.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -335,13 +335,20 @@
 	}
 	if outcome == gypsumtide.OutcomeNotRun {
 		// Without the lease another home may have started the job.
-		if _, ok := h.owner.Serving(aj.Submission().Shard()); !ok {
+		if !h.holdsLease(aj) {
 			outcome = gypsumtide.OutcomeUnknown
 		}
 	}
 	h.end(aj, wire.Answer{Submission: aj.Submission(), Outcome: outcome, Problem: aj.Closing()})
 }
 
+// holdsLease reports whether this home has served the job's shard since it
+// admitted the job: a later epoch means that there was another home in between.
+func (h *home) holdsLease(aj *activeJob) bool {
+	epoch, ok := h.owner.Serving(aj.Submission().Shard())
+	return ok && epoch == aj.Epoch()
+}
+
 // end gives the final answer, remembers it, and releases what the job holds.
 func (h *home) end(aj *activeJob, a wire.Answer) {
 	a, ended := aj.End(a)
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -170,6 +170,12 @@
 			w.owner.set(func(o *fakeOwner) { o.lost = true })
 			return w.answer(ch)
 		}, unknown, "deadline", false},
+		{"deadline under a later epoch", func(w *world) wire.Answer {
+			w.agent("a1", 0)
+			ch := w.submit(w.job(1), 100)
+			w.owner.set(func(o *fakeOwner) { o.epoch += 2 })
+			return w.answer(ch)
+		}, unknown, "deadline", false},
 		{"cancelled while waiting", func(w *world) wire.Answer {
 			w.agent("a1", 0)
 			req := w.job(1)
@@ -450,6 +456,25 @@
 			a.recovered(true)
 			return w.answer(ch)
 		}, "", "", true},
+		{"refused after the lease was lost", func(w *world) wire.Answer {
+			a := w.agent("a1", 1)
+			w.owner.set(doubt(a1))
+			req := w.job(1)
+			req.Tasks[0].Size.Processors = 1001
+			ch := w.submit(req, 5_000)
+			w.owner.set(func(o *fakeOwner) { o.lost = true })
+			a.recovered(false)
+			return w.answer(ch)
+		}, "", "", true},
+		{"refused with the lease", func(w *world) wire.Answer {
+			a := w.agent("a1", 1)
+			w.owner.set(doubt(a1))
+			req := w.job(1)
+			req.Tasks[0].Size.Processors = 1001
+			ch := w.submit(req, 5_000)
+			a.recovered(false)
+			return w.answer(ch)
+		}, notRun, "unsatisfiable", false},
 		{"a failed task of an earlier home", func(w *world) wire.Answer {
 			a := w.agent("a1", 1)
 			w.owner.set(doubt(a1))
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -156,6 +156,10 @@
 func (h *home) resume(aj *activeJob, now gypsumtide.Millis) {
 	if !aj.Started() {
 		if refusal := h.admit(aj, now); refusal != nil {
+			if !h.holdsLease(aj) {
+				// The next home may have started the job by now.
+				refusal = &wire.Answer{Submission: aj.Submission(), Moved: true}
+			}
 			h.end(aj, *refusal)
 			return
 		}
