--- a/internal/entry/eligible_test.go
+++ b/internal/entry/eligible_test.go
@@ -72,7 +72,7 @@
 	want := func(what string, list []string) {
 		t.Helper()
 		list = slices.Sorted(slices.Values(list))
-		if got := names(p.eligible(h, aj, task)); !slices.Equal(got, list) {
+		if got := names(p.eligible(h, aj, task, 0)); !slices.Equal(got, list) {
 			t.Errorf("%s: got %v, want %v", what, got, list)
 		}
 	}
@@ -100,7 +100,7 @@
 				task := aj.Tasks()[0]
 				b.ReportAllocs()
 				for b.Loop() {
-					p.eligible(h, aj, task)
+					p.eligible(h, aj, task, 0)
 				}
 			})
 		}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -34,6 +34,9 @@
 	requeueDelay gypsumtide.Millis = 5
 	// requeueBackoff applies when the pool's retry budget is spent.
 	requeueBackoff gypsumtide.Millis = 100
+	// candidateAge is the time for which a job keeps its candidate set. A job
+	// that waits must get the agents that join, or restart, in the meantime.
+	candidateAge gypsumtide.Millis = 200
 )
 
 // ownership answers which shards this entry is home for.
@@ -56,6 +59,8 @@
 	*job.Job
 	pool       *pool
 	candidates []string
+	// candidatesAt is when the candidate set was read from the roster.
+	candidatesAt gypsumtide.Millis
 	// serving holds the candidates among servingOf, the agents that served the
 	// job's service at the last placement.
 	serving   *candidates
@@ -339,13 +344,20 @@
 	}
 	if outcome == gypsumtide.OutcomeNotRun {
 		// Without the lease another home may have started the job.
-		if _, ok := h.owner.Serving(aj.Submission().Shard()); !ok {
+		if !h.holdsLease(aj) {
 			outcome = gypsumtide.OutcomeUnknown
 		}
 	}
 	h.end(aj, wire.Answer{Submission: aj.Submission(), Outcome: outcome, Problem: aj.Closing()})
 }
 
+// holdsLease reports whether this home has served the job's shard since it
+// admitted the job: a later epoch means that there was another home in between.
+func (h *home) holdsLease(aj *activeJob) bool {
+	epoch, ok := h.owner.Serving(aj.Submission().Shard())
+	return ok && epoch == aj.Epoch()
+}
+
 // end gives the final answer, remembers it, and releases what the job holds.
 func (h *home) end(aj *activeJob, a wire.Answer) {
 	a, ended := aj.End(a)
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -260,7 +260,7 @@
 	if aj == nil || aj.Closing() != nil || !aj.Queued(t.Index()) {
 		return true
 	}
-	c := p.eligible(h, aj, t)
+	c := p.eligible(h, aj, t, now)
 	if len(c.conns) == 0 {
 		return false
 	}
@@ -278,8 +278,11 @@
 }
 
 // eligible returns the agents of the job's candidate set that may receive tasks of its shard.
-func (p *pool) eligible(h *home, aj *activeJob, t *gypsumtide.Task) *candidates {
+func (p *pool) eligible(h *home, aj *activeJob, t *gypsumtide.Task, now gypsumtide.Millis) *candidates {
 	all := p.serving(h, t.Service())
+	if now-aj.candidatesAt > candidateAge {
+		aj.candidates, aj.servingOf, aj.candidatesAt = nil, nil, now
+	}
 	if aj.servingOf != all {
 		aj.serving, aj.servingOf = all.among(h.candidates(aj)), all
 	}
--- a/internal/standin/schedule/bounds_test.go
+++ b/internal/standin/schedule/bounds_test.go
@@ -34,7 +34,7 @@
 // startPlain starts three entries and three workers without proxies.
 func startPlain(ctx context.Context, t *testing.T) *deployment.Deployment {
 	t.Helper()
-	d, err := deployment.Start(ctx, deployment.Config{Bin: buildPrograms(t), Dir: t.TempDir(), Entries: 3, Workers: 3, Zones: 3,
+	d, err := deployment.Start(ctx, deployment.Config{Bin: buildPrograms(t), Dir: keepDir(t), Entries: 3, Workers: 3, Zones: 3,
 		Services: []string{"stock-check"}})
 	if err != nil {
 		t.Fatal(err)
@@ -270,3 +270,22 @@
 		t.Fatal(err)
 	}
 }
+
+// keepDir returns a directory that stays if the test fails, for its logs.
+func keepDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "gypsumtide-bounds-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs in %s", dir)
+			return
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			t.Error(err)
+		}
+	})
+	return dir
+}
