entry: count messages with agents by kind

Cause: no metric told how many messages a task costs, so wasted messages per task could not be measured. Change: a session reports each frame to an observer; entries export gypsumtide_messages_total{kind=...} for frames to and from agents.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -315,6 +315,7 @@
 func (e *Entry) serveAgent(ctx context.Context, hello *wire.Hello, s *wire.Session) error {
 	rec := wire.AgentRecord{Name: hello.Name, Incarnation: hello.Incarnation, Zone: hello.Zone, Rack: hello.Rack}
 	var c *agentConn
+	s.Observe(e.metrics.frame)
 	err := s.Run(ctx, func(f *wire.Frame) error {
 		first := c == nil
 		if first {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,10 +21,19 @@
 	unmatched  *metrics.Counter
 	recalls    *metrics.Counter
 	forwards   *metrics.Counter
+	messages   map[string]*metrics.Counter
 }
 
+// messageKinds are the kinds of messages between an entry and its agents. A
+// heartbeat is a frame without any of the others.
+var messageKinds = []string{"dispatch", "result", "not-started", "recall", "cancel", "query", "promise", "recovery", "announcement", "configuration", "heartbeat"}
+
 func newMeters() *meters {
 	s := metrics.NewSet()
+	messages := make(map[string]*metrics.Counter, len(messageKinds))
+	for _, kind := range messageKinds {
+		messages[kind] = s.NewCounter(fmt.Sprintf(`gypsumtide_messages_total{kind=%q}`, kind))
+	}
 	return &meters{
 		set:        s,
 		admitted:   s.NewCounter("gypsumtide_jobs_admitted_total"),
@@ -37,6 +46,7 @@
 		unmatched:  s.NewCounter("gypsumtide_results_unmatched_total"),
 		recalls:    s.NewCounter("gypsumtide_recalls_total"),
 		forwards:   s.NewCounter("gypsumtide_forwards_total"),
+		messages:   messages,
 	}
 }
 
@@ -53,3 +63,35 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumtide_jobs_ended_total{outcome=%q}`, outcome)).Inc()
 }
+
+// frame counts the messages of a frame sent to or received from an agent.
+func (m *meters) frame(f *wire.Frame) {
+	total := 0
+	count := func(kind string, n int) {
+		total += n
+		m.messages[kind].Add(n)
+	}
+	notStarted := 0
+	for i := range f.Results {
+		if f.Results[i].State == wire.TaskNotStarted {
+			notStarted++
+		}
+	}
+	count("dispatch", len(f.Dispatches))
+	count("result", len(f.Results)-notStarted)
+	count("not-started", notStarted)
+	count("recall", len(f.Recalls))
+	count("cancel", len(f.Cancels))
+	count("query", len(f.Queries))
+	count("promise", len(f.Promises)+len(f.Promised))
+	count("recovery", len(f.Recovers)+len(f.Recovered)+len(f.Departures))
+	if f.Announcement != nil {
+		count("announcement", 1)
+	}
+	if f.Config != nil {
+		count("configuration", 1)
+	}
+	if total == 0 {
+		count("heartbeat", 1)
+	}
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -51,6 +51,7 @@
 	clock    gypsumtide.Clock
 	timing   Timing
 	counters *Counters
+	observe  func(f *Frame)
 
 	mu      sync.Mutex
 	pending *Frame
@@ -88,7 +89,7 @@
 
 func newSession(conn *websocket.Conn, peer string, clock gypsumtide.Clock, timing Timing, counters *Counters) *Session {
 	conn.SetReadLimit(MaxFrameBytes)
-	s := &Session{conn: conn, peer: peer, clock: clock, timing: timing, counters: counters, wake: make(chan struct{}, 1)}
+	s := &Session{conn: conn, peer: peer, clock: clock, timing: timing, counters: counters, observe: func(*Frame) {}, wake: make(chan struct{}, 1)}
 	s.heardAt.Store(int64(clock.Now()))
 	return s
 }
@@ -143,6 +144,10 @@
 	return gypsumtide.NewError("session", s.peer, err)
 }
 
+// Observe calls fn for every frame that is read or written from now on. It must
+// be called before Run. fn runs on the goroutines that read and write.
+func (s *Session) Observe(fn func(f *Frame)) { s.observe = fn }
+
 // Close ends the session at once.
 func (s *Session) Close() {
 	_ = s.conn.CloseNow()
@@ -184,6 +189,7 @@
 	if int64(f.Clock) > s.peerClock.Load() {
 		s.peerClock.Store(int64(f.Clock))
 	}
+	s.observe(&f)
 	return &f, nil
 }
 
@@ -230,5 +236,6 @@
 	}
 	s.counters.framesSent.Add(1)
 	s.counters.bytesSent.Add(uint64(len(data)))
+	s.observe(f)
 	return nil
 }
