measure: run the experiments of the design page's measures

Cause: the measures and targets of the design page had no program that produces them at the sizes of the user organisations.

--- /dev/null
+++ b/internal/standin/measure/measure.go
@@ -0,0 +1,165 @@
+// Package measure runs deployments of real processes under the loads of the
+// user organisations and prints the measures of the design page as tables.
+package measure
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gypsumtide/internal/standin/load"
+)
+
+// Config describes a run.
+type Config struct {
+	Bin string
+	// Dir receives settings, logs and histories of every run; they are deleted
+	// after each run that ended without an error if Dir is empty.
+	Dir string
+	// Output is the Markdown file; the plots are written beside it.
+	Output      string
+	Seed        uint64
+	Repetitions int
+	// Experiments, Sites and Rows choose what runs; empty means all. Rows match by substring.
+	Experiments, Sites, Rows []string
+	// Command is printed beside each table.
+	Command  string
+	Progress io.Writer
+}
+
+// Default returns the run of make measure.
+func Default() *Config {
+	return &Config{Bin: "./bin", Output: "measurements.md", Seed: 1, Repetitions: 5, Progress: os.Stderr}
+}
+
+// Names returns the names of the experiments.
+func Names() []string {
+	var names []string
+	for _, e := range experiments() {
+		names = append(names, e.name)
+	}
+	return names
+}
+
+// Run runs the chosen experiments and writes the tables of each as it ends.
+func Run(ctx context.Context, cfg *Config) error {
+	for _, name := range cfg.Experiments {
+		if !slices.Contains(Names(), name) {
+			return fmt.Errorf("measure: no experiment %q; the names are %s", name, strings.Join(Names(), ", "))
+		}
+	}
+	out, err := os.Create(cfg.Output)
+	if err != nil {
+		return fmt.Errorf("measure: output: %w", err)
+	}
+	err = cfg.run(ctx, out)
+	return errors.Join(err, out.Close())
+}
+
+func (c *Config) run(ctx context.Context, out io.Writer) error {
+	if _, err := fmt.Fprint(out, preamble); err != nil {
+		return fmt.Errorf("measure: output: %w", err)
+	}
+	for _, e := range experiments() {
+		if !chosen(c.Experiments, e.name) {
+			continue
+		}
+		for _, s := range e.sites {
+			if !chosen(c.Sites, s.name) {
+				continue
+			}
+			if err := c.runTable(ctx, out, &e, s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func chosen(names []string, name string) bool {
+	return len(names) == 0 || slices.Contains(names, name)
+}
+
+func (c *Config) chosenRow(name string) bool {
+	return len(c.Rows) == 0 || slices.ContainsFunc(c.Rows, func(part string) bool { return strings.Contains(name, part) })
+}
+
+const preamble = `# Measurements
+
+Each cell is the median of the repetitions with the lowest and the highest in parentheses. Each repetition runs on a
+fresh deployment of 11 workers of 8 slots in racks of 3; fault proxies add the one-way delays between availability zones
+and between callers and entries. Load is open-loop with Poisson arrivals unless stated.
+
+Response ratio = (answer received - request sent) / (longest run time of the job's tasks, start to end as the upstream
+recorded it + 2 x one-way delay between caller and entry), of complete jobs, without the first second of the run. The
+hop between entry and worker is not part of the ideal. Wasted messages per task = messages between entries and agents
+(gypsumtide_messages_total: dispatches, results, not-started, recalls, cancels, queries, heartbeat frames and others) /
+completed tasks - 2.
+`
+
+// runTable runs all rows of an experiment at a site.
+func (c *Config) runTable(ctx context.Context, out io.Writer, e *experiment, s site) error {
+	t := table{experiment: e, site: s, cfg: c, plots: &load.Report{Classes: map[string]*load.ClassReport{}}}
+	for i := range e.trials {
+		tr := &e.trials[i]
+		if !c.chosenRow(tr.name) {
+			continue
+		}
+		var repetitions [][]float64
+		for n := range c.Repetitions {
+			seed := c.Seed + uint64(n)
+			t.sampleLoad()
+			r, err := c.runTrial(ctx, s, tr, seed)
+			if err != nil {
+				fmt.Fprintf(c.Progress, "%s %s, %s, seed %d: %v\n", e.name, s.name, tr.name, seed, err)
+				t.failures = append(t.failures, fmt.Sprintf("%s, seed %d: %v", tr.name, seed, err))
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				continue
+			}
+			values := e.values(r)
+			t.note(tr.name, seed, r)
+			fmt.Fprintf(c.Progress, "%s %s, %s, seed %d: %.3f\n", e.name, s.name, tr.name, seed, values)
+			repetitions = append(repetitions, values)
+			if len(repetitions) == 1 {
+				t.plots.Classes[tr.name] = firstClass(r.last().report)
+			}
+		}
+		t.add(tr.name, repetitions)
+	}
+	t.sampleLoad()
+	if err := t.write(out); err != nil {
+		return err
+	}
+	return c.writePlot(&t)
+}
+
+// firstClass returns the report of the class with the first name.
+func firstClass(r *load.Report) *load.ClassReport {
+	var names []string
+	for name := range r.Classes {
+		names = append(names, name)
+	}
+	return r.Classes[slices.Min(names)]
+}
+
+func (c *Config) writePlot(t *table) error {
+	if len(t.plots.Classes) == 0 {
+		return nil
+	}
+	var svg bytes.Buffer
+	if err := t.plots.WritePlot(&svg); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(filepath.Dir(c.Output), t.plotName()), svg.Bytes(), 0o600); err != nil {
+		return fmt.Errorf("measure: plot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/measure/table.go
@@ -0,0 +1,98 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gypsumtide/internal/standin/load"
+)
+
+// table collects the rows of an experiment at a site.
+type table struct {
+	experiment *experiment
+	site       site
+	cfg        *Config
+	rows       []string
+	failures   []string
+	loads      []float64
+	plots      *load.Report
+}
+
+func (t *table) plotName() string { return fmt.Sprintf("%s-%s.svg", t.experiment.name, t.site.name) }
+
+// sampleLoad reads the load average of the last minute.
+func (t *table) sampleLoad() {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	if v, err := strconv.ParseFloat(first, 64); err == nil {
+		t.loads = append(t.loads, v)
+	}
+}
+
+// note keeps violations, which the values may not show.
+func (t *table) note(row string, seed uint64, r *result) {
+	if len(r.violations) > 0 {
+		t.failures = append(t.failures, fmt.Sprintf("%s, seed %d: %d violations, the first: %s", row, seed, len(r.violations), r.violations[0]))
+	}
+}
+
+// add adds a row; a repetition that failed is missing from it.
+func (t *table) add(name string, repetitions [][]float64) {
+	cells := []string{name}
+	for i := range t.experiment.columns {
+		var values []float64
+		for _, r := range repetitions {
+			values = append(values, r[i])
+		}
+		cells = append(cells, spread(values))
+	}
+	t.rows = append(t.rows, "| "+strings.Join(cells, " | ")+" |")
+}
+
+// spread prints the median, the lowest and the highest value.
+func spread(values []float64) string {
+	if len(values) == 0 {
+		return "failed"
+	}
+	slices.Sort(values)
+	n := len(values)
+	median := (values[(n-1)/2] + values[n/2]) / 2
+	return fmt.Sprintf("%s (%s-%s)", number(median), number(values[0]), number(values[n-1]))
+}
+
+func number(v float64) string {
+	if v >= 100 || v <= -100 {
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(v, 'f', 3, 64)
+}
+
+func (t *table) write(w io.Writer) error {
+	var b strings.Builder
+	e, s, c := t.experiment, t.site, t.cfg
+	fmt.Fprintf(&b, "\n## %s, %s\n%s\n\n", e.name, s.name, e.note)
+	fmt.Fprintf(&b, "%d entries, %d availability zones %s apart, callers %s away. Command `%s`, seeds %d to %d",
+		s.entries, s.zones, s.zoneDelay, s.callerDelay, c.Command, c.Seed, c.Seed+uint64(c.Repetitions)-1)
+	if len(t.loads) > 0 {
+		fmt.Fprintf(&b, ", load average %.1f to %.1f", slices.Min(t.loads), slices.Max(t.loads))
+	}
+	fmt.Fprintf(&b, ".\n\n| row | %s |\n|---|%s\n%s\n", strings.Join(e.columns, " | "), strings.Repeat("---|", len(e.columns)), strings.Join(t.rows, "\n"))
+	for i, f := range t.failures {
+		if i == 0 {
+			b.WriteString("\nFailures:\n")
+		}
+		fmt.Fprintf(&b, "- %s\n", f)
+	}
+	fmt.Fprintf(&b, "\n![response ratio over the declared run time, first repetition](%s)\n", t.plotName())
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return fmt.Errorf("measure: output: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/measure/trial.go
@@ -0,0 +1,188 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gypsumtide"
+	"gypsumtide/internal/standin/deployment"
+	"gypsumtide/internal/standin/history"
+	"gypsumtide/internal/standin/load"
+	"gypsumtide/internal/standin/worker"
+)
+
+// runTrial runs the phases of a trial on a fresh deployment.
+func (c *Config) runTrial(ctx context.Context, s site, t *trial, seed uint64) (r *result, err error) {
+	dir, err := os.MkdirTemp(c.Dir, "measure-")
+	if err != nil {
+		return nil, fmt.Errorf("measure: %w", err)
+	}
+	d, err := deployment.Start(ctx, deployment.Config{Bin: c.Bin, Dir: dir, Entries: s.entries, Workers: workers, Zones: s.zones, Slots: slots,
+		Services: []string{"stock-check", "order-batch", "hint"}, Proxies: true, ZoneDelay: s.zoneDelay, CallerDelay: s.callerDelay})
+	if err != nil {
+		return nil, err
+	}
+	r = &result{site: s, runs: map[string]float64{}}
+	err = r.run(ctx, d, t, seed)
+	if err = errors.Join(err, d.Close()); err != nil {
+		return nil, err
+	}
+	if err := r.read(d, t); err != nil {
+		return nil, err
+	}
+	if c.Dir == "" && len(r.violations) == 0 {
+		err = os.RemoveAll(dir)
+	}
+	return r, err
+}
+
+func (r *result) run(ctx context.Context, d *deployment.Deployment, t *trial, seed uint64) error {
+	if err := publish(ctx, d, t.objects); err != nil {
+		return err
+	}
+	for i, p := range t.phases {
+		r.phases = append(r.phases, make([]loadResult, len(p)))
+		g, gctx := errgroup.WithContext(ctx)
+		for j, cfg := range p {
+			cfg.Seed = seed + uint64(100*i+10*j)
+			cfg.Targets, cfg.Slots, cfg.Trip = d.EntryURLs(), allSlot, gypsumtide.Millis(r.site.callerDelay.Milliseconds())
+			cfg.History = historyFile(d, i, j)
+			if errs := cfg.Check(); len(errs) > 0 {
+				return fmt.Errorf("measure: load: %w", errors.Join(errs...))
+			}
+			to := &r.phases[i][j]
+			g.Go(func() (err error) {
+				to.started = float64(time.Now().UnixMicro()) / 1000
+				to.report, err = load.RunFile(gctx, &cfg)
+				return err
+			})
+		}
+		if t.faults != nil && i == len(t.phases)-1 {
+			g.Go(func() error { return setFaults(gctx, d.Upstreams()[0], t.faults) })
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func historyFile(d *deployment.Deployment, phase, i int) string {
+	return filepath.Join(d.Dir(), fmt.Sprintf("callers-%d-%d.jsonl", phase, i))
+}
+
+// read reads the histories and checks the promises.
+func (r *result) read(d *deployment.Deployment, t *trial) error {
+	var all []history.Attempt
+	for i, p := range r.phases {
+		for j := range p {
+			attempts, err := history.Read[history.Attempt](historyFile(d, i, j))
+			if err != nil {
+				return err
+			}
+			p[j].attempts = attempts
+			all = append(all, attempts...)
+		}
+	}
+	events, err := history.Read[history.Event](d.HistoryFiles()...)
+	if err != nil {
+		return err
+	}
+	r.violations = history.Check(all, events, nil)
+	type key struct {
+		submission string
+		task       int
+	}
+	starts := map[key]int64{}
+	for _, e := range events {
+		k := key{e.Submission, e.Task}
+		switch e.Event {
+		case history.EventStart:
+			starts[k] = e.Mono
+		case history.EventEnd:
+			if from, ok := starts[k]; ok {
+				r.runs[e.Submission] = max(r.runs[e.Submission], float64(e.Mono-from)/1e6)
+			}
+		}
+	}
+	return nil
+}
+
+// setFaults sets the faults of an upstream after faultAt.
+func setFaults(ctx context.Context, u *deployment.Process, f *worker.Faults) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(faultAt):
+	}
+	data, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("measure: faults: %w", err)
+	}
+	return call(ctx, http.MethodPut, u.URL()+"/faults", data, nil)
+}
+
+// publishTimeout is the target for a configuration to be in force, with room for a busy machine.
+const publishTimeout = 10 * time.Second
+
+// publish puts the objects in force at every entry.
+func publish(ctx context.Context, d *deployment.Deployment, objects string) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	var now, accepted struct {
+		Revision uint64 `json:"revision"`
+	}
+	first := d.Entries()[0].URL() + "/v1/configuration"
+	if err := call(ctx, http.MethodGet, first, nil, &now); err != nil {
+		return err
+	}
+	if err := call(ctx, http.MethodPut, fmt.Sprintf("%s?base=%d&author=measure", first, now.Revision), []byte(objects), &accepted); err != nil {
+		return err
+	}
+	for _, e := range d.Entries() {
+		for now.Revision = 0; now.Revision < accepted.Revision; {
+			if err := call(ctx, http.MethodGet, e.URL()+"/v1/configuration", nil, &now); err != nil {
+				return err
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// call sends a request and decodes the answer into out, unless it is nil.
+func call(ctx context.Context, method, url string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("measure: %s: %w", method, err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("measure: %w", err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return fmt.Errorf("measure: %s %s: %w", method, url, err)
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("measure: %s %s: status %d: %s", method, url, res.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("measure: %s %s: %w", method, url, err)
+	}
+	return nil
+}
