--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -156,7 +156,9 @@
 	}
 	var svg bytes.Buffer
 	if err := t.plots.WritePlot(&svg); err != nil {
-		return err
+		// The tables of the other experiments matter more than a plot without a completed job.
+		fmt.Fprintf(c.Progress, "%s: %v\n", t.plotName(), err)
+		return nil
 	}
 	if err := os.WriteFile(filepath.Join(filepath.Dir(c.Output), t.plotName()), svg.Bytes(), 0o600); err != nil {
 		return fmt.Errorf("measure: plot: %w", err)
