upstream: take the ejection of upstreams from the chart

Cause: the health of an upstream kept states of its own beside the chart. Change: eject, probe, pass and fail go through chart.Upstream. Leaving stays a flag, because an upstream that announces itself again must keep its ejection, which the states of the chart exclude. Result: go test -race of upstream and agent passes, unchanged. Conclusion: no change of behaviour.

--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "gypsumtide"
+import (
+	"gypsumtide"
+	"gypsumtide/internal/chart"
+)
 
 // HealthConfig controls the ejection of an upstream.
 type HealthConfig struct {
@@ -22,12 +25,18 @@
 	return HealthConfig{Window: 5000, MinResults: 8, FailurePercent: 80, BackOff: 1000, MaxBackOff: 30_000, Probes: 3}
 }
 
-type healthState uint8
+// The states and events of the upstream chart that an announced upstream takes
+// by its results. Whether it leaves is kept apart, since an upstream that
+// announces itself again must not lose its ejection.
+var (
+	healthActive  = chart.Upstream.MustState("serving")
+	healthEjected = chart.Upstream.MustState("ejected")
+	healthProbing = chart.Upstream.MustState("probing")
 
-const (
-	healthActive healthState = iota
-	healthEjected
-	healthProbing
+	healthEject = chart.Upstream.MustEvent("eject")
+	healthProbe = chart.Upstream.MustEvent("probe")
+	healthFail  = chart.Upstream.MustEvent("fail")
+	healthPass  = chart.Upstream.MustEvent("pass")
 )
 
 // maxSamples bounds the window in memory; older results drop out first.
@@ -38,12 +47,11 @@
 	failed bool
 }
 
-// health is the failure state of one upstream. Active leads to ejected by the
-// failure rate, ejected to probing by time, and probing to active or ejected by
-// the probes.
+// health is the failure state of one upstream. The failure rate ejects it, time
+// leads to probing, and the probes decide whether it serves again.
 type health struct {
 	cfg     HealthConfig
-	state   healthState
+	state   chart.State
 	samples []sample
 	backOff gypsumtide.Millis
 	until   gypsumtide.Millis
@@ -51,13 +59,14 @@
 }
 
 func newHealth(cfg HealthConfig) *health {
-	return &health{cfg: cfg, backOff: cfg.BackOff}
+	return &health{cfg: cfg, state: healthActive, backOff: cfg.BackOff}
 }
 
 // stateAt moves from ejected to probing once the back-off has passed.
-func (h *health) stateAt(now gypsumtide.Millis) healthState {
+func (h *health) stateAt(now gypsumtide.Millis) chart.State {
 	if h.state == healthEjected && now >= h.until {
-		h.state, h.good = healthProbing, 0
+		h.fire(healthProbe)
+		h.good = 0
 	}
 	return h.state
 }
@@ -84,24 +93,28 @@
 	if len(h.samples) < h.cfg.MinResults || bad*100 < h.cfg.FailurePercent*len(h.samples) {
 		return false
 	}
-	h.eject(now)
+	h.eject(healthEject, now)
 	return true
 }
 
 func (h *health) probe(now gypsumtide.Millis, failed bool) bool {
 	if failed {
 		h.backOff = min(2*h.backOff, h.cfg.MaxBackOff)
-		h.eject(now)
+		h.eject(healthFail, now)
 		return true
 	}
 	h.good++
 	if h.good < h.cfg.Probes {
 		return false
 	}
-	h.state, h.backOff = healthActive, h.cfg.BackOff
+	h.fire(healthPass)
+	h.backOff = h.cfg.BackOff
 	return true
 }
 
-func (h *health) eject(now gypsumtide.Millis) {
-	h.state, h.until, h.samples = healthEjected, now+h.backOff, nil
+func (h *health) eject(e chart.Event, now gypsumtide.Millis) {
+	h.fire(e)
+	h.until, h.samples = now+h.backOff, nil
 }
+
+func (h *health) fire(e chart.Event) { h.state, _ = chart.Upstream.Step(h.state, e) }
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"gypsumtide"
+	"gypsumtide/internal/chart"
 	"gypsumtide/internal/wire"
 )
 
@@ -75,7 +76,7 @@
 }
 
 // free returns how many more tasks of the class may start.
-func (r *Registry) free(e *entry, class gypsumtide.Class, state healthState) int {
+func (r *Registry) free(e *entry, class gypsumtide.Class, state chart.State) int {
 	slots := min(e.Slots, e.Connections)
 	if state == healthProbing {
 		// A probe is one task at a time.
