--- a/Makefile
+++ b/Makefile
@@ -22,15 +22,11 @@
 faults: build
 	GYPSUMTIDE_SEEDS=$${GYPSUMTIDE_SEEDS:-20} go test -v -count 1 -timeout 2h -run TestSeeds ./internal/standin/schedule
 
-<<<<<<< HEAD
 # Writes the tables and plots of the measures; see gypsumtide-measure --help for the options.
 measure: build
 	$(BIN)/gypsumtide-measure --bin $(BIN) --output $${GYPSUMTIDE_OUTPUT:-docs/measurements.md} --repetitions $${GYPSUMTIDE_REPETITIONS:-5}
 
-# Measures the slopes behind docs/CAPACITY.md. It takes about ten minutes and 1 GB of memory.
-=======
 # Measures the slopes behind docs/CAPACITY.md. It takes about 13 minutes and 1 GB of memory.
->>>>>>> capacity
 capacity:
 	go test -run '^$$' -bench 'BenchmarkStart$$' -benchtime 200ms -count 3 ./internal/placement
 	go test -run '^$$' -bench 'BenchmarkEligible' -benchtime 200ms -count 3 ./internal/entry
