measure: add batches with exponential run times to blocking

Batch tasks of one fixed run time free their slots in waves, so the row cannot tell waiting for a wave from waiting behind queued tasks. Change: a row whose batch tasks have exponential run times of the same mean. Measured result: none yet for the new row. Conclusion: the two rows together show the part of the waves.

--- a/internal/standin/measure/experiment.go
+++ b/internal/standin/measure/experiment.go
@@ -124,8 +124,10 @@
 		}
 	}
 	blocking := experiment{name: "blocking", sites: []site{consortium, ristikko}, columns: []string{"p99 without ms", "p99 beside ms", "blocking"}, values: blockingValues,
-		note:   "Stock checks of 50 ms at 30% load without and beside order batches of 1,200 tasks of 50 ms, one each 1.5 s.",
-		trials: []trial{beside("believed-free/fair", pool("believed-free", "fair"), "right"), beside("believed-free/fifo", pool("believed-free", "fifo"), "right"), beside("random/fair", pool("random", "fair"), "right")}}
+		note:   "Stock checks of 50 ms at 30% load without and beside order batches of 1,200 tasks of 50 ms, one each 1.5 s. The tasks of a batch run for the same time and so end together unless the row says that their run times are exponential (mean 50 ms).",
+		trials: []trial{beside("believed-free/fair", pool("believed-free", "fair"), "right"), beside("believed-free/fifo", pool("believed-free", "fifo"), "right"), beside("random/fair", pool("random", "fair"), "right"), beside("believed-free/fair, exponential batches", pool("believed-free", "fair"), "right")}}
+	// Tasks of one run time free their slots in waves, which a stock check may have to wait for.
+	blocking.trials[3].phases[1][1].Classes[0].Run.Kind = "exponential"
 	crest := experiment{name: "crest", sites: []site{ristikko}, columns: []string{"crest service", "refused %", "late or lost %", "recovery s", "violations"}, values: crestValues,
 		note: "A swing from 70% load to a multiple of the capacity for 3 s, tasks of 200 ms. Crest service: tasks answered within deadline during the crest / (88 slots x 3 s / 200 ms). Refused and late: share of the jobs sent in the crest. Recovery: last job sent after the crest that was not complete in time. Violations: history checker, all rules."}
 	for _, factor := range []float64{3, 10} {
