Skip an agent's load report when results have carried it, and issue ids that are served here

Jobs without an id were forwarded by chance of their id. Change: the periodic report is skipped on a session that was used within the interval; ids made by an entry belong to a shard that it serves.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -190,6 +190,7 @@
 
 // update adds to the next frame, which carries load and revision as well.
 func (a *Agent) update(l *link, add func(f *wire.Frame)) {
+	l.updatedAt = a.clock.Now()
 	l.session.Update(func(f *wire.Frame) {
 		add(f)
 		load := a.load(l)
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -38,6 +38,8 @@
 	welcome *wire.Welcome
 	// counters are the session's own, so that a drain can tell when a frame is written.
 	counters *wire.Counters
+	// updatedAt is when the last frame was added to.
+	updatedAt gypsumtide.Millis
 	// echo is the newest of this agent's clock readings that the entry has returned.
 	echo gypsumtide.Millis
 }
@@ -263,6 +265,10 @@
 		// Leases and back-offs end without an event, so each heartbeat compares.
 		now := fmt.Sprintf("%+v", *announcement)
 		for _, l := range a.links {
+			if now == sent && a.clock.Now()-l.updatedAt < a.cfg.Heartbeat {
+				// Results have carried load and credit in the meantime.
+				continue
+			}
 			a.update(l, func(f *wire.Frame) {
 				if now != sent {
 					f.Announcement = announcement
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -179,7 +179,7 @@
 	var id gypsumtide.SubmissionID
 	if body.SubmissionID == "" {
 		issued = true
-		id, err = gypsumtide.NewSubmissionID()
+		id, err = e.localID()
 	} else {
 		id, err = gypsumtide.ParseSubmissionID(body.SubmissionID)
 	}
@@ -209,6 +209,25 @@
 	return req, issued, nil
 }
 
+// localIDTries bounds the search for an id of a shard that is served here. With
+// 64 shards spread over a few entries it rarely needs more than ten.
+const localIDTries = 64
+
+// localID returns an id whose shard this entry serves, if it serves any, so
+// that the job needs no forwarding.
+func (e *Entry) localID() (gypsumtide.SubmissionID, error) {
+	for range localIDTries {
+		id, err := gypsumtide.NewSubmissionID()
+		if err != nil {
+			return id, err
+		}
+		if _, ok := e.owner.Serving(id.Shard()); ok {
+			return id, nil
+		}
+	}
+	return gypsumtide.NewSubmissionID()
+}
+
 // checkJob returns the first fault of a job.
 func (e *Entry) checkJob(body *jobBody) error {
 	switch {
