measure: let a deployment settle before its load

Cause: in a kept trial of the blocking experiment, handovers of shards ran from 5 s to 10 s after the start; 11 of 5,810 stock checks waited for a recovery, with p99 117 ms against 89 ms of the others. Measured result: no run with the wait yet. Conclusion: the tables show a settled deployment, not its start.

--- a/internal/standin/measure/trial.go
+++ b/internal/standin/measure/trial.go
@@ -35,7 +35,9 @@
 		return nil, err
 	}
 	r = &result{site: s, runs: map[string]float64{}}
-	err = r.run(ctx, d, t, seed)
+	if err = wait(ctx, c.Settle); err == nil {
+		err = r.run(ctx, d, t, seed)
+	}
 	if err = errors.Join(err, d.Close()); err != nil {
 		return nil, err
 	}
@@ -154,12 +156,19 @@
 	return nil
 }
 
-// setFaults sets the faults of an upstream after faultAt.
-func setFaults(ctx context.Context, u *deployment.Process, f *worker.Faults) error {
+func wait(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(faultAt):
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// setFaults sets the faults of an upstream after faultAt.
+func setFaults(ctx context.Context, u *deployment.Process, f *worker.Faults) error {
+	if err := wait(ctx, faultAt); err != nil {
+		return err
 	}
 	data, err := json.Marshal(f)
 	if err != nil {
