Wait for balanced shards in the deployment runner

Cause: measurements began while all shards were at one entry, so that most sessions were idle and sent heartbeats (0.15 a task).

--- a/internal/standin/deployment/ready.go
+++ b/internal/standin/deployment/ready.go
@@ -3,11 +3,21 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
+
+	"gypsumtide"
+)
+
+const (
+	// settleTime is longer than the pause between two batches of a rebalancing.
+	settleTime  = 2 * time.Second
+	statusPause = 20 * time.Millisecond
 )
 
 // readyTimeout bounds the wait for processes on a busy machine.
@@ -102,3 +112,64 @@
 		return conn.Close()
 	})
 }
+
+// Serving returns the number of shards that an entry serves, 0 if it cannot be reached.
+func (p *Process) Serving(ctx context.Context) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL()+"/v1/status", nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status struct {
+		Shards map[string]int `json:"shards"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return 0
+	}
+	return status.Shards["serving"]
+}
+
+// served returns the number of shards that each entry serves.
+func (d *Deployment) served(ctx context.Context) (counts []int, least, all int) {
+	least = gypsumtide.ShardCount
+	for _, e := range d.entries {
+		n := e.Serving(ctx)
+		counts = append(counts, n)
+		least, all = min(least, n), all+n
+	}
+	return counts, least, all
+}
+
+// WaitServing waits until every shard is served.
+func (d *Deployment) WaitServing(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if _, _, all := d.served(ctx); all >= gypsumtide.ShardCount {
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return fmt.Errorf("deployment: not all shards are served: %w", ctx.Err())
+}
+
+// WaitBalanced waits until every entry serves some shards and no shard moves
+// any more. A home whose handover record is unsettled when the log fails may
+// not serve that shard in the outage, because the record may have taken effect.
+func (d *Deployment) WaitBalanced(ctx context.Context) error {
+	var last []int
+	since := time.Now()
+	for ctx.Err() == nil {
+		counts, least, all := d.served(ctx)
+		if least == 0 || all < gypsumtide.ShardCount || !slices.Equal(counts, last) {
+			last, since = counts, time.Now()
+		}
+		if time.Since(since) > settleTime {
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return fmt.Errorf("deployment: shards are not spread: %w", ctx.Err())
+}
--- a/internal/standin/schedule/bounds_test.go
+++ b/internal/standin/schedule/bounds_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -48,69 +46,6 @@
 	return d
 }
 
-// serving counts the shards that the entries serve.
-func serving(ctx context.Context, entries []*deployment.Process) int {
-	n := 0
-	for _, e := range entries {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL()+"/v1/status", nil)
-		if err != nil {
-			continue
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			continue
-		}
-		var status struct {
-			Shards map[string]int `json:"shards"`
-		}
-		if json.NewDecoder(resp.Body).Decode(&status) == nil {
-			n += status.Shards["serving"]
-		}
-		_ = resp.Body.Close()
-	}
-	return n
-}
-
-// settleTime is longer than the pause between two batches of a rebalancing.
-const settleTime = 2 * time.Second
-
-// awaitBalanced waits until every entry serves some shards and no shard moves
-// any more. A home whose handover record is unsettled when the log fails may
-// not serve that shard in the outage, because the record may have taken effect.
-func awaitBalanced(ctx context.Context, entries []*deployment.Process) error {
-	var last []int
-	since := time.Now()
-	for ctx.Err() == nil {
-		var counts []int
-		least, all := 64, 0
-		for _, e := range entries {
-			n := serving(ctx, []*deployment.Process{e})
-			counts = append(counts, n)
-			least, all = min(least, n), all+n
-		}
-		if least == 0 || all < 64 || !slices.Equal(counts, last) {
-			last, since = counts, time.Now()
-		}
-		if time.Since(since) > settleTime {
-			return nil
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return fmt.Errorf("shards are not spread: %w", ctx.Err())
-}
-
-// awaitServing waits until all shards are served and returns how long it took.
-func awaitServing(ctx context.Context, entries []*deployment.Process) (time.Duration, error) {
-	start := time.Now()
-	for serving(ctx, entries) < 64 {
-		if ctx.Err() != nil {
-			return 0, fmt.Errorf("not all shards are served: %w", ctx.Err())
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return time.Since(start), nil
-}
-
 // steadyLoad is stock checks at about half of the slots.
 func steadyLoad(d *deployment.Deployment, duration time.Duration, file string) *load.Config {
 	return &load.Config{Seed: 1, Duration: gypsumtide.FromDuration(duration), Arrivals: "poisson", Targets: d.EntryURLs(), History: file,
@@ -167,7 +102,7 @@
 	defer cancel()
 	d := startPlain(ctx, t)
 	for i := range repetitions(2) {
-		if err := awaitBalanced(ctx, d.Entries()); err != nil {
+		if err := d.WaitBalanced(ctx); err != nil {
 			t.Fatal(err)
 		}
 		victim := d.Entries()[i%3]
@@ -177,10 +112,11 @@
 			if err := victim.Kill(); err != nil {
 				t.Fatal(err)
 			}
-			var err error
-			if took, err = awaitServing(ctx, d.Entries()); err != nil {
+			start := time.Now()
+			if err := d.WaitServing(ctx); err != nil {
 				t.Fatal(err)
 			}
+			took = time.Since(start)
 		})
 		t.Logf("takeover after the kill of %s: %d ms, outcomes %v", victim.Name(), took.Milliseconds(), outcomes(attempts))
 		if took > takeoverBound {
@@ -247,7 +183,7 @@
 	for _, kill := range []bool{false, true} {
 		t.Run(fmt.Sprintf("entry killed %v", kill), func(t *testing.T) {
 			d := startPlain(ctx, t)
-			if err := awaitBalanced(ctx, d.Entries()); err != nil {
+			if err := d.WaitBalanced(ctx); err != nil {
 				t.Fatal(err)
 			}
 			attempts := runLoad(ctx, t, d, outage()+4*time.Second, func() {
@@ -272,7 +208,7 @@
 			if !kill && n["complete"] != len(attempts) {
 				t.Errorf("%d of %d answers are not complete although only the log was down", len(attempts)-n["complete"], len(attempts))
 			}
-			if _, err := awaitServing(ctx, d.Entries()); err != nil {
+			if err := d.WaitServing(ctx); err != nil {
 				t.Error(err)
 			}
 		})
