--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
 	"gypsumtide/internal/standin/load"
 )
@@ -27,10 +26,6 @@
 	Output      string
 	Seed        uint64
 	Repetitions int
-	// Settle is the wait between the start of a deployment and its load. Entries
-	// move shards to their preferred homes from 5 s after they joined on, and ids
-	// in doubt then wait for a recovery.
-	Settle time.Duration
 	// Experiments, Sites and Rows choose what runs; empty means all. Rows match by substring.
 	Experiments, Sites, Rows []string
 	// Command is printed beside each table.
@@ -40,7 +35,7 @@
 
 // Default returns the run of make measure.
 func Default() *Config {
-	return &Config{Bin: "./bin", Output: "measurements.md", Seed: 1, Repetitions: 5, Settle: 10 * time.Second, Progress: os.Stderr}
+	return &Config{Bin: "./bin", Output: "measurements.md", Seed: 1, Repetitions: 5, Progress: os.Stderr}
 }
 
 // Names returns the names of the experiments.
--- a/internal/standin/measure/trial.go
+++ b/internal/standin/measure/trial.go
@@ -35,7 +35,8 @@
 		return nil, err
 	}
 	r = &result{site: s, runs: map[string]float64{}}
-	if err = wait(ctx, c.Settle); err == nil {
+	// Ids in doubt wait for a recovery while shards move to their preferred homes.
+	if err = d.WaitBalanced(ctx); err == nil {
 		err = r.run(ctx, d, t, seed)
 	}
 	if err = errors.Join(err, d.Close()); err != nil {
