Bound the ejected share of a pool

Cause: max-ejected-percent was read and not applied; a fault that all upstreams share could have emptied a pool. Change: at most that share of the agents of a service stays ejected, the others take work again. TestEjectionIsBounded fails on the old selection (4 of 4 ejected left 0 agents).

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -41,18 +41,23 @@
 	gone      bool
 }
 
-// serves reports whether the agent has an upstream for the service that takes new work.
-func (c *agentConn) serves(service string) bool {
+// serves reports whether the agent has an upstream for the service that takes
+// new work, and whether all of them are ejected.
+func (c *agentConn) serves(service string) (ok, ejected bool) {
 	if c.session == nil || c.draining || c.gone {
-		return false
+		return false, false
 	}
 	for i := range c.upstreams {
 		u := &c.upstreams[i]
-		if !u.Leaving && !u.Ejected && slices.Contains(u.Services, service) {
-			return true
+		if u.Leaving || !slices.Contains(u.Services, service) {
+			continue
+		}
+		if !u.Ejected {
+			return true, false
 		}
+		ok = true
 	}
-	return false
+	return ok, ok
 }
 
 // stopTasks asks the agent to stop the open tasks of a submission and to report their state.
--- a/internal/entry/eligible_test.go
+++ b/internal/entry/eligible_test.go
@@ -106,3 +106,24 @@
 		}
 	}
 }
+
+// Guards against a pool that ejection empties, and against an ejected agent
+// that gets work while enough others are left.
+func TestEjectionIsBounded(t *testing.T) {
+	for _, c := range []struct{ agents, ejected, want int }{{4, 0, 4}, {4, 1, 3}, {4, 2, 2}, {4, 3, 2}, {4, 4, 2}, {1, 1, 1}} {
+		h, _, p, _ := newEligible(t, c.agents, 1)
+		for i := range c.ejected {
+			conn := h.agents[fmt.Sprint("agent-", i, "#1")]
+			h.announced(conn, &wire.Announcement{Upstreams: []wire.Upstream{{Name: "u", Services: []string{"echo"}, Slots: 8, Ejected: true}}})
+		}
+		list := p.serving(h, "echo")
+		if len(list.conns) != c.want {
+			t.Errorf("%d of %d ejected: %d agents take work, want %d", c.ejected, c.agents, len(list.conns), c.want)
+		}
+		for _, v := range list.views {
+			if v.Ejected() {
+				t.Errorf("%d of %d ejected: %s takes work and counts as ejected", c.ejected, c.agents, v.Name())
+			}
+		}
+	}
+}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"gypsumtide"
 	"gypsumtide/internal/wire"
@@ -45,18 +47,42 @@
 	}
 	c = &candidates{byIncarnation: make(map[string]*agentConn)}
 	p.slots = 0
-	for _, conn := range h.agents {
-		if conn.serves(service) && h.router.inPool(p.spec.name, conn.record.Zone) {
-			conn.view.SetSlots(conn.view.Slots(), p.reserved(conn.view.Slots()))
-			c.add(conn)
-			c.byIncarnation[conn.record.Incarnation] = conn
-			p.slots += conn.view.Slots()
-		}
+	for _, conn := range p.admitted(h, service) {
+		conn.view.SetSlots(conn.view.Slots(), p.reserved(conn.view.Slots()))
+		c.add(conn)
+		c.byIncarnation[conn.record.Incarnation] = conn
+		p.slots += conn.view.Slots()
 	}
 	p.candidates[service] = c
 	return c
 }
 
+// admitted returns the agents that may receive tasks of the service. No more
+// than the pool's share of agents stays ejected, so that failures of what all
+// of them depend on cannot empty the pool; the others take work again.
+func (p *pool) admitted(h *home, service string) []*agentConn {
+	var all, ejected []*agentConn
+	for _, conn := range h.agents {
+		ok, out := conn.serves(service)
+		switch {
+		case !ok || !h.router.inPool(p.spec.name, conn.record.Zone):
+		case out:
+			ejected = append(ejected, conn)
+		default:
+			all = append(all, conn)
+		}
+	}
+	slices.SortFunc(ejected, func(a, b *agentConn) int { return strings.Compare(a.record.Name, b.record.Name) })
+	most := (len(all) + len(ejected)) * p.spec.maxEjected / 100
+	for i, conn := range ejected {
+		conn.view.SetEjected(i < most)
+		if i >= most {
+			all = append(all, conn)
+		}
+	}
+	return all
+}
+
 // pump dispatches waiting tasks until none fits.
 func (h *home) pump(p *pool, now gypsumtide.Millis) {
 	for {
