--- a/internal/standin/schedule/schedule_test.go
+++ b/internal/standin/schedule/schedule_test.go
@@ -34,7 +34,7 @@
 	dir := t.TempDir()
 	for _, name := range deployment.Programs {
 		if _, err := os.Stat(filepath.Join(root, "cmd", name)); errors.Is(err, fs.ErrNotExist) {
-			t.Skipf("the command %s does not exist yet", name)
+			t.Fatalf("the command %s does not exist", name)
 		}
 		out, err := exec.Command("go", "build", "-o", dir+"/", "gypsumtide/cmd/"+name).CombinedOutput()
 		if err != nil {
