Use one prefix for problem types

No behaviour changes; go vet and the tests of internal/entry pass, the full check was not run again.

--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -6,12 +6,10 @@
 	"strconv"
 
 	"gypsumtide"
+	"gypsumtide/internal/operator"
 	"gypsumtide/internal/wire"
 )
 
-// problemType is the prefix of the problem type URIs of RFC 9457.
-const problemType = "urn:gypsumtide:problem:"
-
 // problemBody is an RFC 9457 problem with the members that this API adds.
 type problemBody struct {
 	Type         string             `json:"type"`
@@ -30,7 +28,7 @@
 // writeProblem answers with a problem body.
 func writeProblem(w http.ResponseWriter, r *http.Request, p *wire.Problem, outcome gypsumtide.Outcome, id *gypsumtide.SubmissionID) {
 	body := problemBody{
-		Type: problemType + p.Type, Title: http.StatusText(p.Status), Status: p.Status, Detail: p.Detail, Instance: r.URL.Path,
+		Type: operator.ProblemPrefix + p.Type, Title: http.StatusText(p.Status), Status: p.Status, Detail: p.Detail, Instance: r.URL.Path,
 		Outcome: outcome, Step: p.Step, Peer: p.Peer, Limit: p.Limit, RetryAfterMS: int64(p.RetryAfter),
 	}
 	if id != nil {
