--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,10 @@
 package gypsumtide
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Millis is a duration or a point in time in milliseconds.
 type Millis int64
@@ -36,3 +40,21 @@
 
 // Wall implements Clock.
 func (c *SystemClock) Wall() Millis { return Millis(time.Now().UnixMilli()) }
+
+// BootClock is a SystemClock whose monotonic time also counts while the host is
+// suspended, so that a process that was suspended sees the gap.
+type BootClock struct {
+	SystemClock
+}
+
+// NewBootClock returns a Clock that reads the time since boot.
+func NewBootClock() *BootClock { return &BootClock{SystemClock: *NewSystemClock()} }
+
+// Now implements Clock.
+func (c *BootClock) Now() Millis {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return c.SystemClock.Now()
+	}
+	return FromDuration(time.Duration(ts.Nano()))
+}
--- /dev/null
+++ b/internal/dispatch/entry.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gypsumtide"
+	"gypsumtide/internal/link"
+	"gypsumtide/internal/wire"
+)
+
+// Config holds the parameters of an Entry.
+type Config struct {
+	Name        string
+	Incarnation string
+	Zone        string
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+	// Lease is the longest lease that workers grant.
+	Lease gypsumtide.Millis
+}
+
+// Intervals of the entry.
+const (
+	tickInterval gypsumtide.Millis = 10
+	// resumeGrace covers a reconnection of an agent.
+	resumeGrace gypsumtide.Millis = 450
+	// leaseMargin covers a worker clock that is 2% slow and the way of a renewal.
+	leaseMargin gypsumtide.Millis = 100
+)
+
+// ErrDuplicate means that the job is in progress at this entry.
+var ErrDuplicate = errors.New("job is in progress")
+
+// Entry serves ephemeral jobs.
+type Entry struct {
+	cfg     Config
+	clock   gypsumtide.Clock
+	log     Recorder
+	metrics *entryMetrics
+	entries *link.Addresses
+
+	mu       sync.Mutex
+	state    *State
+	sessions map[WorkerID]*wire.Session
+	waiters  map[string][]chan Answer
+}
+
+// New returns an Entry that tells agents the addresses in entries.
+func New(cfg Config, clock gypsumtide.Clock, log Recorder, set *metrics.Set, entries *link.Addresses) *Entry {
+	e := &Entry{
+		cfg: cfg, clock: clock, log: log, entries: entries,
+		state: NewState(cfg.Zone, cfg.RemoteFactor, Timing{
+			ResumeGrace: resumeGrace, LostRun: cfg.Lease + leaseMargin,
+		}, log),
+		sessions: make(map[WorkerID]*wire.Session),
+		waiters:  make(map[string][]chan Answer),
+	}
+	e.metrics = newEntryMetrics(set, e)
+	return e
+}
+
+// Submit runs a job and returns its answer. The job ends when ctx does. A
+// submission of a job that is in progress receives the same answer.
+func (e *Entry) Submit(ctx context.Context, sub Submission) Answer {
+	begin := time.Now()
+	answer := make(chan Answer, 1)
+	id := sub.Job.ID
+	e.update(func(now gypsumtide.Millis) {
+		e.waiters[id] = append(e.waiters[id], answer)
+		if !e.state.Has(id) {
+			e.state.Submit(now, sub)
+		}
+	})
+	var a Answer
+	select {
+	case a = <-answer:
+	case <-ctx.Done():
+		a = e.leave(id, answer)
+	}
+	e.metrics.answered(sub.Route.Name, a, begin)
+	return a
+}
+
+// leave withdraws a waiter whose caller has gone, and the job with its last waiter.
+func (e *Entry) leave(id string, answer chan Answer) Answer {
+	e.update(func(now gypsumtide.Millis) {
+		rest := e.waiters[id][:0]
+		for _, c := range e.waiters[id] {
+			if c != answer {
+				rest = append(rest, c)
+			}
+		}
+		e.waiters[id] = rest
+		if len(rest) == 0 {
+			delete(e.waiters, id)
+			e.state.Cancel(now, id, "caller-gone")
+		}
+	})
+	select {
+	case a := <-answer:
+		return a
+	default:
+		return Answer{Outcome: gypsumtide.OutcomeUnknown, Reason: "caller-gone"}
+	}
+}
+
+// Cancel ends a job in progress. It reports whether there was one.
+func (e *Entry) Cancel(id string) bool {
+	found := false
+	e.update(func(now gypsumtide.Millis) {
+		found = e.state.Has(id)
+		e.state.Cancel(now, id, "cancelled")
+	})
+	return found
+}
+
+// Workers returns the number of workers that take orders.
+func (e *Entry) Workers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Workers()
+}
+
+// Jobs returns the number of jobs in progress.
+func (e *Entry) Jobs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Jobs()
+}
+
+// update changes the state and carries out what the change asks for.
+func (e *Entry) update(change func(now gypsumtide.Millis)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e.clock.Now())
+	eff := e.state.Take()
+	for id, m := range eff.Messages {
+		if s, ok := e.sessions[id]; ok {
+			s.Update(func(f *wire.Frame) {
+				f.Orders = append(f.Orders, m.Orders...)
+				f.StopRuns = append(f.StopRuns, m.Stops...)
+			})
+		}
+	}
+	for id, a := range eff.Answers {
+		for _, c := range e.waiters[id] {
+			c <- a
+		}
+		delete(e.waiters, id)
+	}
+}
+
+// Run ends jobs whose time is over until ctx is done.
+func (e *Entry) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			e.update(func(now gypsumtide.Millis) { e.state.Tick(now) })
+		}
+	}
+}
+
+// ServeAgent runs the session of an agent.
+func (e *Entry) ServeAgent(w http.ResponseWriter, r *http.Request) {
+	s, err := link.Accept(w, r, e.clock)
+	if err != nil {
+		e.log.Decision("session-refused", "peer", r.RemoteAddr, "error", err.Error())
+		return
+	}
+	defer s.Close()
+	ctx := context.WithoutCancel(r.Context())
+	hello, err := link.Greet(ctx, s, wire.Welcome{Name: e.cfg.Name, Incarnation: e.cfg.Incarnation})
+	if err != nil {
+		e.log.Decision("session-refused", "peer", r.RemoteAddr, "error", err.Error())
+		return
+	}
+	id := WorkerID{Agent: hello.Name, Incarnation: hello.Incarnation}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.Update(func(f *wire.Frame) { f.Entries = e.entries.List() })
+	err = s.Run(ctx, func(f *wire.Frame) error { return e.receive(id, s, f) })
+	e.disconnect(id, s, err)
+}
+
+func (e *Entry) disconnect(id WorkerID, s *wire.Session, err error) {
+	reason := "closed"
+	if err != nil {
+		reason = err.Error()
+	}
+	e.update(func(now gypsumtide.Millis) {
+		if e.sessions[id] != s {
+			return
+		}
+		delete(e.sessions, id)
+		e.state.Disconnected(now, id, reason)
+	})
+}
+
+// receive handles a frame of an agent.
+func (e *Entry) receive(id WorkerID, s *wire.Session, f *wire.Frame) error {
+	for _, address := range f.Entries {
+		e.entries.Add(address)
+	}
+	if f.Resume == nil && f.Worker == nil && len(f.RunReports) == 0 {
+		return nil
+	}
+	e.update(func(now gypsumtide.Millis) {
+		if f.Resume != nil {
+			if old, ok := e.sessions[id]; ok && old != s {
+				old.Close()
+			}
+			e.sessions[id] = s
+		}
+		if e.sessions[id] != s {
+			return
+		}
+		for _, r := range f.RunReports {
+			e.state.Report(now, id, r)
+		}
+		if f.Resume != nil {
+			e.state.Connected(now, id, f.Resume.Held)
+		}
+		if f.Worker != nil {
+			e.state.Observe(now, id, *f.Worker)
+		}
+	})
+	return nil
+}
+
+// TellEntries sends the known entries to every agent.
+func (e *Entry) TellEntries() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := e.entries.List()
+	for _, s := range e.sessions {
+		s.Update(func(f *wire.Frame) { f.Entries = list })
+	}
+}
+
+// entryMetrics counts what the entry does.
+type entryMetrics struct {
+	set *metrics.Set
+}
+
+func newEntryMetrics(set *metrics.Set, e *Entry) *entryMetrics {
+	set.NewGauge("gypsumtide_entry_jobs", func() float64 { return float64(e.Jobs()) })
+	set.NewGauge("gypsumtide_entry_workers", func() float64 { return float64(e.Workers()) })
+	return &entryMetrics{set: set}
+}
+
+func (m *entryMetrics) answered(route string, a Answer, begin time.Time) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_answers_total{route=%q,outcome=%q}", route, a.Outcome)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumtide_entry_answer_seconds{route=%q,outcome=%q}", route, a.Outcome)).UpdateDuration(begin)
+}
--- /dev/null
+++ b/internal/dispatch/job.go
@@ -0,0 +1,152 @@
+// Package dispatch decides at an entry where the tasks of ephemeral jobs run,
+// when a job is refused, and when a run is tried elsewhere.
+package dispatch
+
+import (
+	"log/slog"
+
+	"gypsumtide"
+)
+
+// WorkerID identifies an agent's incarnation. A new incarnation knows nothing of
+// the runs of the one before, and has ended them before it takes orders.
+type WorkerID struct {
+	Agent       string
+	Incarnation string
+}
+
+// LogValue implements slog.LogValuer.
+func (id WorkerID) LogValue() slog.Value { return slog.StringValue(id.Agent + "/" + id.Incarnation) }
+
+// taskPhase is the progress of a task.
+type taskPhase uint8
+
+const (
+	// taskBlocked waits for an earlier step.
+	taskBlocked taskPhase = iota
+	// taskReady has no run.
+	taskReady
+	// taskOrdered has a run that may not have started.
+	taskOrdered
+	taskRunning
+	taskDone
+)
+
+// task is a task of a job.
+type task struct {
+	job     *job
+	name    gypsumtide.TaskName
+	step    int
+	phase   taskPhase
+	number  uint64
+	worker  WorkerID
+	life    gypsumtide.Life
+	ordered gypsumtide.Millis
+	started gypsumtide.Millis
+	// failures counts runs that ended failed.
+	failures int
+	// avoid is the worker of the last run that failed or stood still.
+	avoid WorkerID
+	// stopping is set while a run is being stopped to be tried elsewhere, or
+	// because the job has ended.
+	stopping bool
+}
+
+func (t *task) ref() gypsumtide.RunRef {
+	return gypsumtide.RunRef{Task: t.name, Number: t.number}
+}
+
+// Answer is the final answer to a submission.
+type Answer struct {
+	Outcome gypsumtide.Outcome
+	// Reason is for logs and the body of refusals.
+	Reason string
+	// RetryAfter is when a refused caller may return.
+	RetryAfter gypsumtide.Millis
+}
+
+// job is a submission in progress.
+type job struct {
+	id       string
+	spec     string
+	route    gypsumtide.QueueRoute
+	steps    []gypsumtide.JobStep
+	tasks    []*task
+	undone   []int
+	arrived  gypsumtide.Millis
+	deadline gypsumtide.Millis
+	// objective is the time by which the job is on time.
+	objective gypsumtide.Millis
+	// begun is set once a task has started or may have started.
+	begun bool
+	// ending is the answer that is given once no task can start any more.
+	ending *Answer
+}
+
+func newJob(now gypsumtide.Millis, s Submission) *job {
+	j := &job{
+		id: s.Job.ID, spec: s.Job.Spec, route: s.Route, steps: s.Job.Steps,
+		arrived: now, deadline: now + s.Timeout, undone: make([]int, len(s.Job.Steps)),
+	}
+	for i, step := range j.steps {
+		j.undone[i] = step.Tasks
+		phase := taskReady
+		if len(step.After) > 0 {
+			phase = taskBlocked
+		}
+		for k := range step.Tasks {
+			name := gypsumtide.TaskName{Job: j.id, Step: i, Index: k}
+			j.tasks = append(j.tasks, &task{job: j, name: name, step: i, phase: phase})
+		}
+	}
+	return j
+}
+
+// chain returns the longest expected run time of steps that depend on each other.
+func (j *job) chain(expected func(step int) gypsumtide.Millis) gypsumtide.Millis {
+	ends := make([]gypsumtide.Millis, len(j.steps))
+	var longest gypsumtide.Millis
+	for i, step := range j.steps {
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += expected(i)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// release makes the tasks of steps ready whose earlier steps are done.
+func (j *job) release() {
+	for _, t := range j.tasks {
+		if t.phase != taskBlocked {
+			continue
+		}
+		ready := true
+		for _, before := range j.steps[t.step].After {
+			ready = ready && j.undone[before] == 0
+		}
+		if ready {
+			t.phase = taskReady
+		}
+	}
+}
+
+func (j *job) done() bool {
+	for _, n := range j.undone {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// open reports whether a run of a task may exist.
+func (j *job) open() bool {
+	for _, t := range j.tasks {
+		if t.phase == taskOrdered || t.phase == taskRunning {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/session.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// Connected notes a session to an agent that holds the given runs. Orders that
+// are not among them did not arrive.
+func (s *State) Connected(now gypsumtide.Millis, id WorkerID, held []gypsumtide.RunRef) {
+	w, ok := s.workers[id]
+	if !ok {
+		w = &worker{id: id, tasks: make(map[gypsumtide.RunRef]*task)}
+		s.workers[id] = w
+	}
+	w.connected = true
+	present := make(map[gypsumtide.RunRef]bool, len(held))
+	for _, ref := range held {
+		present[ref] = true
+		if t, ok := w.tasks[ref]; !ok || t.stopping {
+			m := s.messages(id)
+			m.Stops = append(m.Stops, ref)
+		}
+	}
+	for ref := range w.tasks {
+		if !present[ref] {
+			s.Report(now, id, wire.RunReport{Ref: ref, End: gypsumtide.EndNotStarted, Reason: "order-lost"})
+		}
+	}
+	s.log.Decision("agent-connected", "worker", id, "held", len(held), "open", len(w.tasks))
+}
+
+// Observe takes an agent's report on its worker.
+func (s *State) Observe(now gypsumtide.Millis, id WorkerID, r wire.WorkerReport) {
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	if r.Open != w.report.Open || r.Life != w.report.Life {
+		s.log.Decision("worker-state", "worker", id, "life", r.Life, "open", r.Open, "before", w.report.Open,
+			"capacity", r.Capacity.Processors)
+	}
+	w.report = r
+	w.reported = now
+	if r.Open {
+		s.retire(now, id)
+	}
+}
+
+// retire ends what earlier incarnations of an agent ran: the new one takes
+// orders only after the worker has nothing left of them.
+func (s *State) retire(now gypsumtide.Millis, id WorkerID) {
+	for other, w := range s.workers {
+		if other.Agent == id.Agent && other.Incarnation != id.Incarnation && !w.connected {
+			s.drop(now, w, "agent-restarted")
+		}
+	}
+}
+
+// drop removes a worker. Its runs have ended without a report.
+func (s *State) drop(now gypsumtide.Millis, w *worker, reason string) {
+	for ref := range w.tasks {
+		s.Report(now, w.id, wire.RunReport{Ref: ref, End: gypsumtide.EndLost, Reason: reason})
+	}
+	delete(s.workers, w.id)
+	s.log.Decision("agent-gone", "worker", w.id, "reason", reason)
+}
+
+// Disconnected notes the end of a session.
+func (s *State) Disconnected(now gypsumtide.Millis, id WorkerID, reason string) {
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	w.connected = false
+	w.lostAt = now
+	s.log.Decision("agent-lost", "worker", id, "reason", reason, "open", len(w.tasks))
+}
+
+// settleLost ends the runs of agents that did not come back.
+func (s *State) settleLost(now gypsumtide.Millis) {
+	for _, w := range s.workers {
+		if w.connected {
+			continue
+		}
+		if now-w.lostAt >= s.timing.LostRun {
+			s.drop(now, w, "agent-gone")
+			continue
+		}
+		if now-w.lostAt >= s.timing.ResumeGrace {
+			s.abandonHopeless(now, w)
+		}
+	}
+}
+
+// abandonHopeless answers jobs that cannot end in time even if their lost runs
+// are tried elsewhere as soon as that is safe.
+func (s *State) abandonHopeless(now gypsumtide.Millis, w *worker) {
+	for _, t := range w.tasks {
+		j := t.job
+		if s.jobs[j.id] != j {
+			continue
+		}
+		if w.lostAt+s.timing.LostRun+s.expected(j, t.step) > j.deadline {
+			s.abandon(now, j, "agent-lost")
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/state.go
@@ -0,0 +1,314 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"gypsumtide"
+	"gypsumtide/internal/runner"
+	"gypsumtide/internal/wire"
+)
+
+// Submission is a job with the route that it came on.
+type Submission struct {
+	Job   gypsumtide.EphemeralJob
+	Route gypsumtide.QueueRoute
+	// Timeout is how long the caller waits.
+	Timeout gypsumtide.Millis
+}
+
+// Messages are the orders and stops for one worker.
+type Messages struct {
+	Orders []wire.Order
+	Stops  []gypsumtide.RunRef
+}
+
+// Effects are the messages and answers that a transition asks for.
+type Effects struct {
+	Messages map[WorkerID]*Messages
+	Answers  map[string]Answer
+}
+
+// Timing holds the intervals of a State.
+type Timing struct {
+	// ResumeGrace is how long an entry hopes for the session of an agent to come back.
+	ResumeGrace gypsumtide.Millis
+	// LostRun is the time after the loss of a session at which the runs of a
+	// lost agent have ended: its lease has expired, or it has stopped them.
+	LostRun gypsumtide.Millis
+}
+
+// Recorder writes decision lines.
+type Recorder = runner.Recorder
+
+// State decides about the jobs of one entry. It performs no I/O and is not safe
+// for concurrent use.
+type State struct {
+	zone         string
+	remoteFactor float64
+	timing       Timing
+	log          Recorder
+	workers      map[WorkerID]*worker
+	jobs         map[string]*job
+	learner      *learner
+	effects      Effects
+	turn         int
+}
+
+// NewState returns a State without workers.
+func NewState(zone string, remoteFactor float64, timing Timing, log Recorder) *State {
+	return &State{
+		zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
+		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), learner: newLearner(),
+	}
+}
+
+// Take returns the effects since the last call.
+func (s *State) Take() Effects {
+	e := s.effects
+	s.effects = Effects{}
+	return e
+}
+
+// Jobs returns the number of jobs in progress.
+func (s *State) Jobs() int { return len(s.jobs) }
+
+// Workers returns the number of workers that take orders.
+func (s *State) Workers() int {
+	n := 0
+	for _, w := range s.workers {
+		if w.usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// Has reports whether a job with the id is in progress.
+func (s *State) Has(id string) bool {
+	_, ok := s.jobs[id]
+	return ok
+}
+
+// Submit begins a job. The answer follows in Effects, at once for a refusal.
+func (s *State) Submit(now gypsumtide.Millis, sub Submission) {
+	j := newJob(now, sub)
+	run := j.chain(func(step int) gypsumtide.Millis { return s.expected(j, step) })
+	j.objective = now + j.route.Objective(run)
+	s.jobs[j.id] = j
+	if refusal, ok := s.admit(now, j); !ok {
+		s.answer(now, j, refusal)
+		return
+	}
+	s.placeReady(now, j)
+}
+
+func (s *State) expected(j *job, step int) gypsumtide.Millis {
+	return s.learner.expected(j.route.Name, j.steps[step].Estimate)
+}
+
+// answer ends a job.
+func (s *State) answer(now gypsumtide.Millis, j *job, a Answer) {
+	if s.effects.Answers == nil {
+		s.effects.Answers = make(map[string]Answer)
+	}
+	s.effects.Answers[j.id] = a
+	delete(s.jobs, j.id)
+	s.log.Decision("job-answered", "job", j.id, "route", j.route.Name, "outcome", a.Outcome, "reason", a.Reason,
+		"took-ms", now-j.arrived, "objective-ms", j.objective-j.arrived, "retry-after-ms", a.RetryAfter, "tasks", len(j.tasks))
+}
+
+// Cancel ends a job whose caller has gone or has cancelled it.
+func (s *State) Cancel(now gypsumtide.Millis, id, reason string) {
+	if j, ok := s.jobs[id]; ok {
+		s.abandon(now, j, reason)
+	}
+}
+
+// abandon answers at once and stops what the job has open.
+func (s *State) abandon(now gypsumtide.Millis, j *job, reason string) {
+	outcome := gypsumtide.OutcomeUnknown
+	if !j.begun && !j.open() {
+		outcome = gypsumtide.OutcomeNotRun
+	}
+	for _, t := range j.tasks {
+		s.stop(t)
+	}
+	s.answer(now, j, Answer{Outcome: outcome, Reason: reason})
+}
+
+func (s *State) messages(id WorkerID) *Messages {
+	if s.effects.Messages == nil {
+		s.effects.Messages = make(map[WorkerID]*Messages)
+	}
+	m, ok := s.effects.Messages[id]
+	if !ok {
+		m = &Messages{}
+		s.effects.Messages[id] = m
+	}
+	return m
+}
+
+// stop asks for the end of a task's run.
+func (s *State) stop(t *task) {
+	if t.phase != taskOrdered && t.phase != taskRunning || t.stopping {
+		return
+	}
+	t.stopping = true
+	m := s.messages(t.worker)
+	m.Stops = append(m.Stops, t.ref())
+}
+
+// Report takes an agent's report on a run.
+func (s *State) Report(now gypsumtide.Millis, id WorkerID, r wire.RunReport) {
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	t, ok := w.tasks[r.Ref]
+	if !ok {
+		return
+	}
+	if r.Started {
+		s.started(now, t)
+		return
+	}
+	s.leave(w, t)
+	s.ended(now, w, t, r)
+}
+
+func (s *State) started(now gypsumtide.Millis, t *task) {
+	if t.phase != taskOrdered {
+		return
+	}
+	t.phase = taskRunning
+	t.started = now
+	j := t.job
+	if j.begun || s.jobs[j.id] != j {
+		return
+	}
+	j.begun = true
+	if j.ending != nil {
+		s.log.Decision("refusal-withdrawn", "job", j.id, "run", t.ref())
+		j.ending = nil
+	}
+	s.hurry(now, j)
+}
+
+// hurry tells the agents that the waiting tasks of a job go first, since a
+// partly served job is worth nothing.
+func (s *State) hurry(now gypsumtide.Millis, j *job) {
+	for _, t := range j.tasks {
+		if t.phase == taskOrdered && !t.stopping {
+			m := s.messages(t.worker)
+			m.Orders = append(m.Orders, s.order(now, t))
+		}
+	}
+}
+
+// leave removes a task's run from a worker.
+func (s *State) leave(w *worker, t *task) {
+	delete(w.tasks, t.ref())
+	w.own = w.own.Minus(t.job.steps[t.step].Size)
+}
+
+// ended takes the end of a run.
+func (s *State) ended(now gypsumtide.Millis, w *worker, t *task, r wire.RunReport) {
+	j := t.job
+	t.phase = taskReady
+	t.stopping = false
+	current := s.jobs[j.id] == j
+	switch r.End {
+	case gypsumtide.EndDone:
+		t.phase = taskDone
+		j.undone[t.step]--
+		s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.report.Slowness)
+	case gypsumtide.EndFailed:
+		t.failures++
+		t.avoid = w.id
+	case gypsumtide.EndNotStarted:
+		if r.Reason == runner.ReasonOldRun {
+			t.number += numberStep
+		}
+	default:
+		t.avoid = w.id
+	}
+	if r.End != gypsumtide.EndNotStarted {
+		// A refusal would not be true any more.
+		j.begun = true
+		j.ending = nil
+	}
+	if current {
+		s.advance(now, j, t, r)
+	}
+}
+
+// numberStep is added to the number of a run when the worker has seen a higher
+// one, from an earlier submission of the same job at another entry.
+const numberStep = 64
+
+// advance decides what follows from the end of a run.
+func (s *State) advance(now gypsumtide.Millis, j *job, t *task, r wire.RunReport) {
+	switch {
+	case j.done():
+		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeComplete})
+	case j.ending != nil:
+		s.finishEnding(now, j)
+	case t.phase == taskDone:
+		j.release()
+		s.placeReady(now, j)
+	case t.failures >= max(1, j.route.Attempts):
+		s.fail(now, j, fmt.Sprintf("task %s failed %d times", t.name, t.failures))
+	case r.End == gypsumtide.EndNotStarted && !j.begun:
+		s.replan(now, j)
+	default:
+		s.placeReady(now, j)
+	}
+}
+
+// fail answers that the job has failed.
+func (s *State) fail(now gypsumtide.Millis, j *job, reason string) {
+	for _, t := range j.tasks {
+		s.stop(t)
+	}
+	s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeFailed, Reason: reason})
+}
+
+// finishEnding gives the answer of a refused job once no task can start any more.
+func (s *State) finishEnding(now gypsumtide.Millis, j *job) {
+	if !j.open() {
+		s.answer(now, j, *j.ending)
+	}
+}
+
+// Tick ends jobs whose time is over and moves runs that stand still.
+func (s *State) Tick(now gypsumtide.Millis) {
+	s.settleLost(now)
+	for _, j := range s.jobs {
+		s.check(now, j)
+	}
+}
+
+func (s *State) check(now gypsumtide.Millis, j *job) {
+	if now >= j.deadline {
+		s.abandon(now, j, "deadline")
+		return
+	}
+	if j.ending != nil {
+		return
+	}
+	for _, t := range j.tasks {
+		switch {
+		case t.phase == taskReady && !j.begun:
+			s.replan(now, j)
+		case t.phase == taskReady:
+			s.place(now, t)
+		case t.phase == taskRunning && !t.stopping && s.standsStill(now, t):
+			s.log.Decision("run-moved", "run", t.ref(), "worker", t.worker, "elapsed-ms", now-t.started)
+			t.avoid = t.worker
+			s.stop(t)
+		}
+		if s.jobs[j.id] != j {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/holder.go
@@ -0,0 +1,70 @@
+// Package routing keeps the newest route table of an entry and spreads it.
+package routing
+
+import (
+	"sync"
+
+	"gypsumtide"
+)
+
+// Recorder writes decision lines.
+type Recorder interface {
+	Decision(kind string, keysAndValues ...any)
+}
+
+// Holder holds the newest table seen in this life of the process. The version
+// never goes back.
+type Holder struct {
+	clock gypsumtide.Clock
+	log   Recorder
+
+	mu    sync.Mutex
+	table *gypsumtide.RouteTable
+	raw   []byte
+	taken gypsumtide.Millis
+}
+
+// NewHolder returns a Holder without a table.
+func NewHolder(clock gypsumtide.Clock, log Recorder) *Holder {
+	return &Holder{clock: clock, log: log}
+}
+
+// Table returns the newest table, or nil.
+func (h *Holder) Table() *gypsumtide.RouteTable {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table
+}
+
+// Version returns the version of the newest table, or 0.
+func (h *Holder) Version() uint64 {
+	if t := h.Table(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// Raw returns the published form of the newest table.
+func (h *Holder) Raw() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.raw
+}
+
+// Offer takes a table if it is newer than the one held.
+func (h *Holder) Offer(t *gypsumtide.RouteTable, raw []byte, source string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table != nil && t.Version() <= h.table.Version() {
+		return false
+	}
+	before := uint64(0)
+	if h.table != nil {
+		before = h.table.Version()
+	}
+	now := h.clock.Now()
+	h.log.Decision("routes-taken", "version", t.Version(), "before", before, "before-age-ms", now-h.taken,
+		"source", source, "routes", len(t.Routes()))
+	h.table, h.raw, h.taken = t, raw, now
+	return true
+}
--- /dev/null
+++ b/internal/routing/peers.go
@@ -0,0 +1,260 @@
+package routing
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/link"
+	"gypsumtide/internal/wire"
+)
+
+// Paths of the interface between entries.
+const (
+	PeerPath  = "/v1/peers"
+	TablePath = "/v1/route-table"
+)
+
+// Intervals of the exchange between entries.
+const (
+	exchangeInterval gypsumtide.Millis = 500
+	exchangeTimeout  gypsumtide.Millis = 400
+	// peerTrust is how long a starting entry waits for the store before it takes
+	// a table from a peer that may have lost the store as well.
+	peerTrust gypsumtide.Millis = 1000
+	// announceInterval is the time between two entries in the directory.
+	announceInterval gypsumtide.Millis = 30_000
+	announceRetry    gypsumtide.Millis = 1000
+	// maxTableBytes bounds a table from a peer.
+	maxTableBytes = 8 << 20
+)
+
+// greeting is what two entries tell each other.
+type greeting struct {
+	Address string   `cbor:"1,keyasint,omitempty"`
+	Version uint64   `cbor:"2,keyasint,omitempty"`
+	Entries []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Peers exchanges addresses and table versions with the other entries, so that
+// an entry which the store turns away follows the configuration all the same.
+type Peers struct {
+	self      string
+	name      string
+	entries   *link.Addresses
+	holder    *Holder
+	decode    func(raw []byte) (*gypsumtide.RouteTable, error)
+	directory gypsumtide.Directory
+	clock     gypsumtide.Clock
+	log       Recorder
+	client    *http.Client
+	began     gypsumtide.Millis
+
+	mu   sync.Mutex
+	busy map[string]bool
+}
+
+// NewPeers returns the exchange of the entry at the address self.
+func NewPeers(name, self string, entries *link.Addresses, holder *Holder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log Recorder) *Peers {
+	dialer := &net.Dialer{Timeout: exchangeTimeout.Duration()}
+	return &Peers{
+		self: self, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
+		clock: clock, log: log, began: clock.Now(), busy: make(map[string]bool),
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2}},
+	}
+}
+
+// Run exchanges greetings until ctx is done.
+func (p *Peers) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	g.Add("directory", p.keepDirectory)
+	ticker := time.NewTicker(exchangeInterval.Duration())
+	defer ticker.Stop()
+	for {
+		for _, address := range p.entries.List() {
+			if address != p.self && p.claim(address) {
+				g.Add("greet "+address, func(ctx context.Context) error {
+					defer p.unclaim(address)
+					p.greet(ctx, address)
+					return nil
+				})
+			}
+		}
+		select {
+		case <-g.Context().Done():
+			return g.Wait()
+		case <-ticker.C:
+		}
+	}
+}
+
+// claim keeps one exchange at a time with each address.
+func (p *Peers) claim(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[address] {
+		return false
+	}
+	p.busy[address] = true
+	return true
+}
+
+func (p *Peers) unclaim(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, address)
+}
+
+func (p *Peers) keepDirectory(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := p.useDirectory(ctx); err != nil {
+			p.log.Decision("directory-unreachable", "error", err.Error())
+			pause(ctx, announceRetry)
+			continue
+		}
+		pause(ctx, announceInterval)
+	}
+	return ctx.Err()
+}
+
+func (p *Peers) useDirectory(ctx context.Context) error {
+	cctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	defer cancel()
+	if err := p.directory.Announce(cctx, p.name, p.self); err != nil {
+		return err
+	}
+	found, err := p.directory.Addresses(cctx)
+	if err != nil {
+		return err
+	}
+	for _, address := range found {
+		p.entries.Add(address)
+	}
+	return nil
+}
+
+func (p *Peers) greeting() greeting {
+	return greeting{Address: p.self, Version: p.holder.Version(), Entries: p.entries.List()}
+}
+
+// greet exchanges greetings with an entry and fetches its table if it is newer.
+func (p *Peers) greet(ctx context.Context, address string) {
+	cctx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
+	defer cancel()
+	g, err := p.exchange(cctx, address)
+	if err != nil {
+		return // The entry may be gone; its agents and callers notice first.
+	}
+	for _, a := range g.Entries {
+		p.entries.Add(a)
+	}
+	if g.Version <= p.holder.Version() || !p.trusting() {
+		return
+	}
+	if err := p.fetch(cctx, address); err != nil {
+		p.log.Decision("peer-table-failed", "peer", address, "version", g.Version, "error", err.Error())
+	}
+}
+
+// trusting reports whether a table from a peer may be the first one. A starting
+// entry asks the store first, since a peer may have lost it.
+func (p *Peers) trusting() bool {
+	return p.holder.Table() != nil || p.clock.Now()-p.began > peerTrust
+}
+
+func (p *Peers) exchange(ctx context.Context, address string) (greeting, error) {
+	var g greeting
+	body, err := wire.Marshal(p.greeting())
+	if err != nil {
+		return g, err
+	}
+	data, err := p.call(ctx, http.MethodPost, "http://"+address+PeerPath, body)
+	if err != nil {
+		return g, err
+	}
+	return g, wire.Unmarshal(data, &g)
+}
+
+func (p *Peers) fetch(ctx context.Context, address string) error {
+	raw, err := p.call(ctx, http.MethodGet, "http://"+address+TablePath, nil)
+	if err != nil {
+		return err
+	}
+	t, err := p.decode(raw)
+	if err != nil {
+		return err
+	}
+	p.holder.Offer(t, raw, address)
+	return nil
+}
+
+func (p *Peers) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, gypsumtide.NewError("call entry", url, err)
+	}
+	resp, err := p.client.Do(r)
+	if err != nil {
+		return nil, gypsumtide.NewError("call entry", url, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxTableBytes))
+	if err != nil {
+		return nil, gypsumtide.NewError("call entry", url, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, gypsumtide.NewError("call entry", url, fmt.Errorf("status %d", resp.StatusCode))
+	}
+	return data, nil
+}
+
+// Handle registers the interface between entries.
+func (p *Peers) Handle(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+PeerPath, p.receive)
+	mux.HandleFunc("GET "+TablePath, p.serveTable)
+}
+
+func (p *Peers) receive(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTableBytes))
+	var g greeting
+	if err == nil {
+		err = wire.Unmarshal(data, &g)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.entries.Add(g.Address)
+	for _, a := range g.Entries {
+		p.entries.Add(a)
+	}
+	reply, err := wire.Marshal(p.greeting())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	p.write(w, reply)
+}
+
+func (p *Peers) serveTable(w http.ResponseWriter, _ *http.Request) {
+	raw := p.holder.Raw()
+	if raw == nil {
+		http.Error(w, "no route table", http.StatusNotFound)
+		return
+	}
+	p.write(w, raw)
+}
+
+func (p *Peers) write(w http.ResponseWriter, data []byte) {
+	if _, err := w.Write(data); err != nil && !errors.Is(err, context.Canceled) {
+		p.log.Decision("peer-answer-lost", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/runner/agent.go
@@ -0,0 +1,385 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/link"
+	"gypsumtide/internal/wire"
+)
+
+// Config holds the parameters of an Agent.
+type Config struct {
+	// Name identifies the host, Incarnation this process.
+	Name        string
+	Incarnation string
+	Zone        string
+	// Seeds are addresses of entries to try first.
+	Seeds []string
+	// Lease is the longest lease that the worker grants.
+	Lease gypsumtide.Millis
+	// DrainTimeout bounds the wait for runs at shutdown.
+	DrainTimeout gypsumtide.Millis
+	// Connect returns the client for the worker at an address.
+	Connect func(address string) gypsumtide.Worker
+	// Directory is asked for entries while no session exists. It may be nil.
+	Directory gypsumtide.Directory
+}
+
+// Intervals of the agent.
+const (
+	tickInterval gypsumtide.Millis = 20
+	// startTimeout bounds the call to the worker on the same host. A false
+	// time-out costs one sync.
+	startTimeout gypsumtide.Millis = 100
+	// holdWait is how long the worker may keep a hold.
+	holdWait gypsumtide.Millis = 200
+	// holdMargin is the time for the answer beyond holdWait.
+	holdMargin gypsumtide.Millis = 120
+	// ownerGrace keeps the runs of an entry while it reconnects. Together with
+	// the silence bound of a session it stays below the time after which callers
+	// submit a job again.
+	ownerGrace gypsumtide.Millis = 400
+	// callRetry is the pause before a stop or a sync is repeated.
+	callRetry gypsumtide.Millis = 80
+	// startCallers and stopCallers bound the concurrent calls to the worker.
+	startCallers = 24
+	stopCallers  = 6
+	// callBacklog bounds the calls that wait for a caller.
+	callBacklog = 4096
+)
+
+// Agent runs the tasks of ephemeral jobs on the worker beside it.
+type Agent struct {
+	cfg     Config
+	clock   gypsumtide.Clock
+	log     Recorder
+	metrics *agentMetrics
+
+	mu       sync.Mutex
+	state    *State
+	worker   gypsumtide.Worker
+	address  string
+	sessions map[Owner]*wire.Session
+	pending  map[Owner][]wire.RunReport
+	reported map[Owner]gypsumtide.Millis
+	dirty    bool
+	left     map[gypsumtide.Life]bool
+
+	starts  chan StartCall
+	stops   chan StopCall
+	syncs   chan HoldCall
+	entries *link.Addresses
+}
+
+// NewAgent returns an Agent. The first fencing token is above the wall clock.
+func NewAgent(cfg Config, clock gypsumtide.Clock, log Recorder, set *metrics.Set) *Agent {
+	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, Retry: callRetry}
+	a := &Agent{
+		cfg: cfg, clock: clock, log: log,
+		state:    NewState(timing, uint64(max(1, clock.Wall())), log),
+		sessions: make(map[Owner]*wire.Session),
+		pending:  make(map[Owner][]wire.RunReport),
+		reported: make(map[Owner]gypsumtide.Millis),
+		left:     make(map[gypsumtide.Life]bool),
+		starts:   make(chan StartCall, callBacklog),
+		stops:    make(chan StopCall, callBacklog),
+		syncs:    make(chan HoldCall, 1),
+		entries:  link.NewAddresses(cfg.Seeds),
+	}
+	a.metrics = newAgentMetrics(set, a)
+	return a
+}
+
+// Run serves until ctx is done, then finishes the runs in progress.
+func (a *Agent) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g := group.New(work)
+	for range startCallers {
+		g.Add("start runs", a.callStarts)
+	}
+	for range stopCallers {
+		g.Add("stop runs", a.callStops)
+	}
+	g.Add("sync", a.callSyncs)
+	g.Add("hold", a.holdLoop)
+	g.Add("tick", a.tickLoop)
+	g.Add("entries", a.dialEntries)
+	g.Add("drain", func(work context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			return work.Err()
+		}
+		a.drain(work)
+		stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// drain waits until the runs have ended or the drain timeout has passed.
+func (a *Agent) drain(ctx context.Context) {
+	a.log.Decision("drain", "timeout-ms", a.cfg.DrainTimeout)
+	a.update(func(now gypsumtide.Millis) { a.state.Drain(now) })
+	start := a.clock.Now()
+	for a.clock.Now()-start < a.cfg.DrainTimeout && a.running() > 0 {
+		if !sleep(ctx, tickInterval) {
+			return
+		}
+	}
+	if a.running() > 0 {
+		a.update(func(now gypsumtide.Millis) { a.state.StopAll(now) })
+		sleep(ctx, holdWait)
+	}
+	// The last ends are reported and acknowledged before the process ends.
+	sleep(ctx, holdWait)
+}
+
+func (a *Agent) running() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Running()
+}
+
+// Ready reports whether the worker takes starts.
+func (a *Agent) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Open()
+}
+
+// Heartbeat takes what a worker announces of itself.
+func (a *Agent) Heartbeat(info gypsumtide.WorkerInfo) {
+	a.update(func(now gypsumtide.Millis) {
+		if a.left[info.Life] {
+			return
+		}
+		a.state.Heartbeat(now, info)
+	})
+}
+
+// Leave takes the deregistration of the worker with the id.
+func (a *Agent) Leave(id string) {
+	a.update(func(now gypsumtide.Millis) {
+		if life := a.state.Life(); life.ID == id {
+			a.log.Decision("worker-left", "life", life)
+			a.left[life] = true
+			a.state.loseLife(now)
+		}
+	})
+}
+
+// update changes the state and carries out what the change asks for.
+func (a *Agent) update(change func(now gypsumtide.Millis)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	change(now)
+	if address := a.state.Address(); address != a.address && address != "" {
+		a.address = address
+		a.worker = a.cfg.Connect(address)
+	}
+	a.carryOut(now, a.state.Take())
+}
+
+func (a *Agent) carryOut(now gypsumtide.Millis, e Effects) {
+	for _, c := range e.Starts {
+		a.metrics.starts.Inc()
+		a.starts <- c
+	}
+	for _, c := range e.Stops {
+		a.metrics.stops.Inc()
+		select {
+		case a.stops <- c:
+		default:
+			// The state repeats stops that have no effect.
+		}
+	}
+	if e.Sync != nil {
+		a.metrics.syncs.Inc()
+		select {
+		case <-a.syncs:
+		default:
+		}
+		a.syncs <- *e.Sync
+	}
+	for owner, reports := range e.Reports {
+		for _, r := range reports {
+			a.metrics.report(r)
+		}
+		a.send(now, owner, reports)
+	}
+	if len(e.Starts) > 0 || len(e.Reports) > 0 {
+		a.dirty = true
+	}
+}
+
+// send passes reports on, or keeps them until the owner has a session again.
+func (a *Agent) send(now gypsumtide.Millis, owner Owner, reports []wire.RunReport) {
+	s, ok := a.sessions[owner]
+	if ok {
+		worker := a.state.Report(now, owner)
+		ok = s.Update(func(f *wire.Frame) {
+			f.RunReports = append(f.RunReports, reports...)
+			f.Worker = &worker
+		})
+		a.reported[owner] = now
+	}
+	if !ok && a.state.hasOwner(owner) {
+		a.pending[owner] = append(a.pending[owner], reports...)
+	}
+}
+
+func (s *State) hasOwner(owner Owner) bool {
+	_, ok := s.owners[owner]
+	return ok
+}
+
+// broadcast tells every entry the state of the worker.
+func (a *Agent) broadcast(now gypsumtide.Millis) {
+	for owner, s := range a.sessions {
+		if a.reported[owner] == now {
+			continue
+		}
+		worker := a.state.Report(now, owner)
+		s.Update(func(f *wire.Frame) { f.Worker = &worker })
+		a.reported[owner] = now
+	}
+}
+
+// reportInterval is the longest time between two reports to an entry, since
+// averages fade without any event.
+const reportInterval gypsumtide.Millis = 200
+
+func (a *Agent) tickLoop(ctx context.Context) error {
+	for sleep(ctx, tickInterval) {
+		a.update(func(now gypsumtide.Millis) {
+			a.state.Tick(now)
+			a.forgetOwners()
+		})
+		a.mu.Lock()
+		now := a.clock.Now()
+		if a.dirty || a.reportDue(now) {
+			a.dirty = false
+			a.broadcast(now)
+		}
+		a.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+func (a *Agent) reportDue(now gypsumtide.Millis) bool {
+	for owner := range a.sessions {
+		if now-a.reported[owner] >= reportInterval {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) forgetOwners() {
+	for owner := range a.pending {
+		if !a.state.hasOwner(owner) {
+			delete(a.pending, owner)
+		}
+	}
+	for owner := range a.reported {
+		if !a.state.hasOwner(owner) {
+			delete(a.reported, owner)
+		}
+	}
+}
+
+func (a *Agent) callStarts(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-a.starts:
+			cctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
+			clock, err := a.client().Start(cctx, c.Life, c.Order)
+			cancel()
+			a.metrics.workerCall("start", err)
+			a.update(func(now gypsumtide.Millis) { a.state.StartAnswered(now, c, clock, err) })
+		}
+	}
+}
+
+func (a *Agent) callStops(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-a.stops:
+			cctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
+			err := a.client().Stop(cctx, c.Life, c.Ref, c.Fence)
+			cancel()
+			a.metrics.workerCall("stop", err)
+			if err != nil {
+				a.log.Decision("stop-failed", "run", c.Ref, "error", err.Error())
+			}
+		}
+	}
+}
+
+func (a *Agent) callSyncs(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-a.syncs:
+			cctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
+			answer, err := a.client().Hold(cctx, c.Life, c.Request)
+			cancel()
+			a.metrics.workerCall("sync", err)
+			a.update(func(now gypsumtide.Millis) { a.state.SyncAnswered(now, c, answer, err) })
+		}
+	}
+}
+
+func (a *Agent) holdLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		sentAt := a.clock.Now()
+		c, ok := a.state.NextHold(sentAt, holdWait)
+		a.mu.Unlock()
+		if !ok {
+			sleep(ctx, tickInterval/2)
+			continue
+		}
+		cctx, cancel := context.WithTimeout(ctx, (holdWait + holdMargin).Duration())
+		answer, err := a.client().Hold(cctx, c.Life, c.Request)
+		cancel()
+		a.metrics.workerCall("hold", err)
+		a.update(func(now gypsumtide.Millis) { a.state.HoldAnswered(now, sentAt, c, answer, err) })
+		if err != nil {
+			sleep(ctx, tickInterval)
+		}
+	}
+	return ctx.Err()
+}
+
+func (a *Agent) client() gypsumtide.Worker {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.worker
+}
+
+// sleep waits for d and reports whether ctx is still in force.
+func sleep(ctx context.Context, d gypsumtide.Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/runner/health.go
@@ -0,0 +1,105 @@
+package runner
+
+import (
+	"math"
+
+	"gypsumtide"
+)
+
+// workerClock estimates the worker's clock, which runs apart from ours.
+type workerClock struct {
+	local  gypsumtide.Millis
+	remote gypsumtide.Millis
+}
+
+func (c *workerClock) set(now, remote gypsumtide.Millis) {
+	c.local, c.remote = now, remote
+}
+
+// after returns the worker's time d from now, or 0 if its clock is unknown.
+func (c *workerClock) after(now, d gypsumtide.Millis) gypsumtide.Millis {
+	if c.remote == 0 {
+		return 0
+	}
+	return c.remote + (now - c.local) + d
+}
+
+// Weights and half-lives of the health averages.
+const (
+	slownessWeight = 0.15
+	failureWeight  = 0.25
+	// healthHalfLife is the time after which half of an average is forgotten, so
+	// that a worker which gets no runs is tried again.
+	healthHalfLife gypsumtide.Millis = 2500
+	// overdueFactor is the run time relative to the expected one from which a run
+	// counts before its end.
+	overdueFactor = 2
+	// maxSlowness bounds a single sample.
+	maxSlowness = 20
+)
+
+// health averages how the worker's runs went.
+type health struct {
+	logSlowness float64
+	slownessAt  gypsumtide.Millis
+	failures    float64
+	failuresAt  gypsumtide.Millis
+}
+
+func decay(v float64, since gypsumtide.Millis) float64 {
+	return v * math.Exp2(-float64(since)/float64(healthHalfLife))
+}
+
+// Slowness returns the run time relative to the expected one; 1 is average.
+func (h *health) Slowness(now gypsumtide.Millis) float64 {
+	return math.Exp(decay(h.logSlowness, now-h.slownessAt))
+}
+
+// FailureShare returns the recent share of runs that failed.
+func (h *health) FailureShare(now gypsumtide.Millis) float64 {
+	return decay(h.failures, now-h.failuresAt)
+}
+
+func (h *health) failed(now gypsumtide.Millis) { h.sampleFailure(now, 1) }
+
+func (h *health) sampleFailure(now gypsumtide.Millis, v float64) {
+	h.failures = h.FailureShare(now)*(1-failureWeight) + v*failureWeight
+	h.failuresAt = now
+}
+
+func (h *health) sampleSlowness(now gypsumtide.Millis, r *run, total float64) {
+	if r.sampled || r.order.Expected <= 0 {
+		return
+	}
+	r.sampled = true
+	ratio := min(maxSlowness, max(1.0/maxSlowness, total/float64(r.order.Expected)))
+	h.logSlowness = decay(h.logSlowness, now-h.slownessAt)*(1-slownessWeight) + math.Log(ratio)*slownessWeight
+	h.slownessAt = now
+}
+
+func (h *health) ended(now gypsumtide.Millis, r *run, kind gypsumtide.EndKind) {
+	switch kind {
+	case gypsumtide.EndDone:
+		h.sampleFailure(now, 0)
+		h.sampleSlowness(now, r, float64(now-r.started))
+	case gypsumtide.EndFailed:
+		h.failed(now)
+	}
+}
+
+// progress samples the projected run time of a run that takes longer than expected.
+func (h *health) progress(now gypsumtide.Millis, r *run, percent int) {
+	elapsed := float64(now - r.started)
+	if elapsed < overdueFactor*float64(r.order.Expected) {
+		return
+	}
+	h.sampleSlowness(now, r, elapsed*100/float64(max(percent, 1)))
+}
+
+// overdue samples a run that has taken several times the expected time.
+func (h *health) overdue(now gypsumtide.Millis, r *run) {
+	elapsed := float64(now - r.started)
+	if elapsed >= 2*overdueFactor*float64(r.order.Expected) {
+		h.sampleSlowness(now, r, elapsed)
+	}
+}
--- /dev/null
+++ b/internal/runner/session.go
@@ -0,0 +1,163 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+	"gypsumtide/internal/link"
+	"gypsumtide/internal/wire"
+)
+
+// Intervals of the connections to entries.
+const (
+	// redialInterval is the pause between two attempts to reach an entry.
+	redialInterval gypsumtide.Millis = 200
+	// directoryInterval is the pause between two looks at the directory while no
+	// entry can be reached.
+	directoryInterval gypsumtide.Millis = 1000
+)
+
+// dialEntries keeps one session to each entry that is known.
+func (a *Agent) dialEntries(ctx context.Context) error {
+	g := group.New(ctx)
+	dialled := make(map[string]bool)
+	var asked gypsumtide.Millis
+	for sleep(g.Context(), redialInterval/2) {
+		for _, address := range a.entries.List() {
+			if dialled[address] {
+				continue
+			}
+			dialled[address] = true
+			g.Add("session to "+address, func(ctx context.Context) error { return a.keepSession(ctx, address) })
+		}
+		if now := a.clock.Now(); a.cfg.Directory != nil && !a.connected() && now-asked >= directoryInterval {
+			asked = now
+			a.askDirectory(g.Context())
+		}
+	}
+	return g.Wait()
+}
+
+func (a *Agent) connected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.sessions) > 0
+}
+
+func (a *Agent) askDirectory(ctx context.Context) {
+	cctx, cancel := context.WithTimeout(ctx, directoryInterval.Duration()/2)
+	defer cancel()
+	found, err := a.cfg.Directory.Addresses(cctx)
+	if err != nil {
+		a.log.Decision("directory-unreachable", "error", err.Error())
+		return
+	}
+	for _, address := range found {
+		a.entries.Add(address)
+	}
+}
+
+// keepSession dials an entry again and again.
+func (a *Agent) keepSession(ctx context.Context, address string) error {
+	for ctx.Err() == nil {
+		err := a.session(ctx, address)
+		if err != nil && !errors.Is(err, context.Canceled) {
+			a.metrics.sessionsLost.Inc()
+		}
+		sleep(ctx, redialInterval)
+	}
+	return ctx.Err()
+}
+
+// session runs one session to the entry at address until it breaks.
+func (a *Agent) session(ctx context.Context, address string) error {
+	s, err := link.Dial(ctx, address, a.clock)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	hello := wire.Hello{Kind: "agent", Name: a.cfg.Name, Incarnation: a.cfg.Incarnation, Zone: a.cfg.Zone}
+	welcome, err := link.Introduce(ctx, s, hello)
+	if err != nil {
+		return err
+	}
+	owner := Owner(welcome.Name + "/" + welcome.Incarnation)
+	a.attach(owner, s)
+	a.log.Decision("entry-connected", "entry", owner, "address", address)
+	err = s.Run(ctx, func(f *wire.Frame) error { return a.receive(owner, s, f) })
+	a.detach(owner, s, err)
+	return err
+}
+
+// attach makes s the session to an owner and tells it which runs are held.
+func (a *Agent) attach(owner Owner, s *wire.Session) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old, ok := a.sessions[owner]; ok {
+		old.Close()
+	}
+	a.sessions[owner] = s
+	a.state.Attach(owner)
+	now := a.clock.Now()
+	worker := a.state.Report(now, owner)
+	reports := a.pending[owner]
+	delete(a.pending, owner)
+	held := a.state.Held(owner)
+	s.Update(func(f *wire.Frame) {
+		f.RunReports = append(f.RunReports, reports...)
+		f.Resume = &wire.Resume{Held: held}
+		f.Worker = &worker
+	})
+}
+
+func (a *Agent) detach(owner Owner, s *wire.Session, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sessions[owner] != s {
+		return
+	}
+	delete(a.sessions, owner)
+	a.state.Detach(a.clock.Now(), owner)
+	a.log.Decision("entry-lost", "entry", owner, "error", errorText(err), "runs", len(a.state.Held(owner)))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// receive handles a frame of an entry.
+func (a *Agent) receive(owner Owner, s *wire.Session, f *wire.Frame) error {
+	for _, address := range f.Entries {
+		a.entries.Add(address)
+	}
+	if len(f.Orders) == 0 && len(f.StopRuns) == 0 {
+		return nil
+	}
+	started := time.Now()
+	a.update(func(now gypsumtide.Millis) {
+		if a.sessions[owner] != s {
+			return
+		}
+		// An entry that was paused sends orders that its callers have given up.
+		fresh := f.Echo > 0 && now-f.Echo <= link.Credit
+		for _, o := range f.Orders {
+			if !fresh {
+				a.log.Decision("order-stale", "run", o.Ref, "age-ms", now-f.Echo)
+				a.send(now, owner, []wire.RunReport{{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: "stale"}})
+				continue
+			}
+			a.state.Submit(now, owner, o)
+		}
+		for _, ref := range f.StopRuns {
+			a.state.StopRun(now, ref)
+		}
+	})
+	a.metrics.frame.UpdateDuration(started)
+	return nil
+}
--- /dev/null
+++ b/internal/runner/state.go
@@ -0,0 +1,523 @@
+// Package runner runs the tasks of ephemeral jobs on the one worker beside an
+// agent. It is the only caller of that worker, so it alone keeps the worker's
+// capacity: a booking lasts from before an order is sent until the run has
+// ended or can never start.
+package runner
+
+import (
+	"errors"
+	"sort"
+
+	"gypsumtide"
+	"gypsumtide/internal/booking"
+	"gypsumtide/internal/wire"
+)
+
+// Owner identifies the incarnation of the entry that ordered a run.
+type Owner string
+
+// phase is the progress of a run at the agent.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	// phaseSent lasts from the start call until its result is known.
+	phaseSent
+	phaseRunning
+)
+
+// run is an order that the agent has accepted.
+type run struct {
+	order    wire.Order
+	owner    Owner
+	phase    phase
+	life     gypsumtide.Life
+	fence    uint64
+	queued   gypsumtide.Millis
+	expires  gypsumtide.Millis
+	started  gypsumtide.Millis
+	sampled  bool
+	stopping bool
+	stopAt   gypsumtide.Millis
+}
+
+// StartCall is a start to send to the worker.
+type StartCall struct {
+	Life  gypsumtide.Life
+	Order gypsumtide.RunOrder
+}
+
+// StopCall is a stop to send to the worker.
+type StopCall struct {
+	Life  gypsumtide.Life
+	Ref   gypsumtide.RunRef
+	Fence uint64
+}
+
+// HoldCall is a hold to send to the worker.
+type HoldCall struct {
+	Life    gypsumtide.Life
+	Request gypsumtide.HoldRequest
+}
+
+// Effects are the calls and reports that a transition asks for.
+type Effects struct {
+	Starts []StartCall
+	Stops  []StopCall
+	// Sync is a hold whose answer settles every order sent before it.
+	Sync *HoldCall
+	// Reports holds the reports for each owner, in order.
+	Reports map[Owner][]wire.RunReport
+}
+
+// Timing holds the intervals of a State.
+type Timing struct {
+	// Lease is the longest lease that the worker grants.
+	Lease gypsumtide.Millis
+	// OwnerGrace is how long the runs of an entry continue without a session to it.
+	OwnerGrace gypsumtide.Millis
+	// Retry is the pause before a stop or a sync is sent again.
+	Retry gypsumtide.Millis
+}
+
+// State decides what the agent does with its worker. It performs no I/O and is
+// not safe for concurrent use.
+type State struct {
+	timing Timing
+	log    Recorder
+	info   gypsumtide.WorkerInfo
+	life   gypsumtide.Life
+	// known is set when info describes life.
+	known bool
+	fence uint64
+
+	book   *booking.Book
+	runs   map[gypsumtide.RunRef]*run
+	active map[gypsumtide.TaskName]int
+	queue  []*run
+	// orphans are runs on the worker that nobody here has asked for.
+	orphans map[gypsumtide.RunRef]gypsumtide.Millis
+	owners  map[Owner]*ownerState
+
+	acknowledged uint64
+	syncing      bool
+	syncPending  bool
+	syncDue      gypsumtide.Millis
+	clock        workerClock
+	health       health
+	draining     bool
+	heard        gypsumtide.Millis
+
+	effects Effects
+}
+
+// ownerState is an entry's share of the agent.
+type ownerState struct {
+	attached bool
+	lostAt   gypsumtide.Millis
+	held     gypsumtide.Size
+}
+
+// Recorder writes decision lines. Info is called with alternating keys and values.
+type Recorder interface {
+	Decision(kind string, keysAndValues ...any)
+}
+
+// NewState returns a State that knows no worker. The first fencing token is
+// above fence.
+func NewState(timing Timing, fence uint64, log Recorder) *State {
+	return &State{
+		timing: timing, log: log, fence: fence,
+		book:    booking.New(),
+		runs:    make(map[gypsumtide.RunRef]*run),
+		active:  make(map[gypsumtide.TaskName]int),
+		orphans: make(map[gypsumtide.RunRef]gypsumtide.Millis),
+		owners:  make(map[Owner]*ownerState),
+	}
+}
+
+// Take returns the effects since the last call.
+func (s *State) Take() Effects {
+	e := s.effects
+	s.effects = Effects{}
+	return e
+}
+
+// Attach notes a session to an owner.
+func (s *State) Attach(owner Owner) {
+	s.owner(owner).attached = true
+}
+
+// Detach notes that the session to an owner has ended.
+func (s *State) Detach(now gypsumtide.Millis, owner Owner) {
+	o := s.owner(owner)
+	o.attached = false
+	o.lostAt = now
+}
+
+// Held returns the runs of an owner that have not ended.
+func (s *State) Held(owner Owner) []gypsumtide.RunRef {
+	refs := []gypsumtide.RunRef{}
+	for ref, r := range s.runs {
+		if r.owner == owner {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+func (s *State) owner(owner Owner) *ownerState {
+	o, ok := s.owners[owner]
+	if !ok {
+		o = &ownerState{}
+		s.owners[owner] = o
+	}
+	return o
+}
+
+// Open reports whether the worker takes starts.
+func (s *State) Open() bool {
+	return s.known && !s.syncing && !s.draining && !s.info.Draining
+}
+
+// Life returns the current incarnation of the worker.
+func (s *State) Life() gypsumtide.Life { return s.life }
+
+// Address returns the address of the worker, empty until it is known.
+func (s *State) Address() string { return s.info.Address }
+
+// Running returns the number of runs that are sent or running.
+func (s *State) Running() int { return s.book.Len() }
+
+// Waiting returns the number of orders that wait.
+func (s *State) Waiting() int { return len(s.queue) }
+
+// Report describes the worker to an owner.
+func (s *State) Report(now gypsumtide.Millis, owner Owner) wire.WorkerReport {
+	r := wire.WorkerReport{
+		Life: s.life, Service: s.info.Service, Zone: s.info.Zone, Labels: s.info.Labels,
+		Open: s.known && !s.draining && !s.info.Draining && !s.stuck(now), Booked: s.book.Used(),
+		Slowness: s.health.Slowness(now), FailureShare: s.health.FailureShare(now),
+	}
+	if s.known {
+		r.Capacity = s.info.Capacity
+	}
+	for _, w := range s.queue {
+		r.Queued = r.Queued.Plus(w.order.Size)
+	}
+	if o, ok := s.owners[owner]; ok {
+		r.FromPeer = o.held
+	}
+	return r
+}
+
+// stuckAfter is how long a sync may take before the worker counts as closed.
+const stuckAfter gypsumtide.Millis = 150
+
+func (s *State) stuck(now gypsumtide.Millis) bool {
+	return s.syncing && now-s.heard > stuckAfter
+}
+
+// Submit accepts an order or returns it unstarted.
+func (s *State) Submit(now gypsumtide.Millis, owner Owner, o wire.Order) {
+	if old, ok := s.runs[o.Ref]; ok {
+		// A repeated order updates what may change while it waits.
+		if old.phase == phaseWaiting {
+			old.order.Begun = o.Begun
+			old.expires = now + o.StartWithin
+			s.sortQueue()
+		}
+		return
+	}
+	reason := s.rejection(o)
+	if reason != "" {
+		s.report(owner, wire.RunReport{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: reason})
+		return
+	}
+	s.supersede(now, o.Ref)
+	r := &run{order: o, owner: owner, queued: now, expires: now + o.StartWithin}
+	s.runs[o.Ref] = r
+	s.active[o.Ref.Task]++
+	own := s.owner(owner)
+	own.held = own.held.Plus(o.Size)
+	s.queue = append(s.queue, r)
+	s.sortQueue()
+	s.pump(now)
+}
+
+func (s *State) rejection(o wire.Order) string {
+	switch {
+	case s.draining:
+		return "agent-drains"
+	case !s.known:
+		return "no-worker"
+	case s.info.Draining:
+		return "worker-drains"
+	case o.Life != s.life:
+		return "other-life"
+	case !o.Size.Within(s.info.Capacity):
+		return "too-large"
+	}
+	return ""
+}
+
+// supersede stops other runs of the task: a resubmitted job starts its tasks
+// again, and two runs of a task must not overlap.
+func (s *State) supersede(now gypsumtide.Millis, ref gypsumtide.RunRef) {
+	if s.active[ref.Task] == 0 {
+		return
+	}
+	for other := range s.runs {
+		if other.Task == ref.Task && other != ref {
+			s.StopRun(now, other)
+		}
+	}
+}
+
+// sortQueue orders waiting runs: tasks of begun jobs first, since a partly
+// served job is worth nothing, then by priority, then by the latest start.
+func (s *State) sortQueue() {
+	sort.SliceStable(s.queue, func(i, j int) bool {
+		a, b := s.queue[i], s.queue[j]
+		if a.order.Begun != b.order.Begun {
+			return a.order.Begun
+		}
+		if a.order.Priority != b.order.Priority {
+			return a.order.Priority < b.order.Priority
+		}
+		return a.expires < b.expires
+	})
+}
+
+// maxRuns bounds the runs on the worker, since tasks may declare no size. It
+// stays below callBacklog, so that a start never waits for the channel.
+const maxRuns = 2000
+
+// pump starts waiting runs for which there is room.
+func (s *State) pump(now gypsumtide.Millis) {
+	if !s.Open() {
+		return
+	}
+	kept := s.queue[:0]
+	for _, r := range s.queue {
+		switch {
+		case now > r.expires:
+			s.finish(r, gypsumtide.EndNotStarted, 0, "expired")
+		case s.active[r.order.Ref.Task] > 1 || s.book.Len() >= maxRuns || !s.book.Reserve(r.order.Ref, r.order.Size):
+			kept = append(kept, r)
+		default:
+			s.send(now, r)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+func (s *State) send(now gypsumtide.Millis, r *run) {
+	r.phase = phaseSent
+	r.life = s.life
+	r.fence = s.fence
+	r.started = now
+	s.effects.Starts = append(s.effects.Starts, StartCall{Life: s.life, Order: gypsumtide.RunOrder{
+		Ref: r.order.Ref, Spec: r.order.Spec, Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease),
+	}})
+	s.log.Decision("run-sent", "run", r.order.Ref, "owner", r.owner, "life", s.life, "fence", s.fence,
+		"waited-ms", now-r.queued, "booked", s.book.Used().Processors, "capacity", s.book.Capacity().Processors)
+}
+
+// StartAnswered takes the result of a start call.
+func (s *State) StartAnswered(now gypsumtide.Millis, call StartCall, clock gypsumtide.Millis, err error) {
+	if clock > 0 && call.Life == s.life {
+		s.clock.set(now, clock)
+	}
+	r, ok := s.runs[call.Order.Ref]
+	if !ok || r.phase != phaseSent || r.fence != call.Order.Fence || r.life != call.Life {
+		return
+	}
+	switch {
+	case err == nil:
+		s.began(now, r)
+	case !gypsumtide.Rejected(err):
+		s.log.Decision("run-in-doubt", "run", r.order.Ref, "error", err.Error())
+		s.beginSync(now)
+	default:
+		s.rejected(now, r, err)
+	}
+}
+
+func (s *State) began(now gypsumtide.Millis, r *run) {
+	r.phase = phaseRunning
+	s.report(r.owner, wire.RunReport{Ref: r.order.Ref, Started: true})
+	if r.stopping {
+		s.sendStop(now, r)
+	}
+}
+
+func (s *State) rejected(now gypsumtide.Millis, r *run, err error) {
+	s.log.Decision("run-rejected", "run", r.order.Ref, "reason", err.Error(), "fence", r.fence)
+	again := errors.Is(err, gypsumtide.ErrFenced) || errors.Is(err, gypsumtide.ErrLateOrder)
+	if errors.Is(err, gypsumtide.ErrUnwilling) {
+		s.health.failed(now)
+	}
+	if again && !r.stopping && r.life == s.life {
+		s.requeue(r)
+		if r.fence == s.fence {
+			s.beginSync(now)
+		}
+		s.pump(now)
+		return
+	}
+	s.finish(r, gypsumtide.EndNotStarted, 0, reasonOf(err))
+	if errors.Is(err, gypsumtide.ErrOtherLife) || errors.Is(err, gypsumtide.ErrNoRoom) {
+		s.beginSync(now)
+	}
+	s.pump(now)
+}
+
+// requeue puts a run that the worker has not executed back into the queue.
+func (s *State) requeue(r *run) {
+	s.book.Release(r.order.Ref)
+	r.phase = phaseWaiting
+	s.queue = append(s.queue, r)
+	s.sortQueue()
+}
+
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, gypsumtide.ErrOldRun):
+		return ReasonOldRun
+	case errors.Is(err, gypsumtide.ErrNoRoom):
+		return "no-room"
+	case errors.Is(err, gypsumtide.ErrOtherLife):
+		return "other-life"
+	case errors.Is(err, gypsumtide.ErrUnwilling):
+		return "unwilling"
+	default:
+		return "rejected"
+	}
+}
+
+// ReasonOldRun means that the order needs a higher run number.
+const ReasonOldRun = "old-run"
+
+// finish removes a run and reports its end.
+func (s *State) finish(r *run, kind gypsumtide.EndKind, ran gypsumtide.Millis, reason string) {
+	ref := r.order.Ref
+	delete(s.runs, ref)
+	s.book.Release(ref)
+	if s.active[ref.Task]--; s.active[ref.Task] <= 0 {
+		delete(s.active, ref.Task)
+	}
+	o := s.owner(r.owner)
+	o.held = o.held.Minus(r.order.Size)
+	s.report(r.owner, wire.RunReport{Ref: ref, End: kind, Ran: ran, Reason: reason})
+	s.log.Decision("run-ended", "run", ref, "owner", r.owner, "end", kind, "ran-ms", ran, "reason", reason)
+}
+
+func (s *State) report(owner Owner, r wire.RunReport) {
+	if s.effects.Reports == nil {
+		s.effects.Reports = make(map[Owner][]wire.RunReport)
+	}
+	s.effects.Reports[owner] = append(s.effects.Reports[owner], r)
+}
+
+// StopRun ends a run that waits, or has the worker stop it.
+func (s *State) StopRun(now gypsumtide.Millis, ref gypsumtide.RunRef) {
+	r, ok := s.runs[ref]
+	if !ok {
+		return
+	}
+	if r.phase == phaseWaiting {
+		s.dequeue(r)
+		s.finish(r, gypsumtide.EndNotStarted, 0, "recalled")
+		return
+	}
+	if !r.stopping {
+		r.stopping = true
+		s.sendStop(now, r)
+	}
+}
+
+func (s *State) dequeue(r *run) {
+	for i, q := range s.queue {
+		if q == r {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *State) sendStop(now gypsumtide.Millis, r *run) {
+	r.stopAt = now
+	s.effects.Stops = append(s.effects.Stops, StopCall{Life: r.life, Ref: r.order.Ref, Fence: s.fence})
+}
+
+// Drain stops taking orders and returns those that wait.
+func (s *State) Drain(now gypsumtide.Millis) {
+	s.draining = true
+	s.returnQueue("agent-drains")
+}
+
+// StopAll stops every run.
+func (s *State) StopAll(now gypsumtide.Millis) {
+	for ref := range s.runs {
+		s.StopRun(now, ref)
+	}
+}
+
+func (s *State) returnQueue(reason string) {
+	for _, r := range s.queue {
+		s.finish(r, gypsumtide.EndNotStarted, 0, reason)
+	}
+	s.queue = nil
+}
+
+// Tick expires waiting orders, ends the runs of lost owners, and repeats calls
+// that were not answered.
+func (s *State) Tick(now gypsumtide.Millis) {
+	s.expireOwners(now)
+	s.expireQueue(now)
+	for _, r := range s.runs {
+		if r.stopping && now-r.stopAt > s.timing.Retry {
+			s.sendStop(now, r)
+		}
+	}
+	s.sampleProgress(now)
+	if s.syncing && !s.syncPending && now >= s.syncDue {
+		s.sendSync(now)
+	}
+	s.pump(now)
+}
+
+func (s *State) expireOwners(now gypsumtide.Millis) {
+	for name, o := range s.owners {
+		if o.attached || now-o.lostAt < s.timing.OwnerGrace {
+			continue
+		}
+		for ref, r := range s.runs {
+			if r.owner == name {
+				s.StopRun(now, ref)
+			}
+		}
+		if len(s.Held(name)) == 0 {
+			delete(s.owners, name)
+		}
+	}
+}
+
+func (s *State) expireQueue(now gypsumtide.Millis) {
+	if s.stuck(now) {
+		s.returnQueue("worker-silent")
+		return
+	}
+	kept := s.queue[:0]
+	for _, r := range s.queue {
+		if now > r.expires {
+			s.finish(r, gypsumtide.EndNotStarted, 0, "expired")
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
--- /dev/null
+++ b/internal/runner/sync.go
@@ -0,0 +1,272 @@
+package runner
+
+import (
+	"errors"
+
+	"gypsumtide"
+)
+
+// fenceStep is added to the fencing token when the worker has seen a higher
+// one, doubled with each rejection. Tokens begin at the wall clock, which can be
+// set back.
+const fenceStep = 1000
+
+// Heartbeat takes what a worker says of itself. It reports whether the
+// heartbeat describes a worker that is used.
+func (s *State) Heartbeat(now gypsumtide.Millis, info gypsumtide.WorkerInfo) bool {
+	if info.Life == s.life {
+		if s.known && info.Seq < s.info.Seq {
+			return true
+		}
+		s.accept(now, info)
+		return true
+	}
+	if s.life.ID != "" && info.Life.Born < s.life.Born && info.Life.ID == s.life.ID {
+		// Either a delayed heartbeat of an earlier life, or the worker's clock was
+		// set back. The worker's answer to a hold decides.
+		s.log.Decision("heartbeat-of-other-life", "announced", info.Life, "known", s.life)
+		s.beginSync(now)
+		return false
+	}
+	s.log.Decision("worker-life", "life", info.Life, "before", s.life, "service", info.Service,
+		"capacity", info.Capacity, "seq", info.Seq)
+	s.setLife(info.Life)
+	s.accept(now, info)
+	s.beginSync(now)
+	return true
+}
+
+func (s *State) setLife(life gypsumtide.Life) {
+	s.life = life
+	s.known = false
+	s.info.Seq = 0
+	s.acknowledged = 0
+	s.clock = workerClock{}
+	s.health = health{}
+}
+
+func (s *State) accept(now gypsumtide.Millis, info gypsumtide.WorkerInfo) {
+	if info.Draining && !s.info.Draining {
+		s.log.Decision("worker-drains", "life", info.Life, "seq", info.Seq)
+	}
+	first := !s.known
+	s.info = info
+	s.known = true
+	s.book.SetCapacity(info.Capacity)
+	if info.Draining {
+		s.returnQueue("worker-drains")
+	}
+	if first {
+		s.log.Decision("worker-known", "life", info.Life, "capacity", info.Capacity, "draining", info.Draining)
+	}
+	s.pump(now)
+}
+
+// beginSync settles which runs exist on the worker. It raises the fencing
+// token: after the worker has answered, no order sent before can start, so an
+// order that the answer does not list will never run. No order is sent in the
+// meantime.
+func (s *State) beginSync(now gypsumtide.Millis) {
+	if s.life.ID == "" || s.syncing {
+		return
+	}
+	s.syncing = true
+	s.heard = now
+	s.fence++
+	s.sendSync(now)
+}
+
+func (s *State) sendSync(now gypsumtide.Millis) {
+	s.syncPending = true
+	s.effects.Sync = &HoldCall{Life: s.life, Request: s.holdRequest(now, 0)}
+}
+
+// NextHold returns the hold that renews the lease and waits for ends.
+func (s *State) NextHold(now, wait gypsumtide.Millis) (HoldCall, bool) {
+	if s.life.ID == "" || s.syncing {
+		return HoldCall{}, false
+	}
+	return HoldCall{Life: s.life, Request: s.holdRequest(now, wait)}, true
+}
+
+func (s *State) holdRequest(now, wait gypsumtide.Millis) gypsumtide.HoldRequest {
+	return gypsumtide.HoldRequest{
+		Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease), Acknowledged: s.acknowledged, Wait: wait,
+	}
+}
+
+// SyncAnswered takes the answer of the hold that Effects.Sync asked for.
+func (s *State) SyncAnswered(now gypsumtide.Millis, call HoldCall, a gypsumtide.HoldAnswer, err error) {
+	s.syncPending = false
+	if call.Life != s.life {
+		s.syncDue = now
+		return
+	}
+	if err != nil {
+		s.syncFailed(now, err)
+		return
+	}
+	s.heard = now
+	if a.Born != s.life.Born {
+		s.log.Decision("worker-restarted", "life", s.life, "born", a.Born)
+		s.setLife(gypsumtide.Life{ID: s.life.ID, Born: a.Born})
+	}
+	s.clock.set(now, a.Clock)
+	s.takeEnds(now, a.Ended)
+	s.settle(now, call.Request.Fence, a.Running)
+	if len(s.orphans) > 0 {
+		s.syncDue = now + orphanInterval
+		return
+	}
+	s.syncing = false
+	s.pump(now)
+}
+
+// orphanInterval is the pause between two looks at runs that are being stopped.
+const orphanInterval gypsumtide.Millis = 20
+
+func (s *State) syncFailed(now gypsumtide.Millis, err error) {
+	s.log.Decision("sync-failed", "life", s.life, "fence", s.fence, "error", err.Error())
+	switch {
+	case errors.Is(err, gypsumtide.ErrFenced):
+		s.fence += fenceStep + s.fence/(1<<20)
+		s.syncDue = now
+	case errors.Is(err, gypsumtide.ErrOtherLife):
+		s.loseLife(now)
+	default:
+		s.syncDue = now + s.timing.Retry
+	}
+}
+
+// loseLife ends every run, since another incarnation answers at the address
+// and rejects orders for this one.
+func (s *State) loseLife(now gypsumtide.Millis) {
+	s.returnQueue("worker-gone")
+	for _, r := range s.runs {
+		s.finish(r, gypsumtide.EndLost, now-r.started, "worker-gone")
+	}
+	clear(s.orphans)
+	s.setLife(gypsumtide.Life{})
+	s.syncing = false
+}
+
+// settle compares the runs with those that the worker lists in answer to a
+// hold with the given fencing token.
+func (s *State) settle(now gypsumtide.Millis, fence uint64, running []gypsumtide.RunProgress) {
+	listed := make(map[gypsumtide.RunRef]bool, len(running))
+	clear(s.orphans)
+	for _, p := range running {
+		listed[p.Ref] = true
+		r, ok := s.runs[p.Ref]
+		switch {
+		case !ok || r.phase == phaseWaiting:
+			s.orphans[p.Ref] = now
+			s.effects.Stops = append(s.effects.Stops, StopCall{Life: s.life, Ref: p.Ref, Fence: s.fence})
+			s.log.Decision("orphan-stopped", "run", p.Ref, "life", s.life, "fence", s.fence)
+		case r.phase == phaseSent:
+			r.life = s.life
+			s.began(now, r)
+		default:
+			r.life = s.life
+		}
+	}
+	for ref, r := range s.runs {
+		if listed[ref] || r.phase == phaseWaiting {
+			continue
+		}
+		s.settleAbsent(now, fence, r)
+	}
+}
+
+func (s *State) settleAbsent(now gypsumtide.Millis, fence uint64, r *run) {
+	switch {
+	case r.life != s.life:
+		s.finish(r, gypsumtide.EndLost, now-r.started, "worker-restarted")
+	case r.phase == phaseRunning:
+		s.finish(r, gypsumtide.EndLost, now-r.started, "not-listed")
+	case r.fence < fence && r.stopping:
+		s.finish(r, gypsumtide.EndNotStarted, 0, "fenced")
+	case r.fence < fence:
+		s.requeue(r)
+	}
+}
+
+// HoldAnswered takes the answer of a hold sent at sentAt.
+func (s *State) HoldAnswered(now, sentAt gypsumtide.Millis, call HoldCall, a gypsumtide.HoldAnswer, err error) {
+	if call.Life != s.life || s.syncing {
+		return
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, gypsumtide.ErrFenced) && call.Request.Fence < s.fence:
+		return
+	default:
+		s.log.Decision("hold-failed", "life", s.life, "fence", call.Request.Fence, "error", err.Error())
+		s.beginSync(now)
+		return
+	}
+	if a.Born != s.life.Born {
+		s.beginSync(now)
+		return
+	}
+	s.heard = now
+	s.clock.set(now, a.Clock)
+	s.takeEnds(now, a.Ended)
+	s.takeProgress(now, sentAt, a.Running)
+	s.pump(now)
+}
+
+// takeEnds processes ends in the order of their numbers, each one once.
+func (s *State) takeEnds(now gypsumtide.Millis, ends []gypsumtide.RunEnd) {
+	for _, e := range ends {
+		if e.Number <= s.acknowledged {
+			continue
+		}
+		s.acknowledged = e.Number
+		delete(s.orphans, e.Ref)
+		r, ok := s.runs[e.Ref]
+		if !ok || r.phase == phaseWaiting {
+			s.log.Decision("end-of-unknown-run", "run", e.Ref, "end", e.Kind, "number", e.Number)
+			continue
+		}
+		s.health.ended(now, r, e.Kind)
+		s.finish(r, e.Kind, now-r.started, "")
+	}
+}
+
+// takeProgress notes how far runs are, and looks closer if the list differs
+// from what should run.
+func (s *State) takeProgress(now, sentAt gypsumtide.Millis, running []gypsumtide.RunProgress) {
+	listed := make(map[gypsumtide.RunRef]bool, len(running))
+	for _, p := range running {
+		listed[p.Ref] = true
+		r, ok := s.runs[p.Ref]
+		if !ok || r.phase == phaseWaiting {
+			s.log.Decision("unknown-run", "run", p.Ref)
+			s.beginSync(now)
+			return
+		}
+		s.health.progress(now, r, p.Percent)
+	}
+	for ref, r := range s.runs {
+		if r.phase == phaseRunning && r.started+missingGrace < sentAt && !listed[ref] {
+			s.log.Decision("missing-run", "run", ref)
+			s.beginSync(now)
+			return
+		}
+	}
+}
+
+// missingGrace is the age from which a run must be listed. Answers on other
+// connections may be older than the start.
+const missingGrace gypsumtide.Millis = 300
+
+// sampleProgress is called with each tick, since a run that stands still does
+// not end.
+func (s *State) sampleProgress(now gypsumtide.Millis) {
+	for _, r := range s.runs {
+		if r.phase == phaseRunning {
+			s.health.overdue(now, r)
+		}
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -50,6 +50,15 @@
 	// it. Departed marks the last of them.
 	Departures []Recovered `cbor:"30,keyasint,omitempty"`
 	Departed   bool        `cbor:"31,keyasint,omitempty"`
+
+	// Orders, StopRuns and RunReports carry the runs of ephemeral jobs.
+	Orders     []Order             `cbor:"40,keyasint,omitempty"`
+	StopRuns   []gypsumtide.RunRef `cbor:"41,keyasint,omitempty"`
+	RunReports []RunReport         `cbor:"42,keyasint,omitempty"`
+	Worker     *WorkerReport       `cbor:"43,keyasint,omitempty"`
+	// Entries lists the addresses of the entries that the sender knows.
+	Entries []string `cbor:"44,keyasint,omitempty"`
+	Resume  *Resume  `cbor:"45,keyasint,omitempty"`
 }
 
 // Hello opens a session. Kind is "agent" or "entry".
--- a/outcome.go
+++ b/outcome.go
@@ -55,3 +55,19 @@
 	}
 	return s.Accelerators <= c.Accelerators
 }
+
+// Within reports whether s is at most c in every field. Unlike Fits, a zero
+// field of c means none.
+func (s Size) Within(c Size) bool {
+	return s.Processors <= c.Processors && s.Memory <= c.Memory && s.Accelerators <= c.Accelerators
+}
+
+// Plus returns the sum of s and o.
+func (s Size) Plus(o Size) Size {
+	return Size{Processors: s.Processors + o.Processors, Memory: s.Memory + o.Memory, Accelerators: s.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference of s and o.
+func (s Size) Minus(o Size) Size {
+	return Size{Processors: s.Processors - o.Processors, Memory: s.Memory - o.Memory, Accelerators: s.Accelerators - o.Accelerators}
+}
--- /dev/null
+++ b/route.go
@@ -0,0 +1,86 @@
+package gypsumtide
+
+import (
+	"context"
+	"strings"
+)
+
+// QueueRoute maps requests to a service and says how its jobs are treated.
+type QueueRoute struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Service names the workers that run the tasks.
+	Service string
+	// Priority 0 goes first.
+	Priority int
+	// Attempts is the number of failed runs after which a task has failed.
+	Attempts int
+	// Timeout bounds the time of a request.
+	Timeout Millis
+	// SlackFactor and Allowance give the latency objective: the run time of the
+	// job times SlackFactor, plus Allowance.
+	SlackFactor float64
+	Allowance   Millis
+}
+
+// Objective returns the latency objective of a job with the given run time.
+func (r *QueueRoute) Objective(run Millis) Millis {
+	return Millis(r.SlackFactor*float64(run)) + r.Allowance
+}
+
+// RouteTable is one version of the routes. It is immutable.
+type RouteTable struct {
+	version uint64
+	routes  []QueueRoute
+	// maxBody bounds a request body in bytes.
+	maxBody int64
+}
+
+// NewRouteTable returns a table with the routes of a version.
+func NewRouteTable(version uint64, routes []QueueRoute, maxBody int64) *RouteTable {
+	return &RouteTable{version: version, routes: routes, maxBody: maxBody}
+}
+
+// Version returns the version, which rises with each change.
+func (t *RouteTable) Version() uint64 { return t.version }
+
+// MaxBody returns the largest request body in bytes.
+func (t *RouteTable) MaxBody() int64 { return t.maxBody }
+
+// Routes returns all routes. The caller must not change them.
+func (t *RouteTable) Routes() []QueueRoute { return t.routes }
+
+// Match returns the route with the longest prefix of path on host, or nil.
+func (t *RouteTable) Match(host, path string) *QueueRoute {
+	var best *QueueRoute
+	for i := range t.routes {
+		r := &t.routes[i]
+		if r.Host != host || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if best == nil || len(r.Prefix) > len(best.Prefix) {
+			best = r
+		}
+	}
+	return best
+}
+
+// TableSource provides the published route tables.
+type TableSource interface {
+	// Newest reads the newest table and the position after it.
+	Newest(ctx context.Context) (raw []byte, position uint64, err error)
+	// Next waits up to wait for a table published from the position on. It
+	// returns no table if there is none, and a *TrimmedError if the position is gone.
+	Next(ctx context.Context, position uint64, wait Millis) (raw []byte, next uint64, err error)
+	// Decode checks and decodes a published table.
+	Decode(raw []byte) (*RouteTable, error)
+}
+
+// Directory keeps the addresses of the entries.
+type Directory interface {
+	// Announce records an entry's address.
+	Announce(ctx context.Context, name, address string) error
+	// Addresses returns the recorded addresses by name.
+	Addresses(ctx context.Context) (map[string]string, error)
+}
--- /dev/null
+++ b/run.go
@@ -0,0 +1,149 @@
+package gypsumtide
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+)
+
+// TaskName identifies a task of an ephemeral job.
+type TaskName struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  int    `cbor:"2,keyasint,omitempty"`
+	Index int    `cbor:"3,keyasint,omitempty"`
+}
+
+// String returns the form used in logs.
+func (n TaskName) String() string { return fmt.Sprintf("%s/%d/%d", n.Job, n.Step, n.Index) }
+
+// RunRef identifies one start of a task. Number rises with each start.
+type RunRef struct {
+	Task   TaskName `cbor:"1,keyasint"`
+	Number uint64   `cbor:"2,keyasint,omitempty"`
+}
+
+// String returns the form used in logs.
+func (r RunRef) String() string { return fmt.Sprintf("%s#%d", r.Task, r.Number) }
+
+// LogValue implements slog.LogValuer.
+func (r RunRef) LogValue() slog.Value { return slog.StringValue(r.String()) }
+
+// Life identifies one incarnation of a worker. A worker that restarts may keep
+// its id, so Born is part of the identity.
+type Life struct {
+	ID string `cbor:"1,keyasint,omitempty"`
+	// Born is the Unix time of the start of this incarnation.
+	Born Millis `cbor:"2,keyasint,omitempty"`
+}
+
+// LogValue implements slog.LogValuer.
+func (l Life) LogValue() slog.Value { return slog.StringValue(fmt.Sprintf("%s@%d", l.ID, l.Born)) }
+
+// WorkerInfo is what a worker announces of itself in a heartbeat.
+type WorkerInfo struct {
+	Life     Life
+	Service  string
+	Address  string
+	Zone     string
+	Capacity Size
+	Labels   []string
+	// Seq rises with each heartbeat of one life.
+	Seq      uint64
+	Draining bool
+}
+
+// RunOrder asks a worker to start a run.
+type RunOrder struct {
+	Ref RunRef
+	// Spec is passed to the worker unchanged.
+	Spec string
+	// Fence is the fencing token of the agent.
+	Fence uint64
+	// LeaseUntil is the end of the lease on the worker's clock.
+	LeaseUntil Millis
+}
+
+// HoldRequest renews the lease on everything that runs and asks for the runs.
+type HoldRequest struct {
+	Fence      uint64
+	LeaseUntil Millis
+	// Acknowledged is the number of the last end that the agent has processed.
+	Acknowledged uint64
+	// Wait is how long the worker may delay its answer until a run ends.
+	Wait Millis
+}
+
+// RunProgress is a run in progress.
+type RunProgress struct {
+	Ref RunRef
+	// Percent is the share of the work done, 0 to 100.
+	Percent int
+}
+
+// EndKind tells how a run ended.
+type EndKind string
+
+// The ways in which a run ends.
+const (
+	EndDone EndKind = "done"
+	// EndFailed is a failure of the task or of its worker.
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	// EndLapsed means that the lease expired.
+	EndLapsed EndKind = "lapsed"
+	// EndLost means that the worker's incarnation ended with the run.
+	EndLost EndKind = "lost"
+	// EndNotStarted means that the run has not started and never will.
+	EndNotStarted EndKind = "not-started"
+)
+
+// RunEnd is an end listed by a worker. Numbers rise from 1 in each life.
+type RunEnd struct {
+	Number uint64
+	Ref    RunRef
+	Kind   EndKind
+}
+
+// HoldAnswer lists the runs of a worker.
+type HoldAnswer struct {
+	Born    Millis
+	Clock   Millis
+	Running []RunProgress
+	Ended   []RunEnd
+}
+
+// Reasons for which a worker rejects an order.
+var (
+	// ErrFenced means that the worker has seen a higher fencing token.
+	ErrFenced = errors.New("fenced")
+	// ErrOldRun means that the worker has ended or stopped this run or a later one.
+	ErrOldRun = errors.New("run number is not higher than an ended one")
+	// ErrNoRoom means that the worker has no capacity left.
+	ErrNoRoom = errors.New("no room at the worker")
+	// ErrLateOrder means that the lease had expired when the order arrived.
+	ErrLateOrder = errors.New("lease of the order has expired")
+	// ErrOtherLife means that another incarnation answered.
+	ErrOtherLife = errors.New("another incarnation of the worker answered")
+	// ErrUnwilling means that the worker refused without having done anything.
+	ErrUnwilling = errors.New("worker refused")
+)
+
+// Rejected reports whether err proves that the worker did not execute the order.
+func Rejected(err error) bool {
+	for _, reason := range []error{ErrFenced, ErrOldRun, ErrNoRoom, ErrLateOrder, ErrOtherLife, ErrUnwilling} {
+		if errors.Is(err, reason) {
+			return true
+		}
+	}
+	return false
+}
+
+// Worker executes runs under leases. An error that is not Rejected leaves open
+// whether the call takes effect, now or later.
+type Worker interface {
+	// Start returns the worker's clock.
+	Start(ctx context.Context, life Life, order RunOrder) (Millis, error)
+	Stop(ctx context.Context, life Life, ref RunRef, fence uint64) error
+	Hold(ctx context.Context, life Life, r HoldRequest) (HoldAnswer, error)
+}
