--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -43,6 +43,8 @@
 	life    gypsumtide.Life
 	ordered gypsumtide.Millis
 	started gypsumtide.Millis
+	// ends is the projected end of a run that takes longer than expected, or 0.
+	ends gypsumtide.Millis
 	// failures counts runs that ended failed.
 	failures int
 	// avoid is the worker of the last run that failed or stood still.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumtide"
 	"gypsumtide/internal/wire"
 )
@@ -12,6 +14,9 @@
 	// lateFactor times the objective is the latest time at which an answer is
 	// still useful.
 	lateFactor = 3
+	// hopelessFactor times the time until the deadline is the expected run time
+	// from which a job is refused. Estimates are often off by half.
+	hopelessFactor = 1.6
 	// orderMargin is the time for an order to reach its agent and for the answer
 	// to come back.
 	orderMargin gypsumtide.Millis = 6
@@ -41,6 +46,9 @@
 			usable = true
 			best = min(best, w.wait(j.steps[i].Size))
 		}
+		if float64(s.expected(j, i)) > hopelessFactor*float64(j.deadline-now) {
+			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: retryAfter}, false
+		}
 		latest := s.latestStart(j, i) - now
 		if best > float64(latest) {
 			return s.refusal(best, usable), false
@@ -74,6 +82,12 @@
 // minQueue is the shortest time for which a task may wait.
 const minQueue gypsumtide.Millis = 15
 
+// lastUseful returns the latest start with which an answer is still useful.
+func (s *State) lastUseful(j *job, step int) gypsumtide.Millis {
+	end := min(j.arrived+lateFactor*(j.objective-j.arrived), j.deadline)
+	return end - s.expected(j, step) - orderMargin
+}
+
 // startBy returns the latest useful start of a task.
 func (s *State) startBy(j *job, step int) gypsumtide.Millis {
 	if !j.begun {
@@ -93,41 +107,71 @@
 
 // place orders a run of the task at the worker where it ends first.
 func (s *State) place(now gypsumtide.Millis, t *task) bool {
+	c := s.choose(t)
+	if c.worker == nil {
+		return false
+	}
+	s.orderAt(now, t, c)
+	return true
+}
+
+// choice is the worker with the least cost for a task.
+type choice struct {
+	worker     *worker
+	estimate   estimate
+	candidates int
+}
+
+// choose returns the worker where the task ends first.
+func (s *State) choose(t *task) choice {
 	j := t.job
 	step := &j.steps[t.step]
 	expected := float64(s.expected(j, t.step))
-	var best *worker
-	var chosen estimate
-	candidates := 0
+	var c choice
 	for _, w := range s.workers {
 		if !w.usable() || !w.suits(j.route.Service, step) || !s.apart(j, t.step, w) {
 			continue
 		}
-		candidates++
+		c.candidates++
 		e := w.estimate(s.zone, step, expected, s.remoteFactor)
+		e.cost += scatter(t.name, w.id)
 		if t.avoid == w.id {
 			e.cost += avoidCost
 		}
-		if best == nil || e.cost < chosen.cost || e.cost == chosen.cost && w.id.Agent < best.id.Agent {
-			best, chosen = w, e
+		if c.worker == nil || e.cost < c.estimate.cost {
+			c.worker, c.estimate = w, e
 		}
 	}
-	if best == nil {
-		return false
-	}
+	return c
+}
+
+// scatterWidth is the cost difference below which workers count as equal.
+const scatterWidth = 4
+
+// scatter spreads the choices of entries that see the same loads, so that they
+// do not all choose the same worker before its next report.
+func scatter(n gypsumtide.TaskName, id WorkerID) float64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(n.Job)
+	_, _ = h.Write([]byte{byte(n.Step), byte(n.Index), byte(n.Index >> 8)})
+	_, _ = h.WriteString(id.Agent)
+	return scatterWidth * float64(h.Sum64()>>11) / (1 << 53)
+}
+
+func (s *State) orderAt(now gypsumtide.Millis, t *task, c choice) {
+	w := c.worker
 	t.number++
 	t.phase = taskOrdered
-	t.worker = best.id
-	t.life = best.report.Life
+	t.worker = w.id
+	t.life = w.report.Life
 	t.ordered = now
-	best.tasks[t.ref()] = t
-	best.own = best.own.Plus(step.Size)
-	m := s.messages(best.id)
+	w.tasks[t.ref()] = t
+	w.own = w.own.Plus(t.job.steps[t.step].Size)
+	m := s.messages(w.id)
 	m.Orders = append(m.Orders, s.order(now, t))
-	s.log.Decision("task-placed", "run", t.ref(), "worker", best.id.Agent, "candidates", candidates,
-		"cost", math.Round(chosen.cost), "wait-ms", math.Round(chosen.wait), "view-age-ms", now-best.reported,
-		"slowness", best.report.Slowness, "failures", best.report.FailureShare)
-	return true
+	s.log.Decision("task-placed", "run", t.ref(), "worker", w.id.Agent, "candidates", c.candidates,
+		"expected-ms", s.expected(t.job, t.step), "cost", math.Round(c.estimate.cost), "wait-ms", math.Round(c.estimate.wait),
+		"view-age-ms", now-w.reported, "slowness", w.report.Slowness, "failures", w.report.FailureShare)
 }
 
 // avoidCost keeps a task from the worker where its last run failed, unless
@@ -165,10 +209,16 @@
 		if t.phase != taskReady {
 			continue
 		}
-		if now >= s.latestStart(j, t.step) || !s.place(now, t) {
+		c := s.choose(t)
+		late := now >= s.latestStart(j, t.step)
+		if c.worker == nil && !late {
+			continue
+		}
+		if c.worker == nil || late && (c.estimate.wait > 0 || now >= s.lastUseful(j, t.step)) {
 			s.refuse(now, j, "not started in time")
 			return
 		}
+		s.orderAt(now, t, c)
 	}
 }
 
@@ -193,3 +243,70 @@
 	expected := s.expected(t.job, t.step)
 	return now-t.started > max(minStill, stillFactor*expected) && w.report.Slowness >= stillSlowness
 }
+
+// move has a run stopped, to be tried elsewhere.
+func (s *State) move(now gypsumtide.Millis, t *task, reason string) {
+	s.log.Decision("run-moved", "run", t.ref(), "worker", t.worker, "reason", reason,
+		"ordered-ms", now-t.ordered, "ends-in-ms", max(0, t.ends-now))
+	t.avoid = t.worker
+	s.stop(t)
+}
+
+// moveAfter is how long an order may wait at an agent before another worker
+// with room is preferred.
+const moveAfter gypsumtide.Millis = 8
+
+// moveWaiting recalls an order that waits although another worker has room.
+// Load pattern: several entries choose the same worker before its next report.
+func (s *State) moveWaiting(now gypsumtide.Millis, t *task) {
+	if w, ok := s.workers[t.worker]; !ok || !w.connected {
+		return
+	}
+	c := s.choose(t)
+	if c.worker != nil && c.worker.id != t.worker && c.estimate.wait == 0 {
+		s.move(now, t, "other-worker-free")
+	}
+}
+
+// projected takes the time that a long run has left. The run is tried elsewhere
+// if it would end sooner there; the job is given up if it cannot end in time.
+func (s *State) projected(now gypsumtide.Millis, t *task, left gypsumtide.Millis) {
+	j := t.job
+	t.ends = now + left
+	if s.jobs[j.id] != j || t.stopping || j.ending != nil {
+		return
+	}
+	if s.movePays(now, t) {
+		s.move(now, t, "faster-elsewhere")
+		return
+	}
+	if float64(left) > giveUpFactor*float64(j.deadline-now) {
+		s.abandon(now, j, "cannot-end-in-time")
+	}
+}
+
+const (
+	// giveUpFactor is the projected time left relative to the time until the
+	// deadline from which a job is given up.
+	giveUpFactor = 1.1
+	// movePayment is the part of the time left that a move must at least save.
+	movePayment = 0.5
+	// moveDelay is the time until a stopped run has been started elsewhere.
+	moveDelay = 15
+)
+
+// movePays reports whether a run would end much sooner on another worker. The
+// work of a run stays the same; only the workers differ.
+func (s *State) movePays(now gypsumtide.Millis, t *task) bool {
+	w, ok := s.workers[t.worker]
+	if !ok || w.report.Slowness <= 0 {
+		return false
+	}
+	c := s.choose(t)
+	if c.worker == nil || c.worker.id == t.worker {
+		return false
+	}
+	work := float64(t.ends-t.started) / w.report.Slowness
+	left := float64(t.ends - now)
+	return moveDelay+c.estimate.wait+work*c.worker.report.Slowness < left*(1-movePayment)
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -168,9 +168,13 @@
 	if !ok {
 		return
 	}
-	if r.Started {
+	switch {
+	case r.Started:
 		s.started(now, t)
 		return
+	case r.End == "":
+		s.projected(now, t, r.Left)
+		return
 	}
 	s.leave(w, t)
 	s.ended(now, w, t, r)
@@ -200,7 +204,10 @@
 	for _, t := range j.tasks {
 		if t.phase == taskOrdered && !t.stopping {
 			m := s.messages(t.worker)
-			m.Orders = append(m.Orders, s.order(now, t))
+			o := s.order(now, t)
+			o.Update = true
+			o.Spec = ""
+			m.Orders = append(m.Orders, o)
 		}
 	}
 }
@@ -216,6 +223,7 @@
 	j := t.job
 	t.phase = taskReady
 	t.stopping = false
+	t.ends = 0
 	current := s.jobs[j.id] == j
 	switch r.End {
 	case gypsumtide.EndDone:
@@ -302,10 +310,10 @@
 			s.replan(now, j)
 		case t.phase == taskReady:
 			s.place(now, t)
+		case t.phase == taskOrdered && !t.stopping && now-t.ordered >= moveAfter:
+			s.moveWaiting(now, t)
 		case t.phase == taskRunning && !t.stopping && s.standsStill(now, t):
-			s.log.Decision("run-moved", "run", t.ref(), "worker", t.worker, "elapsed-ms", now-t.started)
-			t.avoid = t.worker
-			s.stop(t)
+			s.move(now, t, "stands-still")
 		}
 		if s.jobs[j.id] != j {
 			return
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -52,8 +52,9 @@
 	maxFailureShare = 0.95
 	// meanRun is the time after which the work on a full worker has been replaced.
 	meanRun gypsumtide.Millis = 250
-	// loadWeight is what a fully used worker costs, so that equal workers share work.
-	loadWeight = 4
+	// loadWeight is what a fully used worker costs. The cost rises with the square
+	// of the load, since a report is older than the orders of other entries.
+	loadWeight = 30
 	// zoneCost is the cost of a worker in another availability zone.
 	zoneCost = 1
 )
@@ -92,9 +93,11 @@
 		e.run *= remoteFactor
 	}
 	tries := 1 / (1 - min(maxFailureShare, w.report.FailureShare))
-	e.cost = (e.wait+e.run)*tries + loadWeight*ratio(w.load().Processors, w.report.Capacity.Processors)
+	e.cost = (e.wait+e.run)*tries + loadWeight*square(ratio(w.load().Processors, w.report.Capacity.Processors))
 	if w.report.Zone != zone {
 		e.cost += zoneCost
 	}
 	return e
 }
+
+func square(x float64) float64 { return x * x }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -34,6 +34,8 @@
 // Intervals of the agent.
 const (
 	tickInterval gypsumtide.Millis = 20
+	// broadcastInterval is the shortest time between two broadcasts of the load.
+	broadcastInterval gypsumtide.Millis = 5
 	// startTimeout bounds the call to the worker on the same host. A false
 	// time-out costs one sync.
 	startTimeout gypsumtide.Millis = 100
@@ -69,6 +71,8 @@
 	pending  map[Owner][]wire.RunReport
 	reported map[Owner]gypsumtide.Millis
 	dirty    bool
+	// broadcastAt is the time of the last broadcast.
+	broadcastAt gypsumtide.Millis
 	left     map[gypsumtide.Life]bool
 
 	starts  chan StartCall
@@ -219,6 +223,9 @@
 	if len(e.Starts) > 0 || len(e.Reports) > 0 {
 		a.dirty = true
 	}
+	if a.dirty && now-a.broadcastAt >= broadcastInterval {
+		a.broadcast(now)
+	}
 }
 
 // send passes reports on, or keeps them until the owner has a session again.
@@ -244,8 +251,10 @@
 
 // broadcast tells every entry the state of the worker.
 func (a *Agent) broadcast(now gypsumtide.Millis) {
+	a.dirty = false
+	a.broadcastAt = now
 	for owner, s := range a.sessions {
-		if a.reported[owner] == now {
+		if now-a.reported[owner] < reportPause {
 			continue
 		}
 		worker := a.state.Report(now, owner)
@@ -254,6 +263,9 @@
 	}
 }
 
+// reportPause is the shortest time between a broadcast and the report before it.
+const reportPause gypsumtide.Millis = 4
+
 // reportInterval is the longest time between two reports to an entry, since
 // averages fade without any event.
 const reportInterval gypsumtide.Millis = 200
@@ -267,7 +279,6 @@
 		a.mu.Lock()
 		now := a.clock.Now()
 		if a.dirty || a.reportDue(now) {
-			a.dirty = false
 			a.broadcast(now)
 		}
 		a.mu.Unlock()
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -26,7 +26,7 @@
 
 // Weights and half-lives of the health averages.
 const (
-	slownessWeight = 0.15
+	slownessWeight = 0.05
 	failureWeight  = 0.25
 	// healthHalfLife is the time after which half of an average is forgotten, so
 	// that a worker which gets no runs is tried again.
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -52,7 +52,7 @@
 }
 
 func (m *agentMetrics) report(r wire.RunReport) {
-	if r.Started {
+	if r.End == "" {
 		return
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_agent_runs_total{end=%q,reason=%q}", r.End, r.Reason)).Inc()
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -37,7 +37,9 @@
 	expires  gypsumtide.Millis
 	started  gypsumtide.Millis
 	sampled  bool
-	stopping bool
+	// projected is the total run time that was reported last.
+	projected gypsumtide.Millis
+	stopping  bool
 	stopAt   gypsumtide.Millis
 }
 
@@ -220,13 +222,11 @@
 
 // Submit accepts an order or returns it unstarted.
 func (s *State) Submit(now gypsumtide.Millis, owner Owner, o wire.Order) {
-	if old, ok := s.runs[o.Ref]; ok {
-		// A repeated order updates what may change while it waits.
-		if old.phase == phaseWaiting {
-			old.order.Begun = o.Begun
-			old.expires = now + o.StartWithin
-			s.sortQueue()
-		}
+	if o.Update {
+		s.updateOrder(now, o)
+		return
+	}
+	if _, ok := s.runs[o.Ref]; ok {
 		return
 	}
 	reason := s.rejection(o)
@@ -245,6 +245,17 @@
 	s.pump(now)
 }
 
+// updateOrder changes what may change while an order waits.
+func (s *State) updateOrder(now gypsumtide.Millis, o wire.Order) {
+	r, ok := s.runs[o.Ref]
+	if !ok || r.phase != phaseWaiting {
+		return
+	}
+	r.order.Begun = o.Begun
+	r.expires = now + o.StartWithin
+	s.sortQueue()
+}
+
 func (s *State) rejection(o wire.Order) string {
 	switch {
 	case s.draining:
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"gypsumtide"
+	"gypsumtide/internal/wire"
 )
 
 // fenceStep is added to the fencing token when the worker has seen a higher
@@ -247,6 +248,7 @@
 			return
 		}
 		s.health.progress(now, r, p.Percent)
+		s.project(now, r, p.Percent)
 	}
 	for ref, r := range s.runs {
 		if r.phase == phaseRunning && r.started+missingGrace < sentAt && !listed[ref] {
@@ -257,6 +259,29 @@
 	}
 }
 
+// Reports of projected run times.
+const (
+	// projectAfter is the age from which the progress of a run tells its run time.
+	projectAfter gypsumtide.Millis = 40
+	// projectFactor is the run time relative to the expected or the reported one
+	// from which a projection is reported.
+	projectFactor = 1.4
+)
+
+// project reports the time that a run has left if it takes much longer than expected.
+func (s *State) project(now gypsumtide.Millis, r *run, percent int) {
+	elapsed := now - r.started
+	if elapsed < projectAfter || r.stopping || percent >= 100 {
+		return
+	}
+	total := elapsed * 100 / gypsumtide.Millis(max(1, percent))
+	if float64(total) < projectFactor*float64(max(r.order.Expected, r.projected)) {
+		return
+	}
+	r.projected = total
+	s.report(r.owner, wire.RunReport{Ref: r.order.Ref, Left: total - elapsed})
+}
+
 // missingGrace is the age from which a run must be listed. Answers on other
 // connections may be older than the start.
 const missingGrace gypsumtide.Millis = 300
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -17,6 +17,9 @@
 	Expected gypsumtide.Millis `cbor:"7,keyasint,omitempty"`
 	// Life is the incarnation that the entry has chosen.
 	Life gypsumtide.Life `cbor:"8,keyasint,omitempty"`
+	// Update changes Begun and StartWithin of an order that still waits. It
+	// never creates one, since the agent may have returned the order meanwhile.
+	Update bool `cbor:"9,keyasint,omitempty"`
 }
 
 // RunReport tells an entry what became of an order.
@@ -29,6 +32,9 @@
 	Ran gypsumtide.Millis `cbor:"4,keyasint,omitempty"`
 	// Reason explains an order that was not started.
 	Reason string `cbor:"5,keyasint,omitempty"`
+	// Left is the projected time to the end of a run that takes longer than
+	// expected, set without an End.
+	Left gypsumtide.Millis `cbor:"6,keyasint,omitempty"`
 }
 
 // WorkerReport is the state of an agent's worker. Each one replaces the one before.
