Learn worker speeds from the tasks of a job, bound worker calls shorter

Cause: speeds were learned from run times relative to callers' estimates, which are off by half, so that equal workers differed by 0.3 and choices followed the noise. Lost answers of holds and starts blocked an agent for 100 to 320 ms. Runs that had been sent were stopped because their start report was late.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -56,7 +56,7 @@
 func New(cfg Config, clock gypsumtide.Clock, log Recorder, set *metrics.Set, entries *link.Addresses) *Entry {
 	e := &Entry{
 		cfg: cfg, clock: clock, log: log, entries: entries,
-		state: NewState(cfg.Zone, cfg.RemoteFactor, Timing{
+		state: NewState(clock.Now(), cfg.Zone, cfg.RemoteFactor, Timing{
 			ResumeGrace: resumeGrace, LostRun: cfg.Lease + leaseMargin,
 		}, log),
 		sessions: make(map[WorkerID]*wire.Session),
@@ -146,6 +146,7 @@
 			s.Update(func(f *wire.Frame) {
 				f.Orders = append(f.Orders, m.Orders...)
 				f.StopRuns = append(f.StopRuns, m.Stops...)
+				f.RecallRuns = append(f.RecallRuns, m.Recalls...)
 			})
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -42,7 +42,11 @@
 	worker  WorkerID
 	life    gypsumtide.Life
 	ordered gypsumtide.Millis
-	started gypsumtide.Millis
+	// recalled is the time of the last recall of the order.
+	recalled gypsumtide.Millis
+	started  gypsumtide.Millis
+	// ran is the run time of the run that was done.
+	ran gypsumtide.Millis
 	// ends is the projected end of a run that takes longer than expected, or 0.
 	ends gypsumtide.Millis
 	// failures counts runs that ended failed.
@@ -58,6 +62,9 @@
 	return gypsumtide.RunRef{Task: t.name, Number: t.number}
 }
 
+// size returns the declared size of the task.
+func (t *task) size() gypsumtide.Size { return t.job.steps[t.step].Size }
+
 // Answer is the final answer to a submission.
 type Answer struct {
 	Outcome gypsumtide.Outcome
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,32 +33,46 @@
 // above the capacity, where a job that is admitted without hope of its
 // objective takes room from jobs that could meet theirs.
 func (s *State) admit(now gypsumtide.Millis, j *job) (Answer, bool) {
-	usable := false
 	for i := range j.steps {
+		if float64(s.expected(j, i)) > hopelessFactor*float64(j.deadline-now) {
+			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: retryAfter}, false
+		}
 		if len(j.steps[i].After) > 0 {
 			continue
 		}
-		best := math.Inf(1)
-		for _, w := range s.workers {
-			if !w.usable() || !w.suits(j.route.Service, &j.steps[i]) {
-				continue
-			}
-			usable = true
-			best = min(best, w.wait(j.steps[i].Size))
-		}
-		if float64(s.expected(j, i)) > hopelessFactor*float64(j.deadline-now) {
-			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: retryAfter}, false
+		best, usable := s.bestWait(j, i)
+		if !usable && s.starting(now) {
+			continue
 		}
-		latest := s.latestStart(j, i) - now
-		if best > float64(latest) {
-			return s.refusal(best, usable), false
+		if best > float64(s.latestStart(j, i)-now) {
+			return s.refusal(usable), false
 		}
 	}
 	return Answer{}, true
 }
 
-// refusal describes a refusal whose caller may return after the expected wait.
-func (s *State) refusal(wait float64, usable bool) Answer {
+// bestWait returns the shortest expected wait for a step, and whether any
+// worker takes its tasks.
+func (s *State) bestWait(j *job, step int) (float64, bool) {
+	best, usable := math.Inf(1), false
+	for _, w := range s.workers {
+		if w.usable() && w.suits(j.route.Service, &j.steps[step]) {
+			usable = true
+			best = min(best, w.wait(j.steps[step].Size, j.route.Priority))
+		}
+	}
+	return best, usable
+}
+
+// startingTime is how long after its start an entry expects agents to connect.
+// Load pattern: all hosts return after a loss of power, and callers arrive
+// before the first session.
+const startingTime gypsumtide.Millis = 3000
+
+func (s *State) starting(now gypsumtide.Millis) bool { return now-s.began < startingTime }
+
+// refusal describes why no worker is free, and when callers may return.
+func (s *State) refusal(usable bool) Answer {
 	a := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "no worker is free in time", RetryAfter: retryAfter}
 	if !usable {
 		a.Reason = "no worker takes such tasks"
@@ -133,7 +147,7 @@
 			continue
 		}
 		c.candidates++
-		e := w.estimate(s.zone, step, expected, s.remoteFactor)
+		e := w.estimate(s.zone, step, j.route.Priority, expected, s.remoteFactor)
 		e.cost += scatter(t.name, w.id)
 		if t.avoid == w.id {
 			e.cost += avoidCost
@@ -166,12 +180,12 @@
 	t.life = w.report.Life
 	t.ordered = now
 	w.tasks[t.ref()] = t
-	w.own = w.own.Plus(t.job.steps[t.step].Size)
+	w.ordered[t.job.route.Priority] = w.ordered[t.job.route.Priority].Plus(t.size())
 	m := s.messages(w.id)
 	m.Orders = append(m.Orders, s.order(now, t))
 	s.log.Decision("task-placed", "run", t.ref(), "worker", w.id.Agent, "candidates", c.candidates,
 		"expected-ms", s.expected(t.job, t.step), "cost", math.Round(c.estimate.cost), "wait-ms", math.Round(c.estimate.wait),
-		"view-age-ms", now-w.reported, "slowness", w.report.Slowness, "failures", w.report.FailureShare)
+		"view-age-ms", now-w.reported, "slowness", math.Round(100*w.slowness())/100, "reported-slowness", math.Round(100*w.report.Slowness)/100, "failures", w.report.FailureShare)
 }
 
 // avoidCost keeps a task from the worker where its last run failed, unless
@@ -211,7 +225,7 @@
 		}
 		c := s.choose(t)
 		late := now >= s.latestStart(j, t.step)
-		if c.worker == nil && !late {
+		if c.worker == nil && (!late || s.starting(now) && now < s.lastUseful(j, t.step)) {
 			continue
 		}
 		if c.worker == nil || late && (c.estimate.wait > 0 || now >= s.lastUseful(j, t.step)) {
@@ -263,9 +277,12 @@
 		return
 	}
 	c := s.choose(t)
-	if c.worker != nil && c.worker.id != t.worker && c.estimate.wait == 0 {
-		s.move(now, t, "other-worker-free")
+	if c.worker == nil || c.worker.id == t.worker || c.estimate.wait > 0 {
+		return
 	}
+	t.recalled = now
+	m := s.messages(t.worker)
+	m.Recalls = append(m.Recalls, t.ref())
 }
 
 // projected takes the time that a long run has left. The run is tried elsewhere
@@ -299,14 +316,14 @@
 // work of a run stays the same; only the workers differ.
 func (s *State) movePays(now gypsumtide.Millis, t *task) bool {
 	w, ok := s.workers[t.worker]
-	if !ok || w.report.Slowness <= 0 {
+	if !ok {
 		return false
 	}
 	c := s.choose(t)
 	if c.worker == nil || c.worker.id == t.worker {
 		return false
 	}
-	work := float64(t.ends-t.started) / w.report.Slowness
+	work := float64(t.ends-t.started) / w.slowness()
 	left := float64(t.ends - now)
-	return moveDelay+c.estimate.wait+work*c.worker.report.Slowness < left*(1-movePayment)
+	return moveDelay+c.estimate.wait+work*c.worker.slowness() < left*(1-movePayment)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -10,7 +10,7 @@
 func (s *State) Connected(now gypsumtide.Millis, id WorkerID, held []gypsumtide.RunRef) {
 	w, ok := s.workers[id]
 	if !ok {
-		w = &worker{id: id, tasks: make(map[gypsumtide.RunRef]*task)}
+		w = &worker{id: id, ordered: make(map[int]gypsumtide.Size), tasks: make(map[gypsumtide.RunRef]*task)}
 		s.workers[id] = w
 	}
 	w.connected = true
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -18,8 +18,9 @@
 
 // Messages are the orders and stops for one worker.
 type Messages struct {
-	Orders []wire.Order
-	Stops  []gypsumtide.RunRef
+	Orders  []wire.Order
+	Stops   []gypsumtide.RunRef
+	Recalls []gypsumtide.RunRef
 }
 
 // Effects are the messages and answers that a transition asks for.
@@ -43,6 +44,7 @@
 // State decides about the jobs of one entry. It performs no I/O and is not safe
 // for concurrent use.
 type State struct {
+	began        gypsumtide.Millis
 	zone         string
 	remoteFactor float64
 	timing       Timing
@@ -51,13 +53,12 @@
 	jobs         map[string]*job
 	learner      *learner
 	effects      Effects
-	turn         int
 }
 
 // NewState returns a State without workers.
-func NewState(zone string, remoteFactor float64, timing Timing, log Recorder) *State {
+func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log Recorder) *State {
 	return &State{
-		zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
+		began: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
 		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), learner: newLearner(),
 	}
 }
@@ -187,6 +188,10 @@
 	t.phase = taskRunning
 	t.started = now
 	j := t.job
+	if w, ok := s.workers[t.worker]; ok {
+		w.ordered[j.route.Priority] = w.ordered[j.route.Priority].Minus(t.size())
+		w.running = w.running.Plus(t.size())
+	}
 	if j.begun || s.jobs[j.id] != j {
 		return
 	}
@@ -215,7 +220,12 @@
 // leave removes a task's run from a worker.
 func (s *State) leave(w *worker, t *task) {
 	delete(w.tasks, t.ref())
-	w.own = w.own.Minus(t.job.steps[t.step].Size)
+	if t.phase == taskRunning {
+		w.running = w.running.Minus(t.size())
+		return
+	}
+	p := t.job.route.Priority
+	w.ordered[p] = w.ordered[p].Minus(t.size())
 }
 
 // ended takes the end of a run.
@@ -228,8 +238,11 @@
 	switch r.End {
 	case gypsumtide.EndDone:
 		t.phase = taskDone
-		j.undone[t.step]--
-		s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.report.Slowness)
+		t.ran = r.Ran
+		s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.slowness())
+		if j.undone[t.step]--; j.undone[t.step] == 0 {
+			s.learnSpeeds(j, t.step)
+		}
 	case gypsumtide.EndFailed:
 		t.failures++
 		t.avoid = w.id
@@ -310,7 +323,7 @@
 			s.replan(now, j)
 		case t.phase == taskReady:
 			s.place(now, t)
-		case t.phase == taskOrdered && !t.stopping && now-t.ordered >= moveAfter:
+		case t.phase == taskOrdered && !t.stopping && now-max(t.ordered, t.recalled) >= moveAfter:
 			s.moveWaiting(now, t)
 		case t.phase == taskRunning && !t.stopping && s.standsStill(now, t):
 			s.move(now, t, "stands-still")
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -16,8 +16,11 @@
 	// connected is false between the end of a session and its successor.
 	connected bool
 	lostAt    gypsumtide.Millis
-	// own is the size of this entry's open orders.
-	own gypsumtide.Size
+	// running is the size of this entry's started runs, ordered of those that may
+	// wait, by priority.
+	running gypsumtide.Size
+	ordered map[int]gypsumtide.Size
+	speed   speed
 	// tasks are the tasks with a run at the worker.
 	tasks map[gypsumtide.RunRef]*task
 }
@@ -25,14 +28,25 @@
 // usable reports whether the worker takes orders.
 func (w *worker) usable() bool { return w.connected && w.report.Open }
 
-// load returns the size of what is booked or waits, all entries together. The
-// report may be older than this entry's own orders.
-func (w *worker) load() gypsumtide.Size {
-	total := w.report.Booked.Plus(w.report.Queued).Minus(w.report.FromPeer)
-	others := gypsumtide.Size{
-		Processors: max(0, total.Processors), Memory: max(0, total.Memory), Accelerators: max(0, total.Accelerators),
+// load returns the size of what is booked or waits ahead of a task of the
+// priority, all entries together. The report may be older than this entry's own
+// orders, so these are counted here.
+func (w *worker) load(priority int) gypsumtide.Size {
+	others := w.report.Booked.Minus(w.report.FromPeer)
+	for _, l := range w.report.Waiting {
+		if l.Priority <= priority {
+			others = others.Plus(l.Size).Minus(l.FromPeer)
+		}
 	}
-	return others.Plus(w.own)
+	load := gypsumtide.Size{
+		Processors: max(0, others.Processors), Memory: max(0, others.Memory), Accelerators: max(0, others.Accelerators),
+	}.Plus(w.running)
+	for p, size := range w.ordered {
+		if p <= priority {
+			load = load.Plus(size)
+		}
+	}
+	return load
 }
 
 // suits reports whether the worker may run tasks of the step.
@@ -60,8 +74,8 @@
 )
 
 // wait returns the expected time until size fits on the worker.
-func (w *worker) wait(size gypsumtide.Size) float64 {
-	load := w.load()
+func (w *worker) wait(size gypsumtide.Size, priority int) float64 {
+	load := w.load(priority)
 	capacity := w.report.Capacity
 	deficit := load.Plus(size).Minus(capacity)
 	share := max(
@@ -87,13 +101,13 @@
 }
 
 // estimate returns the expected course of a task of the step on the worker.
-func (w *worker) estimate(zone string, step *gypsumtide.JobStep, expected, remoteFactor float64) estimate {
-	e := estimate{wait: w.wait(step.Size), run: expected * w.report.Slowness}
+func (w *worker) estimate(zone string, step *gypsumtide.JobStep, priority int, expected, remoteFactor float64) estimate {
+	e := estimate{wait: w.wait(step.Size, priority), run: expected * w.slowness()}
 	if step.Rack != "" && !w.onRack(step.Rack) {
 		e.run *= remoteFactor
 	}
 	tries := 1 / (1 - min(maxFailureShare, w.report.FailureShare))
-	e.cost = (e.wait+e.run)*tries + loadWeight*square(ratio(w.load().Processors, w.report.Capacity.Processors))
+	e.cost = (e.wait+e.run)*tries + loadWeight*square(ratio(w.load(priority).Processors, w.report.Capacity.Processors))
 	if w.report.Zone != zone {
 		e.cost += zoneCost
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,9 +22,9 @@
 	silence   gypsumtide.Millis = 500
 	// Credit is the age at which an agent rejects the echo of an order.
 	Credit gypsumtide.Millis = 450
-	// dialTimeout bounds a connection attempt; a lost packet is sent again by the
-	// kernel after a second.
-	dialTimeout gypsumtide.Millis = 400
+	// dialTimeout bounds a connection attempt. An attempt at a host that is about
+	// to return hangs until it ends, so it is short.
+	dialTimeout gypsumtide.Millis = 150
 )
 
 // Path is the HTTP path of agent sessions.
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -38,17 +38,21 @@
 	broadcastInterval gypsumtide.Millis = 5
 	// startTimeout bounds the call to the worker on the same host. A false
 	// time-out costs one sync.
-	startTimeout gypsumtide.Millis = 100
-	// holdWait is how long the worker may keep a hold.
-	holdWait gypsumtide.Millis = 200
+	startTimeout gypsumtide.Millis = 40
+	// holdWait is how long the worker may keep a hold. The loss of an answer delays
+	// the ends of runs by holdWait and holdMargin.
+	holdWait gypsumtide.Millis = 60
 	// holdMargin is the time for the answer beyond holdWait.
-	holdMargin gypsumtide.Millis = 120
+	holdMargin gypsumtide.Millis = 40
+	// drainPause lets the last ends be reported and acknowledged.
+	drainPause gypsumtide.Millis = 200
 	// ownerGrace keeps the runs of an entry while it reconnects. Together with
 	// the silence bound of a session it stays below the time after which callers
 	// submit a job again.
 	ownerGrace gypsumtide.Millis = 400
-	// callRetry is the pause before a stop or a sync is repeated.
-	callRetry gypsumtide.Millis = 80
+	// stopRetry and syncRetry are the pauses before a call is repeated.
+	stopRetry gypsumtide.Millis = 80
+	syncRetry gypsumtide.Millis = 10
 	// startCallers and stopCallers bound the concurrent calls to the worker.
 	startCallers = 24
 	stopCallers  = 6
@@ -73,7 +77,7 @@
 	dirty    bool
 	// broadcastAt is the time of the last broadcast.
 	broadcastAt gypsumtide.Millis
-	left     map[gypsumtide.Life]bool
+	left        map[gypsumtide.Life]bool
 
 	starts  chan StartCall
 	stops   chan StopCall
@@ -83,7 +87,7 @@
 
 // NewAgent returns an Agent. The first fencing token is above the wall clock.
 func NewAgent(cfg Config, clock gypsumtide.Clock, log Recorder, set *metrics.Set) *Agent {
-	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, Retry: callRetry}
+	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, StopRetry: stopRetry, SyncRetry: syncRetry}
 	a := &Agent{
 		cfg: cfg, clock: clock, log: log,
 		state:    NewState(timing, uint64(max(1, clock.Wall())), log),
@@ -140,10 +144,9 @@
 	}
 	if a.running() > 0 {
 		a.update(func(now gypsumtide.Millis) { a.state.StopAll(now) })
-		sleep(ctx, holdWait)
+		sleep(ctx, drainPause)
 	}
-	// The last ends are reported and acknowledged before the process ends.
-	sleep(ctx, holdWait)
+	sleep(ctx, drainPause)
 }
 
 func (a *Agent) running() int {
@@ -367,10 +370,11 @@
 		}
 		cctx, cancel := context.WithTimeout(ctx, (holdWait + holdMargin).Duration())
 		answer, err := a.client().Hold(cctx, c.Life, c.Request)
+		late := cctx.Err() != nil
 		cancel()
 		a.metrics.workerCall("hold", err)
 		a.update(func(now gypsumtide.Millis) { a.state.HoldAnswered(now, sentAt, c, answer, err) })
-		if err != nil {
+		if err != nil && !late {
 			sleep(ctx, tickInterval)
 		}
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -13,8 +13,11 @@
 
 // Intervals of the connections to entries.
 const (
-	// redialInterval is the pause between two attempts to reach an entry.
-	redialInterval gypsumtide.Millis = 200
+	// redialInterval is the pause after a failed attempt to reach an entry. It
+	// doubles up to maxRedialInterval, since most addresses that fail for long are
+	// of entries that are gone.
+	redialInterval    gypsumtide.Millis = 40
+	maxRedialInterval gypsumtide.Millis = 320
 	// directoryInterval is the pause between two looks at the directory while no
 	// entry can be reached.
 	directoryInterval gypsumtide.Millis = 1000
@@ -25,7 +28,7 @@
 	g := group.New(ctx)
 	dialled := make(map[string]bool)
 	var asked gypsumtide.Millis
-	for sleep(g.Context(), redialInterval/2) {
+	for sleep(g.Context(), redialInterval) {
 		for _, address := range a.entries.List() {
 			if dialled[address] {
 				continue
@@ -62,12 +65,18 @@
 
 // keepSession dials an entry again and again.
 func (a *Agent) keepSession(ctx context.Context, address string) error {
+	wait := redialInterval
 	for ctx.Err() == nil {
+		begin := a.clock.Now()
 		err := a.session(ctx, address)
 		if err != nil && !errors.Is(err, context.Canceled) {
 			a.metrics.sessionsLost.Inc()
 		}
-		sleep(ctx, redialInterval)
+		if a.clock.Now()-begin > maxRedialInterval {
+			wait = redialInterval
+		}
+		sleep(ctx, wait)
+		wait = min(2*wait, maxRedialInterval)
 	}
 	return ctx.Err()
 }
@@ -136,7 +145,7 @@
 	for _, address := range f.Entries {
 		a.entries.Add(address)
 	}
-	if len(f.Orders) == 0 && len(f.StopRuns) == 0 {
+	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 {
 		return nil
 	}
 	started := time.Now()
@@ -157,6 +166,9 @@
 		for _, ref := range f.StopRuns {
 			a.state.StopRun(now, ref)
 		}
+		for _, ref := range f.RecallRuns {
+			a.state.Recall(ref)
+		}
 	})
 	a.metrics.frame.UpdateDuration(started)
 	return nil
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 
 	"gypsumtide"
@@ -28,19 +29,19 @@
 
 // run is an order that the agent has accepted.
 type run struct {
-	order    wire.Order
-	owner    Owner
-	phase    phase
-	life     gypsumtide.Life
-	fence    uint64
-	queued   gypsumtide.Millis
-	expires  gypsumtide.Millis
-	started  gypsumtide.Millis
-	sampled  bool
+	order   wire.Order
+	owner   Owner
+	phase   phase
+	life    gypsumtide.Life
+	fence   uint64
+	queued  gypsumtide.Millis
+	expires gypsumtide.Millis
+	started gypsumtide.Millis
+	sampled bool
 	// projected is the total run time that was reported last.
 	projected gypsumtide.Millis
 	stopping  bool
-	stopAt   gypsumtide.Millis
+	stopAt    gypsumtide.Millis
 }
 
 // StartCall is a start to send to the worker.
@@ -78,8 +79,9 @@
 	Lease gypsumtide.Millis
 	// OwnerGrace is how long the runs of an entry continue without a session to it.
 	OwnerGrace gypsumtide.Millis
-	// Retry is the pause before a stop or a sync is sent again.
-	Retry gypsumtide.Millis
+	// StopRetry and SyncRetry are the pauses before a stop or a sync is sent again.
+	StopRetry gypsumtide.Millis
+	SyncRetry gypsumtide.Millis
 }
 
 // State decides what the agent does with its worker. It performs no I/O and is
@@ -105,10 +107,14 @@
 	syncing      bool
 	syncPending  bool
 	syncDue      gypsumtide.Millis
+	// holdFailures counts the holds without an answer since the last one.
+	holdFailures int
 	clock        workerClock
 	health       health
 	draining     bool
 	heard        gypsumtide.Millis
+	// leased is the time of the last call that renewed the lease.
+	leased gypsumtide.Millis
 
 	effects Effects
 }
@@ -117,7 +123,8 @@
 type ownerState struct {
 	attached bool
 	lostAt   gypsumtide.Millis
-	held     gypsumtide.Size
+	// booked is the size of the owner's bookings.
+	booked gypsumtide.Size
 }
 
 // Recorder writes decision lines. Info is called with alternating keys and values.
@@ -204,15 +211,30 @@
 	if s.known {
 		r.Capacity = s.info.Capacity
 	}
-	for _, w := range s.queue {
-		r.Queued = r.Queued.Plus(w.order.Size)
-	}
 	if o, ok := s.owners[owner]; ok {
-		r.FromPeer = o.held
+		r.FromPeer = o.booked
 	}
+	r.Waiting = s.waiting(owner)
 	return r
 }
 
+// waiting sums up the queue by priority.
+func (s *State) waiting(owner Owner) []wire.WaitingLoad {
+	var loads []wire.WaitingLoad
+	for _, r := range s.queue {
+		i := slices.IndexFunc(loads, func(l wire.WaitingLoad) bool { return l.Priority == r.order.Priority })
+		if i < 0 {
+			i = len(loads)
+			loads = append(loads, wire.WaitingLoad{Priority: r.order.Priority})
+		}
+		loads[i].Size = loads[i].Size.Plus(r.order.Size)
+		if r.owner == owner {
+			loads[i].FromPeer = loads[i].FromPeer.Plus(r.order.Size)
+		}
+	}
+	return loads
+}
+
 // stuckAfter is how long a sync may take before the worker counts as closed.
 const stuckAfter gypsumtide.Millis = 150
 
@@ -238,8 +260,6 @@
 	r := &run{order: o, owner: owner, queued: now, expires: now + o.StartWithin}
 	s.runs[o.Ref] = r
 	s.active[o.Ref.Task]++
-	own := s.owner(owner)
-	own.held = own.held.Plus(o.Size)
 	s.queue = append(s.queue, r)
 	s.sortQueue()
 	s.pump(now)
@@ -286,7 +306,8 @@
 }
 
 // sortQueue orders waiting runs: tasks of begun jobs first, since a partly
-// served job is worth nothing, then by priority, then by the latest start.
+// served job is worth nothing, then by priority, and
+// then by the latest start.
 func (s *State) sortQueue() {
 	sort.SliceStable(s.queue, func(i, j int) bool {
 		a, b := s.queue[i], s.queue[j]
@@ -314,7 +335,7 @@
 		switch {
 		case now > r.expires:
 			s.finish(r, gypsumtide.EndNotStarted, 0, "expired")
-		case s.active[r.order.Ref.Task] > 1 || s.book.Len() >= maxRuns || !s.book.Reserve(r.order.Ref, r.order.Size):
+		case s.active[r.order.Ref.Task] > 1 || s.book.Len() >= maxRuns || !s.reserve(r):
 			kept = append(kept, r)
 		default:
 			s.send(now, r)
@@ -324,11 +345,31 @@
 	s.queue = kept
 }
 
+// reserve books the capacity of a run, release ends the booking.
+func (s *State) reserve(r *run) bool {
+	if !s.book.Reserve(r.order.Ref, r.order.Size) {
+		return false
+	}
+	o := s.owner(r.owner)
+	o.booked = o.booked.Plus(r.order.Size)
+	return true
+}
+
+func (s *State) release(r *run) {
+	if r.phase == phaseWaiting {
+		return
+	}
+	s.book.Release(r.order.Ref)
+	o := s.owner(r.owner)
+	o.booked = o.booked.Minus(r.order.Size)
+}
+
 func (s *State) send(now gypsumtide.Millis, r *run) {
 	r.phase = phaseSent
 	r.life = s.life
 	r.fence = s.fence
 	r.started = now
+	s.leased = now
 	s.effects.Starts = append(s.effects.Starts, StartCall{Life: s.life, Order: gypsumtide.RunOrder{
 		Ref: r.order.Ref, Spec: r.order.Spec, Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease),
 	}})
@@ -387,7 +428,7 @@
 
 // requeue puts a run that the worker has not executed back into the queue.
 func (s *State) requeue(r *run) {
-	s.book.Release(r.order.Ref)
+	s.release(r)
 	r.phase = phaseWaiting
 	s.queue = append(s.queue, r)
 	s.sortQueue()
@@ -415,12 +456,10 @@
 func (s *State) finish(r *run, kind gypsumtide.EndKind, ran gypsumtide.Millis, reason string) {
 	ref := r.order.Ref
 	delete(s.runs, ref)
-	s.book.Release(ref)
+	s.release(r)
 	if s.active[ref.Task]--; s.active[ref.Task] <= 0 {
 		delete(s.active, ref.Task)
 	}
-	o := s.owner(r.owner)
-	o.held = o.held.Minus(r.order.Size)
 	s.report(r.owner, wire.RunReport{Ref: ref, End: kind, Ran: ran, Reason: reason})
 	s.log.Decision("run-ended", "run", ref, "owner", r.owner, "end", kind, "ran-ms", ran, "reason", reason)
 }
@@ -439,8 +478,7 @@
 		return
 	}
 	if r.phase == phaseWaiting {
-		s.dequeue(r)
-		s.finish(r, gypsumtide.EndNotStarted, 0, "recalled")
+		s.Recall(ref)
 		return
 	}
 	if !r.stopping {
@@ -449,6 +487,17 @@
 	}
 }
 
+// Recall returns an order that waits. It does not affect one that has been sent
+// to the worker.
+func (s *State) Recall(ref gypsumtide.RunRef) {
+	r, ok := s.runs[ref]
+	if !ok || r.phase != phaseWaiting {
+		return
+	}
+	s.dequeue(r)
+	s.finish(r, gypsumtide.EndNotStarted, 0, "recalled")
+}
+
 func (s *State) dequeue(r *run) {
 	for i, q := range s.queue {
 		if q == r {
@@ -489,17 +538,36 @@
 	s.expireOwners(now)
 	s.expireQueue(now)
 	for _, r := range s.runs {
-		if r.stopping && now-r.stopAt > s.timing.Retry {
+		if r.stopping && now-r.stopAt > s.timing.StopRetry {
 			s.sendStop(now, r)
 		}
 	}
 	s.sampleProgress(now)
+	s.expireLease(now)
 	if s.syncing && !s.syncPending && now >= s.syncDue {
 		s.sendSync(now)
 	}
 	s.pump(now)
 }
 
+// expireLease ends the runs of a worker that has not answered for longer than
+// the lease: whatever ran there has been killed. A sync does not renew the
+// lease, so it runs out while the worker is silent.
+func (s *State) expireLease(now gypsumtide.Millis) {
+	if !s.syncing || now-s.leased < s.timing.Lease+s.timing.Lease/20+leaseMargin {
+		return
+	}
+	for _, r := range s.runs {
+		if r.phase != phaseWaiting {
+			s.finish(r, gypsumtide.EndLost, now-r.started, "lease-expired")
+		}
+	}
+}
+
+// leaseMargin covers the error of the estimate of the worker's clock, beside the
+// slowness of that clock.
+const leaseMargin gypsumtide.Millis = 30
+
 func (s *State) expireOwners(now gypsumtide.Millis) {
 	for name, o := range s.owners {
 		if o.attached || now-o.lostAt < s.timing.OwnerGrace {
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -79,7 +79,7 @@
 
 func (s *State) sendSync(now gypsumtide.Millis) {
 	s.syncPending = true
-	s.effects.Sync = &HoldCall{Life: s.life, Request: s.holdRequest(now, 0)}
+	s.effects.Sync = &HoldCall{Life: s.life, Request: gypsumtide.HoldRequest{Fence: s.fence, Acknowledged: s.acknowledged}}
 }
 
 // NextHold returns the hold that renews the lease and waits for ends.
@@ -87,13 +87,10 @@
 	if s.life.ID == "" || s.syncing {
 		return HoldCall{}, false
 	}
-	return HoldCall{Life: s.life, Request: s.holdRequest(now, wait)}, true
-}
-
-func (s *State) holdRequest(now, wait gypsumtide.Millis) gypsumtide.HoldRequest {
-	return gypsumtide.HoldRequest{
+	s.leased = now
+	return HoldCall{Life: s.life, Request: gypsumtide.HoldRequest{
 		Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease), Acknowledged: s.acknowledged, Wait: wait,
-	}
+	}}, true
 }
 
 // SyncAnswered takes the answer of the hold that Effects.Sync asked for.
@@ -135,7 +132,7 @@
 	case errors.Is(err, gypsumtide.ErrOtherLife):
 		s.loseLife(now)
 	default:
-		s.syncDue = now + s.timing.Retry
+		s.syncDue = now + s.timing.SyncRetry
 	}
 }
 
@@ -192,6 +189,10 @@
 	}
 }
 
+// maxHoldFailures is the number of holds without an answer after which the
+// worker is looked at closer.
+const maxHoldFailures = 2
+
 // HoldAnswered takes the answer of a hold sent at sentAt.
 func (s *State) HoldAnswered(now, sentAt gypsumtide.Millis, call HoldCall, a gypsumtide.HoldAnswer, err error) {
 	if call.Life != s.life || s.syncing {
@@ -201,6 +202,10 @@
 	case err == nil:
 	case errors.Is(err, gypsumtide.ErrFenced) && call.Request.Fence < s.fence:
 		return
+	case !gypsumtide.Rejected(err) && s.holdFailures < maxHoldFailures:
+		// A single lost answer leaves no order in doubt.
+		s.holdFailures++
+		return
 	default:
 		s.log.Decision("hold-failed", "life", s.life, "fence", call.Request.Fence, "error", err.Error())
 		s.beginSync(now)
@@ -211,6 +216,7 @@
 		return
 	}
 	s.heard = now
+	s.holdFailures = 0
 	s.clock.set(now, a.Clock)
 	s.takeEnds(now, a.Ended)
 	s.takeProgress(now, sentAt, a.Running)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -59,6 +59,8 @@
 	// Entries lists the addresses of the entries that the sender knows.
 	Entries []string `cbor:"44,keyasint,omitempty"`
 	Resume  *Resume  `cbor:"45,keyasint,omitempty"`
+	// RecallRuns asks for orders back that still wait; others are not affected.
+	RecallRuns []gypsumtide.RunRef `cbor:"46,keyasint,omitempty"`
 }
 
 // Hello opens a session. Kind is "agent" or "entry".
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -46,17 +46,26 @@
 	Capacity gypsumtide.Size `cbor:"5,keyasint,omitempty"`
 	// Open is false while the worker takes no starts.
 	Open bool `cbor:"6,keyasint,omitempty"`
-	// Booked is the capacity in use, Queued what waits, all entries together.
-	Booked gypsumtide.Size `cbor:"7,keyasint,omitempty"`
-	Queued gypsumtide.Size `cbor:"8,keyasint,omitempty"`
-	// FromPeer is the part of Booked and Queued that the receiver ordered.
-	FromPeer gypsumtide.Size `cbor:"9,keyasint,omitempty"`
+	// Booked is the capacity in use, all entries together, and FromPeer the part
+	// of it that the receiver ordered.
+	Booked   gypsumtide.Size `cbor:"7,keyasint,omitempty"`
+	FromPeer gypsumtide.Size `cbor:"8,keyasint,omitempty"`
+	// Waiting lists what waits, by priority.
+	Waiting []WaitingLoad `cbor:"9,keyasint,omitempty"`
 	// Slowness is the run time relative to the expected one; 1 is average.
 	Slowness float64 `cbor:"10,keyasint,omitempty"`
 	// FailureShare is the recent share of runs that failed.
 	FailureShare float64 `cbor:"11,keyasint,omitempty"`
 }
 
+// WaitingLoad is the size of the orders of one priority that wait at an agent.
+type WaitingLoad struct {
+	Priority int             `cbor:"1,keyasint,omitempty"`
+	Size     gypsumtide.Size `cbor:"2,keyasint,omitempty"`
+	// FromPeer is the part that the receiver ordered.
+	FromPeer gypsumtide.Size `cbor:"3,keyasint,omitempty"`
+}
+
 // Resume opens the exchange of runs on a session. It lists the runs of the
 // receiver that the agent holds; an order that is not among them did not arrive
 // and never will.
