Keep run reports until the entry has acknowledged them, remember workers

Cause: a session that broke lost the reports it had queued.

Also: an agent's worker is remembered in the store, so that a restarted agent need not wait for the next heartbeat; entries say how often they want load reports.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -24,6 +24,8 @@
 	RemoteFactor float64
 	// Lease is the longest lease that workers grant.
 	Lease gypsumtide.Millis
+	// Cores is the processor time that the process may use.
+	Cores float64
 }
 
 // Intervals of the entry.
@@ -227,7 +229,10 @@
 			return
 		}
 		for _, r := range f.RunReports {
-			e.state.Report(now, id, r)
+			if e.state.New(id, r.Number) {
+				e.state.Report(now, id, r)
+			}
+			s.AcknowledgeReports(r.Number)
 		}
 		if f.Resume != nil {
 			e.state.Connected(now, id, f.Resume.Held)
@@ -244,11 +249,28 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := e.entries.List()
+	every := e.reportInterval()
 	for _, s := range e.sessions {
-		s.Update(func(f *wire.Frame) { f.Entries = list })
+		s.Update(func(f *wire.Frame) {
+			f.Entries = list
+			f.ReportEvery = every
+		})
 	}
 }
 
+// reportsPerCore is the rate of unprompted worker reports that a core may spend
+// its time on; one takes about 30 us, so this is 15% of it.
+const reportsPerCore = 5000
+
+// reportInterval returns how often each agent should report unprompted.
+func (e *Entry) reportInterval() gypsumtide.Millis {
+	perSecond := reportsPerCore * max(minCores, e.cfg.Cores)
+	return 1 + gypsumtide.Millis(1000*float64(len(e.sessions))/perSecond)
+}
+
+// minCores replaces a missing setting.
+const minCores = 0.1
+
 // entryMetrics counts what the entry does.
 type entryMetrics struct {
 	set *metrics.Set
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -8,11 +8,7 @@
 // Connected notes a session to an agent that holds the given runs. Orders that
 // are not among them did not arrive.
 func (s *State) Connected(now gypsumtide.Millis, id WorkerID, held []gypsumtide.RunRef) {
-	w, ok := s.workers[id]
-	if !ok {
-		w = &worker{id: id, ordered: make(map[int]gypsumtide.Size), tasks: make(map[gypsumtide.RunRef]*task)}
-		s.workers[id] = w
-	}
+	w := s.worker(id)
 	w.connected = true
 	present := make(map[gypsumtide.RunRef]bool, len(held))
 	for _, ref := range held {
@@ -30,6 +26,26 @@
 	s.log.Decision("agent-connected", "worker", id, "held", len(held), "open", len(w.tasks))
 }
 
+// New reports whether a run report with the number has not been taken yet.
+// Reports arrive again after a session was lost.
+func (s *State) New(id WorkerID, number uint64) bool {
+	w := s.worker(id)
+	if number <= w.reportsSeen {
+		return false
+	}
+	w.reportsSeen = number
+	return true
+}
+
+func (s *State) worker(id WorkerID) *worker {
+	w, ok := s.workers[id]
+	if !ok {
+		w = &worker{id: id, ordered: make(map[int]gypsumtide.Size), tasks: make(map[gypsumtide.RunRef]*task)}
+		s.workers[id] = w
+	}
+	return w
+}
+
 // Observe takes an agent's report on its worker.
 func (s *State) Observe(now gypsumtide.Millis, id WorkerID, r wire.WorkerReport) {
 	w, ok := s.workers[id]
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -21,6 +21,8 @@
 	running gypsumtide.Size
 	ordered map[int]gypsumtide.Size
 	speed   speed
+	// reportsSeen is the number of the last run report taken.
+	reportsSeen uint64
 	// tasks are the tasks with a run at the worker.
 	tasks map[gypsumtide.RunRef]*task
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -29,12 +29,15 @@
 	Connect func(address string) gypsumtide.Worker
 	// Directory is asked for entries while no session exists. It may be nil.
 	Directory gypsumtide.Directory
+	// Memory keeps what is known of the worker. It may be nil.
+	Memory gypsumtide.WorkerMemory
 }
 
 // Intervals of the agent.
 const (
 	tickInterval gypsumtide.Millis = 20
 	// broadcastInterval is the shortest time between two broadcasts of the load.
+	// An entry may ask for fewer.
 	broadcastInterval gypsumtide.Millis = 5
 	// startTimeout bounds the call to the worker on the same host. A false
 	// time-out costs one sync.
@@ -72,7 +75,7 @@
 	worker   gypsumtide.Worker
 	address  string
 	sessions map[Owner]*wire.Session
-	pending  map[Owner][]wire.RunReport
+	outboxes map[Owner]*outbox
 	reported map[Owner]gypsumtide.Millis
 	dirty    bool
 	// broadcastAt is the time of the last broadcast.
@@ -83,6 +86,8 @@
 	stops   chan StopCall
 	syncs   chan HoldCall
 	entries *link.Addresses
+	// memorable holds the newest announcement to remember.
+	memorable chan gypsumtide.WorkerInfo
 }
 
 // NewAgent returns an Agent. The first fencing token is above the wall clock.
@@ -92,13 +97,15 @@
 		cfg: cfg, clock: clock, log: log,
 		state:    NewState(timing, uint64(max(1, clock.Wall())), log),
 		sessions: make(map[Owner]*wire.Session),
-		pending:  make(map[Owner][]wire.RunReport),
+		outboxes: make(map[Owner]*outbox),
 		reported: make(map[Owner]gypsumtide.Millis),
 		left:     make(map[gypsumtide.Life]bool),
 		starts:   make(chan StartCall, callBacklog),
 		stops:    make(chan StopCall, callBacklog),
 		syncs:    make(chan HoldCall, 1),
 		entries:  link.NewAddresses(cfg.Seeds),
+
+		memorable: make(chan gypsumtide.WorkerInfo, 1),
 	}
 	a.metrics = newAgentMetrics(set, a)
 	return a
@@ -119,6 +126,9 @@
 	g.Add("hold", a.holdLoop)
 	g.Add("tick", a.tickLoop)
 	g.Add("entries", a.dialEntries)
+	if a.cfg.Memory != nil {
+		g.Add("memory", a.keepMemory)
+	}
 	g.Add("drain", func(work context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -168,7 +178,9 @@
 		if a.left[info.Life] {
 			return
 		}
-		a.state.Heartbeat(now, info)
+		if a.state.Heartbeat(now, info) {
+			a.offerMemory(info)
+		}
 	})
 }
 
@@ -231,20 +243,31 @@
 	}
 }
 
-// send passes reports on, or keeps them until the owner has a session again.
+// send passes reports on, and keeps them until the owner has acknowledged them.
 func (a *Agent) send(now gypsumtide.Millis, owner Owner, reports []wire.RunReport) {
+	if !a.state.hasOwner(owner) {
+		return
+	}
+	reports = a.outbox(owner).add(reports)
 	s, ok := a.sessions[owner]
-	if ok {
-		worker := a.state.Report(now, owner)
-		ok = s.Update(func(f *wire.Frame) {
-			f.RunReports = append(f.RunReports, reports...)
-			f.Worker = &worker
-		})
-		a.reported[owner] = now
+	if !ok {
+		return
 	}
-	if !ok && a.state.hasOwner(owner) {
-		a.pending[owner] = append(a.pending[owner], reports...)
+	worker := a.state.Report(now, owner)
+	s.Update(func(f *wire.Frame) {
+		f.RunReports = append(f.RunReports, reports...)
+		f.Worker = &worker
+	})
+	a.reported[owner] = now
+}
+
+func (a *Agent) outbox(owner Owner) *outbox {
+	o, ok := a.outboxes[owner]
+	if !ok {
+		o = &outbox{every: broadcastInterval}
+		a.outboxes[owner] = o
 	}
+	return o
 }
 
 func (s *State) hasOwner(owner Owner) bool {
@@ -257,7 +280,8 @@
 	a.dirty = false
 	a.broadcastAt = now
 	for owner, s := range a.sessions {
-		if now-a.reported[owner] < reportPause {
+		if now-a.reported[owner] < a.outbox(owner).every {
+			a.dirty = true
 			continue
 		}
 		worker := a.state.Report(now, owner)
@@ -266,9 +290,6 @@
 	}
 }
 
-// reportPause is the shortest time between a broadcast and the report before it.
-const reportPause gypsumtide.Millis = 4
-
 // reportInterval is the longest time between two reports to an entry, since
 // averages fade without any event.
 const reportInterval gypsumtide.Millis = 200
@@ -299,9 +320,9 @@
 }
 
 func (a *Agent) forgetOwners() {
-	for owner := range a.pending {
+	for owner := range a.outboxes {
 		if !a.state.hasOwner(owner) {
-			delete(a.pending, owner)
+			delete(a.outboxes, owner)
 		}
 	}
 	for owner := range a.reported {
--- /dev/null
+++ b/internal/runner/memory.go
@@ -0,0 +1,85 @@
+package runner
+
+import (
+	"context"
+
+	"gypsumtide"
+)
+
+// Intervals of the memory.
+const (
+	recallTimeout   gypsumtide.Millis = 800
+	recallAttempts                    = 3
+	rememberTimeout gypsumtide.Millis = 1500
+	rememberRetry   gypsumtide.Millis = 1000
+)
+
+// offerMemory queues the newest announcement to be remembered.
+func (a *Agent) offerMemory(info gypsumtide.WorkerInfo) {
+	select {
+	case <-a.memorable:
+	default:
+	}
+	select {
+	case a.memorable <- info:
+	default:
+	}
+}
+
+// keepMemory recalls the worker that the agent's earlier incarnation knew, and
+// then remembers each new life or state. Nothing waits for it.
+func (a *Agent) keepMemory(ctx context.Context) error {
+	remembered := a.recall(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case info := <-a.memorable:
+			if info.Life == remembered.Life && info.Draining == remembered.Draining {
+				continue
+			}
+			if a.remember(ctx, info) {
+				remembered = info
+				continue
+			}
+			sleep(ctx, rememberRetry)
+		}
+	}
+}
+
+func (a *Agent) remember(ctx context.Context, info gypsumtide.WorkerInfo) bool {
+	cctx, cancel := context.WithTimeout(ctx, rememberTimeout.Duration())
+	defer cancel()
+	if err := a.cfg.Memory.Remember(cctx, a.cfg.Name, info); err != nil {
+		// The next heartbeat offers it again.
+		a.log.Decision("memory-write-failed", "life", info.Life, "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// recall begins with the remembered worker if no heartbeat has arrived yet. The
+// worker confirms its life before it gets any order.
+func (a *Agent) recall(ctx context.Context) gypsumtide.WorkerInfo {
+	for attempt := 0; attempt < recallAttempts && ctx.Err() == nil; attempt++ {
+		cctx, cancel := context.WithTimeout(ctx, recallTimeout.Duration())
+		info, err := a.cfg.Memory.Recall(cctx, a.cfg.Name)
+		cancel()
+		if err != nil {
+			a.log.Decision("memory-read-failed", "error", err.Error())
+			sleep(ctx, tickInterval)
+			continue
+		}
+		if info == nil {
+			return gypsumtide.WorkerInfo{}
+		}
+		a.update(func(now gypsumtide.Millis) {
+			if a.state.Life() == (gypsumtide.Life{}) {
+				a.log.Decision("worker-recalled", "life", info.Life, "draining", info.Draining)
+				a.state.Recalled(now, *info)
+			}
+		})
+		return *info
+	}
+	return gypsumtide.WorkerInfo{}
+}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -112,8 +112,7 @@
 	a.state.Attach(owner)
 	now := a.clock.Now()
 	worker := a.state.Report(now, owner)
-	reports := a.pending[owner]
-	delete(a.pending, owner)
+	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
 	held := a.state.Held(owner)
 	s.Update(func(f *wire.Frame) {
 		f.RunReports = append(f.RunReports, reports...)
@@ -145,6 +144,14 @@
 	for _, address := range f.Entries {
 		a.entries.Add(address)
 	}
+	a.mu.Lock()
+	if o, ok := a.outboxes[owner]; ok {
+		o.acknowledge(f.ReportsSeen)
+		if f.ReportEvery > 0 {
+			o.every = f.ReportEvery
+		}
+	}
+	a.mu.Unlock()
 	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 {
 		return nil
 	}
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -37,6 +37,13 @@
 	return true
 }
 
+// Recalled takes a worker that an earlier incarnation of the agent knew. Its
+// next heartbeat replaces what was remembered.
+func (s *State) Recalled(now gypsumtide.Millis, info gypsumtide.WorkerInfo) {
+	info.Seq = 0
+	s.Heartbeat(now, info)
+}
+
 func (s *State) setLife(life gypsumtide.Life) {
 	s.life = life
 	s.known = false
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -59,6 +59,10 @@
 	// Entries lists the addresses of the entries that the sender knows.
 	Entries []string `cbor:"44,keyasint,omitempty"`
 	Resume  *Resume  `cbor:"45,keyasint,omitempty"`
+	// ReportsSeen is the number of the last run report that the sender has processed.
+	ReportsSeen uint64 `cbor:"47,keyasint,omitempty"`
+	// ReportEvery is how often the sender wants unprompted worker reports.
+	ReportEvery gypsumtide.Millis `cbor:"48,keyasint,omitempty"`
 	// RecallRuns asks for orders back that still wait; others are not affected.
 	RecallRuns []gypsumtide.RunRef `cbor:"46,keyasint,omitempty"`
 }
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -35,6 +35,9 @@
 	// Left is the projected time to the end of a run that takes longer than
 	// expected, set without an End.
 	Left gypsumtide.Millis `cbor:"6,keyasint,omitempty"`
+	// Number rises with each report to an entry. A report is sent again on the
+	// next session until the entry has acknowledged it.
+	Number uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // WorkerReport is the state of an agent's worker. Each one replaces the one before.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -60,6 +60,8 @@
 
 	peerClock atomic.Int64
 	heardAt   atomic.Int64
+	// reportsSeen is sent with every frame.
+	reportsSeen atomic.Uint64
 }
 
 // Dial connects to the WebSocket at url.
@@ -103,6 +105,10 @@
 // HeardAt returns the local monotonic time of the last frame received.
 func (s *Session) HeardAt() gypsumtide.Millis { return gypsumtide.Millis(s.heardAt.Load()) }
 
+// AcknowledgeReports sends the number of the last run report processed with
+// every frame from now on.
+func (s *Session) AcknowledgeReports(number uint64) { s.reportsSeen.Store(number) }
+
 // Update adds messages to the next frame. It reports false if the session has
 // ended, in which case nothing will be sent.
 //
@@ -224,6 +230,7 @@
 // WriteFrame writes one frame. It is for the handshake, before Run.
 func (s *Session) WriteFrame(ctx context.Context, f *Frame) error {
 	f.Clock = s.clock.Now()
+	f.ReportsSeen = s.reportsSeen.Load()
 	data, err := Marshal(f)
 	if err != nil {
 		return err
--- a/route.go
+++ b/route.go
@@ -77,6 +77,14 @@
 	Decode(raw []byte) (*RouteTable, error)
 }
 
+// WorkerMemory keeps what an agent knows of its worker beyond the agent's life,
+// so that a restarted agent need not wait for the next heartbeat.
+type WorkerMemory interface {
+	Remember(ctx context.Context, host string, info WorkerInfo) error
+	// Recall returns nil if nothing is remembered of the host.
+	Recall(ctx context.Context, host string) (*WorkerInfo, error)
+}
+
 // Directory keeps the addresses of the entries.
 type Directory interface {
 	// Announce records an entry's address.
--- a/run.go
+++ b/run.go
@@ -42,15 +42,15 @@
 
 // WorkerInfo is what a worker announces of itself in a heartbeat.
 type WorkerInfo struct {
-	Life     Life
-	Service  string
-	Address  string
-	Zone     string
-	Capacity Size
-	Labels   []string
+	Life     Life     `cbor:"1,keyasint"`
+	Service  string   `cbor:"2,keyasint"`
+	Address  string   `cbor:"3,keyasint"`
+	Zone     string   `cbor:"4,keyasint"`
+	Capacity Size     `cbor:"5,keyasint"`
+	Labels   []string `cbor:"6,keyasint,omitempty"`
 	// Seq rises with each heartbeat of one life.
-	Seq      uint64
-	Draining bool
+	Seq      uint64 `cbor:"7,keyasint,omitempty"`
+	Draining bool   `cbor:"8,keyasint,omitempty"`
 }
 
 // RunOrder asks a worker to start a run.
