Halve the frames of a run and make choices cheaper

Change: orders that start at once are not reported, the load is encoded without field numbers apart from the description of the worker, and a choice reads precomputed values. Waiting orders are looked at only while a worker has room.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -215,7 +215,7 @@
 	for _, address := range f.Entries {
 		e.entries.Add(address)
 	}
-	if f.Resume == nil && f.Worker == nil && len(f.RunReports) == 0 {
+	if f.Resume == nil && f.Worker == nil && f.WorkerLoad == nil && len(f.RunReports) == 0 {
 		return nil
 	}
 	e.update(func(now gypsumtide.Millis) {
@@ -240,6 +240,9 @@
 		if f.Worker != nil {
 			e.state.Observe(now, id, *f.Worker)
 		}
+		if f.WorkerLoad != nil {
+			e.state.ObserveLoad(now, id, f.WorkerLoad)
+		}
 	})
 	return nil
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -5,6 +5,8 @@
 import (
 	"log/slog"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumtide"
 )
 
@@ -26,8 +28,10 @@
 	taskBlocked taskPhase = iota
 	// taskReady has no run.
 	taskReady
-	// taskOrdered has a run that may not have started.
+	// taskOrdered has a run that starts at once unless the agent says that it waits.
 	taskOrdered
+	// taskQueued has an order that waits at its agent.
+	taskQueued
 	taskRunning
 	taskDone
 )
@@ -42,6 +46,8 @@
 	worker  WorkerID
 	life    gypsumtide.Life
 	ordered gypsumtide.Millis
+	// hurried is set once the agent knows that the job has begun.
+	hurried bool
 	// recalled is the time of the last recall of the order.
 	recalled gypsumtide.Millis
 	started  gypsumtide.Millis
@@ -62,6 +68,11 @@
 	return gypsumtide.RunRef{Task: t.name, Number: t.number}
 }
 
+// placed reports whether the task has an order or a run.
+func (t *task) placed() bool {
+	return t.phase == taskOrdered || t.phase == taskQueued || t.phase == taskRunning
+}
+
 // size returns the declared size of the task.
 func (t *task) size() gypsumtide.Size { return t.job.steps[t.step].Size }
 
@@ -82,11 +93,13 @@
 	steps    []gypsumtide.JobStep
 	tasks    []*task
 	undone   []int
+	hash     uint64
 	arrived  gypsumtide.Millis
 	deadline gypsumtide.Millis
 	// objective is the time by which the job is on time.
 	objective gypsumtide.Millis
-	// begun is set once a task has started or may have started.
+	// begun is set once a task has started, or must have for want of a report that
+	// it waits.
 	begun bool
 	// ending is the answer that is given once no task can start any more.
 	ending *Answer
@@ -95,7 +108,7 @@
 func newJob(now gypsumtide.Millis, s Submission) *job {
 	j := &job{
 		id: s.Job.ID, spec: s.Job.Spec, route: s.Route, steps: s.Job.Steps,
-		arrived: now, deadline: now + s.Timeout, undone: make([]int, len(s.Job.Steps)),
+		arrived: now, deadline: now + s.Timeout, undone: make([]int, len(s.Job.Steps)), hash: xxhash.Sum64String(s.Job.ID),
 	}
 	for i, step := range j.steps {
 		j.undone[i] = step.Tasks
@@ -153,7 +166,7 @@
 // open reports whether a run of a task may exist.
 func (j *job) open() bool {
 	for _, t := range j.tasks {
-		if t.phase == taskOrdered || t.phase == taskRunning {
+		if t.placed() {
 			return true
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gypsumtide"
 	"gypsumtide/internal/wire"
 )
@@ -148,7 +146,7 @@
 		}
 		c.candidates++
 		e := w.estimate(s.zone, step, j.route.Priority, expected, s.remoteFactor)
-		e.cost += scatter(t.name, w.id)
+		e.cost += scatter(t, w)
 		if t.avoid == w.id {
 			e.cost += avoidCost
 		}
@@ -164,12 +162,11 @@
 
 // scatter spreads the choices of entries that see the same loads, so that they
 // do not all choose the same worker before its next report.
-func scatter(n gypsumtide.TaskName, id WorkerID) float64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(n.Job)
-	_, _ = h.Write([]byte{byte(n.Step), byte(n.Index), byte(n.Index >> 8)})
-	_, _ = h.WriteString(id.Agent)
-	return scatterWidth * float64(h.Sum64()>>11) / (1 << 53)
+func scatter(t *task, w *worker) float64 {
+	h := t.job.hash ^ w.hash + uint64(t.step)<<32 + uint64(t.name.Index)
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return scatterWidth * float64((h^h>>31)>>11) / (1 << 53)
 }
 
 func (s *State) orderAt(now gypsumtide.Millis, t *task, c choice) {
@@ -180,12 +177,12 @@
 	t.life = w.report.Life
 	t.ordered = now
 	w.tasks[t.ref()] = t
-	w.ordered[t.job.route.Priority] = w.ordered[t.job.route.Priority].Plus(t.size())
+	w.running = w.running.Plus(t.size())
 	m := s.messages(w.id)
 	m.Orders = append(m.Orders, s.order(now, t))
 	s.log.Decision("task-placed", "run", t.ref(), "worker", w.id.Agent, "candidates", c.candidates,
 		"expected-ms", s.expected(t.job, t.step), "cost", math.Round(c.estimate.cost), "wait-ms", math.Round(c.estimate.wait),
-		"view-age-ms", now-w.reported, "slowness", math.Round(100*w.slowness())/100, "reported-slowness", math.Round(100*w.report.Slowness)/100, "failures", w.report.FailureShare)
+		"view-age-ms", now-w.reported, "slowness", math.Round(100*w.slowness)/100, "reported-slowness", math.Round(100*w.reportedSlowness)/100, "failures", math.Round(100*w.failureShare)/100)
 }
 
 // avoidCost keeps a task from the worker where its last run failed, unless
@@ -200,7 +197,7 @@
 	}
 	n := 0
 	for _, t := range j.tasks {
-		if t.step == step && t.worker == w.id && (t.phase == taskOrdered || t.phase == taskRunning) {
+		if t.step == step && t.worker == w.id && t.placed() {
 			n++
 		}
 	}
@@ -255,7 +252,7 @@
 		return false
 	}
 	expected := s.expected(t.job, t.step)
-	return now-t.started > max(minStill, stillFactor*expected) && w.report.Slowness >= stillSlowness
+	return w.reportedSlowness >= stillSlowness && now-max(t.ordered, t.started) > max(minStill, stillFactor*expected)
 }
 
 // move has a run stopped, to be tried elsewhere.
@@ -270,6 +267,21 @@
 // with room is preferred.
 const moveAfter gypsumtide.Millis = 8
 
+// freeWorkers returns the number of workers that seem to have room for a task.
+func (s *State) freeWorkers() int {
+	n := 0
+	for _, w := range s.workers {
+		if w.usable() && w.load(math.MaxInt).Processors < w.report.Capacity.Processors-freeRoom {
+			n++
+		}
+	}
+	return n
+}
+
+// freeRoom is the part of a worker that makes it worth a look for waiting
+// orders, in thousandths of a core.
+const freeRoom = 1000
+
 // moveWaiting recalls an order that waits although another worker has room.
 // Load pattern: several entries choose the same worker before its next report.
 func (s *State) moveWaiting(now gypsumtide.Millis, t *task) {
@@ -281,6 +293,7 @@
 		return
 	}
 	t.recalled = now
+	s.moves--
 	m := s.messages(t.worker)
 	m.Recalls = append(m.Recalls, t.ref())
 }
@@ -323,7 +336,7 @@
 	if c.worker == nil || c.worker.id == t.worker {
 		return false
 	}
-	work := float64(t.ends-t.started) / w.slowness()
+	work := float64(t.ends-max(t.ordered, t.started)) / w.slowness
 	left := float64(t.ends - now)
-	return moveDelay+c.estimate.wait+work*c.worker.slowness() < left*(1-movePayment)
+	return moveDelay+c.estimate.wait+work*c.worker.slowness < left*(1-movePayment)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumtide"
 	"gypsumtide/internal/wire"
 )
@@ -40,7 +42,7 @@
 func (s *State) worker(id WorkerID) *worker {
 	w, ok := s.workers[id]
 	if !ok {
-		w = &worker{id: id, ordered: make(map[int]gypsumtide.Size), tasks: make(map[gypsumtide.RunRef]*task)}
+		w = &worker{id: id, hash: xxhash.Sum64String(id.Agent), slowness: 1, tasks: make(map[gypsumtide.RunRef]*task)}
 		s.workers[id] = w
 	}
 	return w
@@ -57,12 +59,20 @@
 			"capacity", r.Capacity.Processors)
 	}
 	w.report = r
-	w.reported = now
+	w.updateSlowness()
 	if r.Open {
 		s.retire(now, id)
 	}
 }
 
+// ObserveLoad takes an agent's report on the load of its worker.
+func (s *State) ObserveLoad(now gypsumtide.Millis, id WorkerID, r *wire.LoadReport) {
+	if w, ok := s.workers[id]; ok {
+		w.take(r)
+		w.reported = now
+	}
+}
+
 // retire ends what earlier incarnations of an agent ran: the new one takes
 // orders only after the worker has nothing left of them.
 func (s *State) retire(now gypsumtide.Millis, id WorkerID) {
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -24,15 +24,16 @@
 	log  float64
 }
 
-// slowness returns the expected run time on the worker relative to an average one.
-func (w *worker) slowness() float64 {
-	if w.report.Slowness >= slowReport {
-		return w.report.Slowness
+// updateSlowness sets the expected run time relative to an average worker.
+func (w *worker) updateSlowness() {
+	switch {
+	case w.reportedSlowness >= slowReport:
+		w.slowness = w.reportedSlowness
+	case w.speed.life != w.report.Life:
+		w.slowness = 1
+	default:
+		w.slowness = math.Exp(w.speed.log)
 	}
-	if w.speed.life != w.report.Life {
-		return 1
-	}
-	return math.Exp(w.speed.log)
 }
 
 // learnSpeeds compares the tasks of a step that is done. They have about the
@@ -53,6 +54,7 @@
 		if w := s.ranAt(t, step); w != nil {
 			sample := min(maxLogSpeed, max(-maxLogSpeed, math.Log(float64(t.ran))-mean))
 			w.speed.log += speedWeight * (sample - w.speed.log)
+			w.updateSlowness()
 		}
 	}
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -53,6 +53,8 @@
 	jobs         map[string]*job
 	learner      *learner
 	effects      Effects
+	// moves is how many waiting orders may be recalled until the next tick.
+	moves int
 }
 
 // NewState returns a State without workers.
@@ -151,7 +153,7 @@
 
 // stop asks for the end of a task's run.
 func (s *State) stop(t *task) {
-	if t.phase != taskOrdered && t.phase != taskRunning || t.stopping {
+	if !t.placed() || t.stopping {
 		return
 	}
 	t.stopping = true
@@ -170,6 +172,9 @@
 		return
 	}
 	switch {
+	case r.Queued:
+		s.queued(now, t)
+		return
 	case r.Started:
 		s.started(now, t)
 		return
@@ -181,33 +186,59 @@
 	s.ended(now, w, t, r)
 }
 
-func (s *State) started(now gypsumtide.Millis, t *task) {
+// queued takes that an order waits at its agent.
+func (s *State) queued(now gypsumtide.Millis, t *task) {
 	if t.phase != taskOrdered {
 		return
 	}
+	if w, ok := s.workers[t.worker]; ok {
+		w.running = w.running.Minus(t.size())
+		w.queued(t.job.route.Priority).add(t.size())
+	}
+	t.phase = taskQueued
+	if t.job.begun {
+		s.hurry(now, t.job)
+	}
+}
+
+func (s *State) started(now gypsumtide.Millis, t *task) {
+	if t.phase != taskQueued {
+		return
+	}
 	t.phase = taskRunning
 	t.started = now
 	j := t.job
 	if w, ok := s.workers[t.worker]; ok {
-		w.ordered[j.route.Priority] = w.ordered[j.route.Priority].Minus(t.size())
+		w.queued(j.route.Priority).remove(t.size())
 		w.running = w.running.Plus(t.size())
 	}
+	s.begin(now, j)
+}
+
+// begin notes that a task of the job has started. A refusal would not be true
+// any more.
+func (s *State) begin(now gypsumtide.Millis, j *job) {
 	if j.begun || s.jobs[j.id] != j {
 		return
 	}
 	j.begun = true
 	if j.ending != nil {
-		s.log.Decision("refusal-withdrawn", "job", j.id, "run", t.ref())
+		s.log.Decision("refusal-withdrawn", "job", j.id)
 		j.ending = nil
 	}
 	s.hurry(now, j)
 }
 
+// presumeStarted is the time after which an order without a report that it
+// waits has started.
+const presumeStarted gypsumtide.Millis = 10
+
 // hurry tells the agents that the waiting tasks of a job go first, since a
 // partly served job is worth nothing.
 func (s *State) hurry(now gypsumtide.Millis, j *job) {
 	for _, t := range j.tasks {
-		if t.phase == taskOrdered && !t.stopping {
+		if t.phase == taskQueued && !t.stopping && !t.hurried {
+			t.hurried = true
 			m := s.messages(t.worker)
 			o := s.order(now, t)
 			o.Update = true
@@ -220,12 +251,11 @@
 // leave removes a task's run from a worker.
 func (s *State) leave(w *worker, t *task) {
 	delete(w.tasks, t.ref())
-	if t.phase == taskRunning {
-		w.running = w.running.Minus(t.size())
+	if t.phase == taskQueued {
+		w.queued(t.job.route.Priority).remove(t.size())
 		return
 	}
-	p := t.job.route.Priority
-	w.ordered[p] = w.ordered[p].Minus(t.size())
+	w.running = w.running.Minus(t.size())
 }
 
 // ended takes the end of a run.
@@ -233,13 +263,14 @@
 	j := t.job
 	t.phase = taskReady
 	t.stopping = false
+	t.hurried = false
 	t.ends = 0
 	current := s.jobs[j.id] == j
 	switch r.End {
 	case gypsumtide.EndDone:
 		t.phase = taskDone
 		t.ran = r.Ran
-		s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.slowness())
+		s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.slowness)
 		if j.undone[t.step]--; j.undone[t.step] == 0 {
 			s.learnSpeeds(j, t.step)
 		}
@@ -304,6 +335,7 @@
 // Tick ends jobs whose time is over and moves runs that stand still.
 func (s *State) Tick(now gypsumtide.Millis) {
 	s.settleLost(now)
+	s.moves = s.freeWorkers()
 	for _, j := range s.jobs {
 		s.check(now, j)
 	}
@@ -323,9 +355,11 @@
 			s.replan(now, j)
 		case t.phase == taskReady:
 			s.place(now, t)
-		case t.phase == taskOrdered && !t.stopping && now-max(t.ordered, t.recalled) >= moveAfter:
+		case t.phase == taskOrdered && !j.begun && now-t.ordered >= presumeStarted:
+			s.begin(now, j)
+		case t.phase == taskQueued && !t.stopping && s.moves > 0 && now-max(t.ordered, t.recalled) >= moveAfter:
 			s.moveWaiting(now, t)
-		case t.phase == taskRunning && !t.stopping && s.standsStill(now, t):
+		case t.placed() && t.phase != taskQueued && !t.stopping && s.standsStill(now, t):
 			s.move(now, t, "stands-still")
 		}
 		if s.jobs[j.id] != j {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -10,17 +10,25 @@
 // worker is what the entry believes about a worker.
 type worker struct {
 	id     WorkerID
+	hash   uint64
 	report wire.WorkerReport
+	// others is the load of other entries: what is booked, and what waits by priority.
+	others  gypsumtide.Size
+	waiting []queuedLoad
+	// reportedSlowness and failureShare are the agent's averages.
+	reportedSlowness float64
+	failureShare     float64
 	// reported is the time of the last report.
 	reported gypsumtide.Millis
 	// connected is false between the end of a session and its successor.
 	connected bool
 	lostAt    gypsumtide.Millis
-	// running is the size of this entry's started runs, ordered of those that may
-	// wait, by priority.
+	// running is the size of this entry's runs, own of its orders that wait, by priority.
 	running gypsumtide.Size
-	ordered map[int]gypsumtide.Size
+	own     []queuedLoad
 	speed   speed
+	// slowness is the expected run time relative to an average worker.
+	slowness float64
 	// reportsSeen is the number of the last run report taken.
 	reportsSeen uint64
 	// tasks are the tasks with a run at the worker.
@@ -30,22 +38,55 @@
 // usable reports whether the worker takes orders.
 func (w *worker) usable() bool { return w.connected && w.report.Open }
 
+// queuedLoad is the size of the orders of one priority that wait.
+type queuedLoad struct {
+	priority int
+	size     gypsumtide.Size
+}
+
+func (l *queuedLoad) add(size gypsumtide.Size)    { l.size = l.size.Plus(size) }
+func (l *queuedLoad) remove(size gypsumtide.Size) { l.size = l.size.Minus(size) }
+
+// queued returns this entry's waiting load of a priority.
+func (w *worker) queued(priority int) *queuedLoad {
+	for i := range w.own {
+		if w.own[i].priority == priority {
+			return &w.own[i]
+		}
+	}
+	w.own = append(w.own, queuedLoad{priority: priority})
+	return &w.own[len(w.own)-1]
+}
+
+// take replaces the load of the other entries.
+func (w *worker) take(r *wire.LoadReport) {
+	w.others = atLeastZero(r.Booked.Size().Minus(r.FromPeer.Size()))
+	w.waiting = w.waiting[:0]
+	for _, l := range r.Waiting {
+		w.waiting = append(w.waiting, queuedLoad{l.Priority, atLeastZero(l.Size.Size().Minus(l.FromPeer.Size()))})
+	}
+	w.reportedSlowness = float64(r.Slowness)
+	w.failureShare = float64(r.FailureShare)
+	w.updateSlowness()
+}
+
+func atLeastZero(s gypsumtide.Size) gypsumtide.Size {
+	return gypsumtide.Size{Processors: max(0, s.Processors), Memory: max(0, s.Memory), Accelerators: max(0, s.Accelerators)}
+}
+
 // load returns the size of what is booked or waits ahead of a task of the
 // priority, all entries together. The report may be older than this entry's own
 // orders, so these are counted here.
 func (w *worker) load(priority int) gypsumtide.Size {
-	others := w.report.Booked.Minus(w.report.FromPeer)
-	for _, l := range w.report.Waiting {
-		if l.Priority <= priority {
-			others = others.Plus(l.Size).Minus(l.FromPeer)
+	load := w.others.Plus(w.running)
+	for _, l := range w.waiting {
+		if l.priority <= priority {
+			load = load.Plus(l.size)
 		}
 	}
-	load := gypsumtide.Size{
-		Processors: max(0, others.Processors), Memory: max(0, others.Memory), Accelerators: max(0, others.Accelerators),
-	}.Plus(w.running)
-	for p, size := range w.ordered {
-		if p <= priority {
-			load = load.Plus(size)
+	for _, l := range w.own {
+		if l.priority <= priority {
+			load = load.Plus(l.size)
 		}
 	}
 	return load
@@ -77,7 +118,10 @@
 
 // wait returns the expected time until size fits on the worker.
 func (w *worker) wait(size gypsumtide.Size, priority int) float64 {
-	load := w.load(priority)
+	return w.waitBehind(w.load(priority), size)
+}
+
+func (w *worker) waitBehind(load, size gypsumtide.Size) float64 {
 	capacity := w.report.Capacity
 	deficit := load.Plus(size).Minus(capacity)
 	share := max(
@@ -85,7 +129,7 @@
 		ratio(deficit.Memory, capacity.Memory),
 		ratio(deficit.Accelerators, capacity.Accelerators),
 	)
-	return max(0, share) * float64(meanRun)
+	return share * float64(meanRun)
 }
 
 func ratio(n, of int64) float64 {
@@ -104,12 +148,13 @@
 
 // estimate returns the expected course of a task of the step on the worker.
 func (w *worker) estimate(zone string, step *gypsumtide.JobStep, priority int, expected, remoteFactor float64) estimate {
-	e := estimate{wait: w.wait(step.Size, priority), run: expected * w.slowness()}
+	load := w.load(priority)
+	e := estimate{wait: w.waitBehind(load, step.Size), run: expected * w.slowness}
 	if step.Rack != "" && !w.onRack(step.Rack) {
 		e.run *= remoteFactor
 	}
-	tries := 1 / (1 - min(maxFailureShare, w.report.FailureShare))
-	e.cost = (e.wait+e.run)*tries + loadWeight*square(ratio(w.load(priority).Processors, w.report.Capacity.Processors))
+	tries := 1 / (1 - min(maxFailureShare, w.failureShare))
+	e.cost = (e.wait+e.run)*tries + loadWeight*square(ratio(load.Processors, w.report.Capacity.Processors))
 	if w.report.Zone != zone {
 		e.cost += zoneCost
 	}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -253,10 +253,22 @@
 	if !ok {
 		return
 	}
-	worker := a.state.Report(now, owner)
+	a.tell(now, owner, s, func(f *wire.Frame) { f.RunReports = append(f.RunReports, reports...) })
+}
+
+// tell sends an owner the load, the worker if it has changed, and what add adds.
+func (a *Agent) tell(now gypsumtide.Millis, owner Owner, s *wire.Session, add func(f *wire.Frame)) {
+	o := a.outbox(owner)
+	load := a.state.Load(now, owner)
+	worker := a.state.Report(now)
+	changed := o.session != s || !o.worker.Same(&worker)
+	o.session, o.worker = s, worker
 	s.Update(func(f *wire.Frame) {
-		f.RunReports = append(f.RunReports, reports...)
-		f.Worker = &worker
+		add(f)
+		f.WorkerLoad = &load
+		if changed {
+			f.Worker = &worker
+		}
 	})
 	a.reported[owner] = now
 }
@@ -284,9 +296,7 @@
 			a.dirty = true
 			continue
 		}
-		worker := a.state.Report(now, owner)
-		s.Update(func(f *wire.Frame) { f.Worker = &worker })
-		a.reported[owner] = now
+		a.tell(now, owner, s, func(*wire.Frame) {})
 	}
 }
 
--- a/internal/runner/outbox.go
+++ b/internal/runner/outbox.go
@@ -13,6 +13,9 @@
 	pending []wire.RunReport
 	// every is how often the entry wants unprompted worker reports.
 	every gypsumtide.Millis
+	// worker is what session has been told of the worker.
+	worker  wire.WorkerReport
+	session *wire.Session
 }
 
 // add numbers the reports and keeps them.
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -111,13 +111,11 @@
 	a.sessions[owner] = s
 	a.state.Attach(owner)
 	now := a.clock.Now()
-	worker := a.state.Report(now, owner)
 	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
 	held := a.state.Held(owner)
-	s.Update(func(f *wire.Frame) {
+	a.tell(now, owner, s, func(f *wire.Frame) {
 		f.RunReports = append(f.RunReports, reports...)
 		f.Resume = &wire.Resume{Held: held}
-		f.Worker = &worker
 	})
 }
 
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -38,6 +38,8 @@
 	expires gypsumtide.Millis
 	started gypsumtide.Millis
 	sampled bool
+	// announced is set once the owner knows that the order waits.
+	announced bool
 	// projected is the total run time that was reported last.
 	projected gypsumtide.Millis
 	stopping  bool
@@ -201,20 +203,27 @@
 // Waiting returns the number of orders that wait.
 func (s *State) Waiting() int { return len(s.queue) }
 
-// Report describes the worker to an owner.
-func (s *State) Report(now gypsumtide.Millis, owner Owner) wire.WorkerReport {
+// Report describes the worker.
+func (s *State) Report(now gypsumtide.Millis) wire.WorkerReport {
 	r := wire.WorkerReport{
 		Life: s.life, Service: s.info.Service, Zone: s.info.Zone, Labels: s.info.Labels,
-		Open: s.known && !s.draining && !s.info.Draining && !s.stuck(now), Booked: s.book.Used(),
-		Slowness: s.health.Slowness(now), FailureShare: s.health.FailureShare(now),
+		Open: s.known && !s.draining && !s.info.Draining && !s.stuck(now),
 	}
 	if s.known {
 		r.Capacity = s.info.Capacity
 	}
+	return r
+}
+
+// Load describes the load of the worker to an owner.
+func (s *State) Load(now gypsumtide.Millis, owner Owner) wire.LoadReport {
+	r := wire.LoadReport{
+		Booked: wire.NewSizeRow(s.book.Used()), Waiting: s.waiting(owner),
+		Slowness: float32(s.health.Slowness(now)), FailureShare: float32(s.health.FailureShare(now)),
+	}
 	if o, ok := s.owners[owner]; ok {
-		r.FromPeer = o.booked
+		r.FromPeer = wire.NewSizeRow(o.booked)
 	}
-	r.Waiting = s.waiting(owner)
 	return r
 }
 
@@ -227,9 +236,9 @@
 			i = len(loads)
 			loads = append(loads, wire.WaitingLoad{Priority: r.order.Priority})
 		}
-		loads[i].Size = loads[i].Size.Plus(r.order.Size)
+		loads[i].Size = wire.NewSizeRow(loads[i].Size.Size().Plus(r.order.Size))
 		if r.owner == owner {
-			loads[i].FromPeer = loads[i].FromPeer.Plus(r.order.Size)
+			loads[i].FromPeer = wire.NewSizeRow(loads[i].FromPeer.Size().Plus(r.order.Size))
 		}
 	}
 	return loads
@@ -263,6 +272,10 @@
 	s.queue = append(s.queue, r)
 	s.sortQueue()
 	s.pump(now)
+	if r.phase == phaseWaiting && s.runs[o.Ref] == r {
+		r.announced = true
+		s.report(owner, wire.RunReport{Ref: o.Ref, Queued: true})
+	}
 }
 
 // updateOrder changes what may change while an order waits.
@@ -399,7 +412,9 @@
 
 func (s *State) began(now gypsumtide.Millis, r *run) {
 	r.phase = phaseRunning
-	s.report(r.owner, wire.RunReport{Ref: r.order.Ref, Started: true})
+	if r.announced {
+		s.report(r.owner, wire.RunReport{Ref: r.order.Ref, Started: true})
+	}
 	if r.stopping {
 		s.sendStop(now, r)
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -56,6 +56,7 @@
 	StopRuns   []gypsumtide.RunRef `cbor:"41,keyasint,omitempty"`
 	RunReports []RunReport         `cbor:"42,keyasint,omitempty"`
 	Worker     *WorkerReport       `cbor:"43,keyasint,omitempty"`
+	WorkerLoad *LoadReport         `cbor:"49,keyasint,omitempty"`
 	// Entries lists the addresses of the entries that the sender knows.
 	Entries []string `cbor:"44,keyasint,omitempty"`
 	Resume  *Resume  `cbor:"45,keyasint,omitempty"`
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -1,6 +1,10 @@
 package wire
 
-import "gypsumtide"
+import (
+	"slices"
+
+	"gypsumtide"
+)
 
 // Order asks an agent to run a task of an ephemeral job. Times are relative to
 // the receipt, since the clocks of two hosts differ.
@@ -25,7 +29,9 @@
 // RunReport tells an entry what became of an order.
 type RunReport struct {
 	Ref gypsumtide.RunRef `cbor:"1,keyasint"`
-	// Started is set when the worker has begun the run, with an empty End.
+	// Queued and Started come without an End. An order that starts at once is not
+	// reported; one that waits is reported twice.
+	Queued  bool               `cbor:"8,keyasint,omitempty"`
 	Started bool               `cbor:"2,keyasint,omitempty"`
 	End     gypsumtide.EndKind `cbor:"3,keyasint,omitempty"`
 	// Ran is the time from the start to the end.
@@ -40,7 +46,7 @@
 	Number uint64 `cbor:"7,keyasint,omitempty"`
 }
 
-// WorkerReport is the state of an agent's worker. Each one replaces the one before.
+// WorkerReport describes an agent's worker. Each one replaces the one before.
 type WorkerReport struct {
 	Life     gypsumtide.Life `cbor:"1,keyasint,omitempty"`
 	Service  string          `cbor:"2,keyasint,omitempty"`
@@ -49,24 +55,55 @@
 	Capacity gypsumtide.Size `cbor:"5,keyasint,omitempty"`
 	// Open is false while the worker takes no starts.
 	Open bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Same reports whether r and o say the same.
+func (r *WorkerReport) Same(o *WorkerReport) bool {
+	return r.Life == o.Life && r.Service == o.Service && r.Zone == o.Zone && r.Capacity == o.Capacity &&
+		r.Open == o.Open && slices.Equal(r.Labels, o.Labels)
+}
+
+// LoadReport is the load of an agent's worker. It is sent far more often than
+// the WorkerReport, so it is encoded without field numbers.
+type LoadReport struct {
+	_ struct{} `cbor:",toarray"`
 	// Booked is the capacity in use, all entries together, and FromPeer the part
 	// of it that the receiver ordered.
-	Booked   gypsumtide.Size `cbor:"7,keyasint,omitempty"`
-	FromPeer gypsumtide.Size `cbor:"8,keyasint,omitempty"`
-	// Waiting lists what waits, by priority.
-	Waiting []WaitingLoad `cbor:"9,keyasint,omitempty"`
+	Booked   SizeRow
+	FromPeer SizeRow
 	// Slowness is the run time relative to the expected one; 1 is average.
-	Slowness float64 `cbor:"10,keyasint,omitempty"`
+	Slowness float32
 	// FailureShare is the recent share of runs that failed.
-	FailureShare float64 `cbor:"11,keyasint,omitempty"`
+	FailureShare float32
+	// Waiting lists what waits, by priority.
+	Waiting []WaitingLoad
 }
 
 // WaitingLoad is the size of the orders of one priority that wait at an agent.
 type WaitingLoad struct {
-	Priority int             `cbor:"1,keyasint,omitempty"`
-	Size     gypsumtide.Size `cbor:"2,keyasint,omitempty"`
+	_        struct{} `cbor:",toarray"`
+	Priority int
+	Size     SizeRow
 	// FromPeer is the part that the receiver ordered.
-	FromPeer gypsumtide.Size `cbor:"3,keyasint,omitempty"`
+	FromPeer SizeRow
+}
+
+// SizeRow is a gypsumtide.Size encoded without field numbers.
+type SizeRow struct {
+	_            struct{} `cbor:",toarray"`
+	Processors   int64
+	Memory       int64
+	Accelerators int64
+}
+
+// NewSizeRow returns the row of a size.
+func NewSizeRow(s gypsumtide.Size) SizeRow {
+	return SizeRow{Processors: s.Processors, Memory: s.Memory, Accelerators: s.Accelerators}
+}
+
+// Size returns the size of the row.
+func (r SizeRow) Size() gypsumtide.Size {
+	return gypsumtide.Size{Processors: r.Processors, Memory: r.Memory, Accelerators: r.Accelerators}
 }
 
 // Resume opens the exchange of runs on a session. It lists the runs of the
