--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,89 @@
+package eventlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/group"
+)
+
+// testClock is set by the test.
+type testClock struct{ now gypsumtide.Millis }
+
+func (c *testClock) Now() gypsumtide.Millis  { return c.now }
+func (c *testClock) Wall() gypsumtide.Millis { return c.now }
+
+// Guards against decisions that wait for a reader of the log.
+func TestBlockedReader(t *testing.T) {
+	Convey("Decisions go on while the reader has stopped", t, func() {
+		r, w := io.Pipe()
+		l := New(w, gypsumtide.NewSystemClock(), 1<<30)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := group.Go(ctx, l.Run)
+		begin := time.Now()
+		for range 3 * backlogLines {
+			l.Decision("job-refused", "job", "a")
+		}
+		So(time.Since(begin), ShouldBeLessThan, 5*time.Second)
+		l.mu.Lock()
+		dropped := l.dropped["backlog"]
+		l.mu.Unlock()
+		So(dropped, ShouldBeGreaterThan, 0)
+		cancel()
+		So(r.Close(), ShouldBeNil)
+		<-done
+	})
+}
+
+func TestBudget(t *testing.T) {
+	Convey("Routine lines are dropped first, and what was dropped is counted", t, func() {
+		clock := &testClock{now: 1}
+		var out bytes.Buffer
+		l := New(&out, clock, 2000)
+		for range 100 {
+			l.Decision("run-ended", "run", "a")
+		}
+		routine := len(l.lines)
+		So(routine, ShouldBeBetween, 3, 20)
+		l.Decision("job-refused", "job", "b")
+		So(len(l.lines), ShouldEqual, routine+1)
+		for range 100 {
+			l.Decision("job-refused", "job", "b")
+		}
+		So(len(l.lines), ShouldBeLessThan, 40)
+
+		Convey("and the budget fills up again", func() {
+			clock.now = 1001
+			before := len(l.lines)
+			l.Decision("job-refused", "job", "c")
+			So(len(l.lines), ShouldEqual, before+1)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			So(l.Run(ctx), ShouldEqual, context.Canceled)
+			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+			var last map[string]any
+			So(json.Unmarshal([]byte(lines[len(lines)-1]), &last), ShouldBeNil)
+			So(last["msg"], ShouldEqual, "job-refused")
+			So(last["dropped-before"], ShouldContainKey, "job-refused")
+		})
+	})
+}
+
+func BenchmarkDecision(b *testing.B) {
+	l := New(io.Discard, gypsumtide.NewSystemClock(), 1<<40)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := group.Go(ctx, l.Run)
+	for b.Loop() {
+		l.Decision("task-placed", "run", "0123456789abcdef/0/1#1", "worker", "side-1", "wait-ms", 3, "cost", 12.5)
+	}
+	cancel()
+	<-done
+}
