Trace jobs in decision lines with gypsumctl, keep the counts of dropped lines

gypsumctl trace merges the lines of several processes about one job, log-summary counts outcomes by second. The counts of dropped lines were lost when the line that told them was dropped for a full backlog (found by TestBlockedReader).

--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -58,6 +58,8 @@
 			{Name: "nodes", Usage: "list entries and agents", Action: listNodes},
 			{Name: "drain", Usage: "let a node finish its work and take no more", ArgsUsage: "NODE", Action: drainNode},
 			{Name: "retire", Usage: "state that the host of an agent is gone", ArgsUsage: "AGENT", Action: retireAgent},
+			{Name: "trace", Usage: "print the decision lines of one job from the logs of several processes", ArgsUsage: "ID FILE...", Action: traceJob},
+			{Name: "log-summary", Usage: "count outcomes and reasons by second", ArgsUsage: "FILE...", Action: summarizeLogs},
 			versionCommand("gypsumctl"),
 		},
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -102,6 +102,8 @@
 		s.answer(now, j, refusal)
 		return
 	}
+	s.log.Decision("job-admitted", "job", j.id, "route", j.route.Name, "tasks", len(j.tasks), "expected-ms", run,
+		"objective-ms", j.objective-now, "deadline-ms", sub.Timeout, "workers", s.Workers())
 	s.placeReady(now, j)
 }
 
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	tokens  float64
 	filled  gypsumtide.Millis
 	dropped map[string]int
+	// untold is set while a count has changed since the last line that told it.
+	untold bool
 }
 
 // New returns a Log with a budget in bytes a second. Run writes its lines.
@@ -64,12 +67,14 @@
 		return
 	}
 	if dropped != nil {
-		keysAndValues = append(keysAndValues, "dropped-before", dropped)
+		keysAndValues = append(keysAndValues, "dropped-so-far", dropped)
 	}
 	l.logger.Info(kind, keysAndValues...)
 }
 
-// admit reports whether the budget permits a line, and what was dropped since the last one.
+// admit reports whether the budget permits a line. It returns the counts of
+// dropped lines if they have changed; they never go back to zero, since the line
+// that tells them may be dropped too.
 func (l *Log) admit(kind string) (map[string]int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,15 +86,20 @@
 		least = l.budget * routineReserve
 	}
 	if l.tokens <= least {
-		l.dropped[kind]++
+		l.drop(kind)
 		return nil, false
 	}
-	if len(l.dropped) == 0 {
+	if !l.untold {
 		return nil, true
 	}
-	dropped := l.dropped
-	l.dropped = make(map[string]int)
-	return dropped, true
+	l.untold = false
+	return maps.Clone(l.dropped), true
+}
+
+// drop counts a dropped line. The caller holds the lock.
+func (l *Log) drop(kind string) {
+	l.dropped[kind]++
+	l.untold = true
 }
 
 // lineWriter queues the lines that the handler has encoded.
@@ -105,7 +115,7 @@
 	case w.log.lines <- line:
 	default:
 		w.log.mu.Lock()
-		w.log.dropped["backlog"]++
+		w.log.drop("backlog")
 		w.log.mu.Unlock()
 	}
 	return len(p), nil
@@ -156,7 +166,7 @@
 	}
 	if _, err := l.out.Write(batch); err != nil {
 		l.mu.Lock()
-		l.dropped["write-error"]++
+		l.drop("write-error")
 		l.mu.Unlock()
 	}
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -72,7 +72,7 @@
 			var last map[string]any
 			So(json.Unmarshal([]byte(lines[len(lines)-1]), &last), ShouldBeNil)
 			So(last["msg"], ShouldEqual, "job-refused")
-			So(last["dropped-before"], ShouldContainKey, "job-refused")
+			So(last["dropped-so-far"], ShouldContainKey, "job-refused")
 		})
 	})
 }
--- /dev/null
+++ b/internal/eventlog/trace.go
@@ -0,0 +1,137 @@
+package eventlog
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Line is one decision line of a process.
+type Line struct {
+	Time   time.Time `json:"time"`
+	Kind   string    `json:"msg"`
+	Node   string    `json:"node"`
+	fields map[string]any
+}
+
+// Text returns a field as text.
+func (l *Line) Text(key string) string {
+	v, ok := l.fields[key]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(v)
+}
+
+// Job returns the id of the job that the line is about, if any.
+func (l *Line) Job() string {
+	if job := l.Text("job"); job != "" {
+		return job
+	}
+	job, _, _ := strings.Cut(l.Text("run"), "/")
+	return job
+}
+
+// maxLineBytes bounds a line of a file that may not be a log.
+const maxLineBytes = 1 << 20
+
+// Read returns the decision lines of r and the number of lines that are none. A
+// file may be cut or hold other output.
+func Read(r io.Reader) (lines []Line, foreign int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 1<<16), maxLineBytes)
+	for scanner.Scan() {
+		text := scanner.Text()
+		// Collectors put a time or a name before the line.
+		i := strings.IndexByte(text, '{')
+		var l Line
+		if i < 0 || json.Unmarshal([]byte(text[i:]), &l) != nil || l.Kind == "" {
+			foreign++
+			continue
+		}
+		if err := json.Unmarshal([]byte(text[i:]), &l.fields); err != nil {
+			foreign++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	if err := scanner.Err(); err != nil {
+		return lines, foreign, fmt.Errorf("read log: %w", err)
+	}
+	return lines, foreign, nil
+}
+
+// hidden lists fields that the trace prints in other columns or that carry no news.
+var hidden = map[string]bool{"time": true, "level": true, "msg": true, "node": true, "incarnation": true, "job": true}
+
+// Trace writes the lines of one job in the order of their times. Clocks of hosts
+// differ by little, so lines of different hosts within milliseconds may change places.
+func Trace(w io.Writer, lines []Line, job string) (int, error) {
+	var own []Line
+	for _, l := range lines {
+		if l.Job() == job {
+			own = append(own, l)
+		}
+	}
+	sort.SliceStable(own, func(i, j int) bool { return own[i].Time.Before(own[j].Time) })
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, l := range own {
+		since := l.Time.Sub(own[0].Time)
+		if _, err := fmt.Fprintf(table, "%d ms\t%s\t%s\t%s\n", since.Milliseconds(), l.Node, l.Kind, l.details()); err != nil {
+			return 0, err
+		}
+	}
+	return len(own), table.Flush()
+}
+
+func (l *Line) details() string {
+	var parts []string
+	for key, value := range l.fields {
+		if !hidden[key] && value != "" {
+			parts = append(parts, fmt.Sprintf("%s=%v", key, value))
+		}
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
+
+// summaryStep is the width of a row of a summary.
+const summaryStep = time.Second
+
+// Summary writes how many jobs ended in which way, second by second.
+func Summary(w io.Writer, lines []Line) error {
+	counts := make(map[time.Time]map[string]int)
+	for _, l := range lines {
+		if l.Kind != "job-answered" {
+			continue
+		}
+		at := l.Time.Truncate(summaryStep)
+		if counts[at] == nil {
+			counts[at] = make(map[string]int)
+		}
+		counts[at][strings.TrimSuffix(l.Text("outcome")+": "+l.Text("reason"), ": ")]++
+	}
+	var times []time.Time
+	for at := range counts {
+		times = append(times, at)
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
+	for _, at := range times {
+		var outcomes []string
+		for outcome := range counts[at] {
+			outcomes = append(outcomes, outcome)
+		}
+		sort.Strings(outcomes)
+		for _, outcome := range outcomes {
+			if _, err := fmt.Fprintf(w, "%s  %5d  %s\n", at.Format(time.TimeOnly), counts[at][outcome], outcome); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
