--- a/ephemeral.go
+++ b/ephemeral.go
@@ -3,9 +3,11 @@
 // EphemeralJob lives as long as its caller's connection. It is not stored: a
 // caller that loses the answer submits the job again.
 type EphemeralJob struct {
-	ID    string
-	Spec  string
-	Steps []JobStep
+	ID string
+	// Request identifies the submission in the caller's own logs; it may be empty.
+	Request string
+	Spec    string
+	Steps   []JobStep
 }
 
 // JobStep is a set of equal tasks.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -88,6 +88,7 @@
 // job is a submission in progress.
 type job struct {
 	id       string
+	request  string
 	spec     string
 	route    gypsumtide.QueueRoute
 	steps    []gypsumtide.JobStep
@@ -107,7 +108,7 @@
 
 func newJob(now gypsumtide.Millis, s Submission) *job {
 	j := &job{
-		id: s.Job.ID, spec: s.Job.Spec, route: s.Route, steps: s.Job.Steps,
+		id: s.Job.ID, request: s.Job.Request, spec: s.Job.Spec, route: s.Route, steps: s.Job.Steps,
 		arrived: now, deadline: now + s.Timeout, undone: make([]int, len(s.Job.Steps)), hash: xxhash.Sum64String(s.Job.ID),
 	}
 	for i, step := range j.steps {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -102,7 +102,7 @@
 		s.answer(now, j, refusal)
 		return
 	}
-	s.log.Decision("job-admitted", "job", j.id, "route", j.route.Name, "tasks", len(j.tasks), "expected-ms", run,
+	s.log.Decision("job-admitted", "job", j.id, "request", j.request, "route", j.route.Name, "tasks", len(j.tasks), "expected-ms", run,
 		"objective-ms", j.objective-now, "deadline-ms", sub.Timeout, "workers", s.Workers())
 	s.placeReady(now, j)
 }
@@ -118,7 +118,7 @@
 	}
 	s.effects.Answers[j.id] = a
 	delete(s.jobs, j.id)
-	s.log.Decision("job-answered", "job", j.id, "route", j.route.Name, "outcome", a.Outcome, "reason", a.Reason,
+	s.log.Decision("job-answered", "job", j.id, "request", j.request, "route", j.route.Name, "outcome", a.Outcome, "reason", a.Reason,
 		"took-ms", now-j.arrived, "objective-ms", j.objective-j.arrived, "retry-after-ms", a.RetryAfter, "tasks", len(j.tasks))
 }
 
--- a/internal/eventlog/trace.go
+++ b/internal/eventlog/trace.go
@@ -54,7 +54,9 @@
 			foreign++
 			continue
 		}
-		if err := json.Unmarshal([]byte(text[i:]), &l.fields); err != nil {
+		dec := json.NewDecoder(strings.NewReader(text[i:]))
+		dec.UseNumber() // Fencing tokens have more digits than a float prints.
+		if err := dec.Decode(&l.fields); err != nil {
 			foreign++
 			continue
 		}
@@ -69,9 +71,16 @@
 // hidden lists fields that the trace prints in other columns or that carry no news.
 var hidden = map[string]bool{"time": true, "level": true, "msg": true, "node": true, "incarnation": true, "job": true}
 
-// Trace writes the lines of one job in the order of their times. Clocks of hosts
-// differ by little, so lines of different hosts within milliseconds may change places.
-func Trace(w io.Writer, lines []Line, job string) (int, error) {
+// Trace writes the lines of one job in the order of their times. The id is the
+// job's or a request's. Clocks of hosts differ by little, so lines of different
+// hosts within milliseconds may change places.
+func Trace(w io.Writer, lines []Line, id string) (int, error) {
+	job := id
+	for _, l := range lines {
+		if l.Text("request") == id {
+			job = l.Job()
+		}
+	}
 	var own []Line
 	for _, l := range lines {
 		if l.Job() == job {
--- a/internal/eventlog/trace_test.go
+++ b/internal/eventlog/trace_test.go
@@ -12,7 +12,7 @@
 37.1 edge-1 {"time":"2026-01-01T00:00:00.001Z","msg":"task-placed","node":"edge-1","run":"ab/0/0#1","worker":"side-1"}
 not a line
 {"time":"2026-01-01T00:00:00.003Z","msg":"job-answered","node":"edge-1","job":"cd","outcome":"complete"}
-{"time":"2026-01-01T00:00:00.090Z","msg":"job-answered","node":"edge-1","job":"ab","outcome":"not-run","reason":"not started in time"}
+{"time":"2026-01-01T00:00:00.090Z","msg":"job-answered","node":"edge-1","job":"ab","request":"r1","outcome":"not-run","reason":"not started in time"}
 {"time":"2026-01-01T00:00:00.0`
 
 func TestTrace(t *testing.T) {
@@ -26,6 +26,9 @@
 		n, err := Trace(&out, lines, "ab")
 		So(err, ShouldBeNil)
 		So(n, ShouldEqual, 3)
+		byRequest, err := Trace(&strings.Builder{}, lines, "r1")
+		So(err, ShouldBeNil)
+		So(byRequest, ShouldEqual, 3)
 		text := out.String()
 		So(strings.Index(text, "task-placed"), ShouldBeLessThan, strings.Index(text, "run-sent"))
 		So(text, ShouldContainSubstring, "89 ms")
