--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -28,6 +28,11 @@
 const (
 	slownessWeight = 0.05
 	failureWeight  = 0.25
+	// A run that takes longer than any error of an estimate explains weighs more,
+	// so that a worker that has become slow shows within a few runs. farOff is the
+	// logarithm of the ratio.
+	farOff       = 1.1
+	farOffWeight = 0.15
 	// healthHalfLife is the time after which half of an average is forgotten, so
 	// that a worker which gets no runs is tried again.
 	healthHalfLife gypsumtide.Millis = 2500
@@ -72,8 +77,12 @@
 		return
 	}
 	r.sampled = true
-	ratio := min(maxSlowness, max(1.0/maxSlowness, total/float64(r.order.Expected)))
-	h.logSlowness = decay(h.logSlowness, now-h.slownessAt)*(1-slownessWeight) + math.Log(ratio)*slownessWeight
+	ratio := math.Log(min(maxSlowness, max(1.0/maxSlowness, total/float64(r.order.Expected))))
+	weight := slownessWeight
+	if ratio > farOff {
+		weight = farOffWeight
+	}
+	h.logSlowness = decay(h.logSlowness, now-h.slownessAt)*(1-weight) + ratio*weight
 	h.slownessAt = now
 }
 
