Take an order that the agent has forgotten for one that may have run

Cause: an entry that was paused for a second reconnected after its agent had forgotten it together with the report of an end. The missing run was taken for an order that never arrived, and the job was refused although it had run.

Change: an agent says on each session whether it still has every report.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -235,7 +235,7 @@
 			s.AcknowledgeReports(r.Number)
 		}
 		if f.Resume != nil {
-			e.state.Connected(now, id, f.Resume.Held)
+			e.state.Connected(now, id, *f.Resume)
 		}
 		if f.Worker != nil {
 			e.state.Observe(now, id, *f.Worker)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -7,13 +7,17 @@
 	"gypsumtide/internal/wire"
 )
 
-// Connected notes a session to an agent that holds the given runs. Orders that
-// are not among them did not arrive.
-func (s *State) Connected(now gypsumtide.Millis, id WorkerID, held []gypsumtide.RunRef) {
+// Connected notes a session to an agent. Orders that it neither holds nor has
+// reported did not arrive, or have ended if it has forgotten its reports.
+func (s *State) Connected(now gypsumtide.Millis, id WorkerID, r wire.Resume) {
 	w := s.worker(id)
 	w.connected = true
-	present := make(map[gypsumtide.RunRef]bool, len(held))
-	for _, ref := range held {
+	missing := wire.RunReport{End: gypsumtide.EndLost, Reason: "reports-forgotten"}
+	if r.Complete {
+		missing = wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "order-lost"}
+	}
+	present := make(map[gypsumtide.RunRef]bool, len(r.Held))
+	for _, ref := range r.Held {
 		present[ref] = true
 		if t, ok := w.tasks[ref]; !ok || t.stopping {
 			m := s.messages(id)
@@ -22,10 +26,11 @@
 	}
 	for ref := range w.tasks {
 		if !present[ref] {
-			s.Report(now, id, wire.RunReport{Ref: ref, End: gypsumtide.EndNotStarted, Reason: "order-lost"})
+			missing.Ref = ref
+			s.Report(now, id, missing)
 		}
 	}
-	s.log.Decision("agent-connected", "worker", id, "held", len(held), "open", len(w.tasks))
+	s.log.Decision("agent-connected", "worker", id, "held", len(r.Held), "complete", r.Complete, "open", len(w.tasks))
 }
 
 // New reports whether a run report with the number has not been taken yet.
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -32,7 +32,7 @@
 func newTestState(n int) *State {
 	s := NewState(-10_000, "z", 1.5, testTiming, silent{})
 	for i := range n {
-		s.Connected(0, workerID(i), nil)
+		s.Connected(0, workerID(i), wire.Resume{Complete: true})
 		s.Observe(0, workerID(i), wire.WorkerReport{
 			Life: lifeOf(i), Service: "stock", Zone: "z", Capacity: gypsumtide.Size{Processors: testCapacity, Memory: 65536}, Open: true,
 		})
@@ -300,16 +300,23 @@
 		s.Disconnected(10, workerID(0), "reset")
 
 		Convey("a run that the agent still holds goes on", func() {
-			s.Connected(100, workerID(0), []gypsumtide.RunRef{ref})
+			s.Connected(100, workerID(0), wire.Resume{Held: []gypsumtide.RunRef{ref}, Complete: true})
 			s.Report(120, workerID(0), wire.RunReport{Ref: ref, End: gypsumtide.EndDone, Ran: 50})
 			So(s.Take().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeComplete)
 		})
 		Convey("an order that did not arrive is given again", func() {
-			s.Connected(30, workerID(0), nil)
+			s.Connected(30, workerID(0), wire.Resume{Complete: true})
 			So(len(ordered(s.Take())[workerID(0)]), ShouldEqual, 1)
 		})
+		// Guards against a refusal of a job that had run: an entry was paused for a
+		// second, and the agent had forgotten it with its reports (soak seed 7).
+		Convey("an order that the agent has forgotten may have run", func() {
+			s.Connected(1000, workerID(0), wire.Resume{})
+			s.Tick(1500)
+			So(s.Take().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeUnknown)
+		})
 		Convey("nothing is started elsewhere before the lease has expired", func() {
-			s.Connected(20, workerID(1), nil)
+			s.Connected(20, workerID(1), wire.Resume{Complete: true})
 			s.Observe(20, workerID(1), wire.WorkerReport{Life: lifeOf(1), Service: "stock", Capacity: gypsumtide.Size{Processors: testCapacity, Memory: 9999}, Open: true})
 			s.Tick(1000)
 			So(ordered(s.Take()), ShouldBeEmpty)
@@ -318,7 +325,7 @@
 		})
 		Convey("a new incarnation of the agent ends its runs when it opens", func() {
 			id := WorkerID{Agent: "agent-0", Incarnation: "b"}
-			s.Connected(200, id, nil)
+			s.Connected(200, id, wire.Resume{Complete: true})
 			So(ordered(s.Take()), ShouldBeEmpty)
 			s.Observe(210, id, wire.WorkerReport{Life: lifeOf(0), Service: "stock", Capacity: gypsumtide.Size{Processors: testCapacity, Memory: 9999}, Open: true})
 			So(len(ordered(s.Take())[id]), ShouldEqual, 1)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -109,13 +109,13 @@
 		old.Close()
 	}
 	a.sessions[owner] = s
-	a.state.Attach(owner)
+	complete := a.state.Attach(owner)
 	now := a.clock.Now()
 	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
 	held := a.state.Held(owner)
 	a.tell(now, owner, s, func(f *wire.Frame) {
 		f.RunReports = append(f.RunReports, reports...)
-		f.Resume = &wire.Resume{Held: held}
+		f.Resume = &wire.Resume{Held: held, Complete: complete}
 	})
 }
 
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -154,9 +154,12 @@
 	return e
 }
 
-// Attach notes a session to an owner.
-func (s *State) Attach(owner Owner) {
+// Attach notes a session to an owner. It reports whether the owner was known;
+// an owner that was away for long has been forgotten with its reports.
+func (s *State) Attach(owner Owner) bool {
+	known := s.hasOwner(owner)
 	s.owner(owner).attached = true
+	return known
 }
 
 // Detach notes that the session to an owner has ended.
--- a/internal/runner/state_test.go
+++ b/internal/runner/state_test.go
@@ -242,6 +242,18 @@
 	})
 }
 
+// Guards against an entry that takes a forgotten run for one that never arrived.
+func TestForgottenOwner(t *testing.T) {
+	Convey("An owner is known until it has been away for long", t, func() {
+		s := openState()
+		s.Detach(100, "entry")
+		So(s.Attach("entry"), ShouldBeTrue)
+		s.Detach(200, "entry")
+		s.Tick(700)
+		So(s.Attach("entry"), ShouldBeFalse)
+	})
+}
+
 // Guards against reports that are lost with the session that had queued them
 // (REFUSED and TWICE on mahoe-pegs-grown).
 func TestOutbox(t *testing.T) {
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -107,8 +107,11 @@
 }
 
 // Resume opens the exchange of runs on a session. It lists the runs of the
-// receiver that the agent holds; an order that is not among them did not arrive
-// and never will.
+// receiver that the agent holds.
 type Resume struct {
 	Held []gypsumtide.RunRef `cbor:"1,keyasint,omitempty"`
+	// Complete means that the agent still has every report that the receiver has
+	// not acknowledged. Then an order that is neither held nor reported did not
+	// arrive and never will; otherwise it may have run, and has ended.
+	Complete bool `cbor:"2,keyasint,omitempty"`
 }
