--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := bin
 
-.PHONY: build check test lint demo faults measure capacity
+.PHONY: build check test lint demo faults soak measure capacity
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -22,6 +22,10 @@
 faults: build
 	GYPSUMTIDE_SEEDS=$${GYPSUMTIDE_SEEDS:-20} go test -v -count 1 -timeout 2h -run TestSeeds ./internal/standin/schedule
 
+# Runs the platform's programs with faults from outside, with fresh seeds from GYPSUMTIDE_SOAK_FIRST on.
+soak:
+	GYPSUMTIDE_SOAK_SEEDS=$${GYPSUMTIDE_SOAK_SEEDS:-20} go test -v -count 1 -timeout 2h -run TestSoak ./platform
+
 # Writes the tables and plots of the measures; see gypsumtide-measure --help for the options.
 measure: build
 	$(BIN)/gypsumtide-measure --bin $(BIN) --output $${GYPSUMTIDE_OUTPUT:-docs/measurements.md} --repetitions $${GYPSUMTIDE_REPETITIONS:-5}
--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// BenchmarkJob measures a job of 5 tasks from its submission to its answer.
+func BenchmarkJob(b *testing.B) {
+	for _, workers := range []int{11, 60, 600, 3000} {
+		b.Run(fmt.Sprint("workers-", workers), func(b *testing.B) {
+			s := newTestState(workers)
+			n := 0
+			for b.Loop() {
+				n++
+				s.Submit(gypsumtide.Millis(n), submission(fmt.Sprintf("%016x", n), 5, 50, 0))
+				reportAll(s, gypsumtide.Millis(n), ordered(s.Take()), wire.RunReport{End: gypsumtide.EndDone, Ran: 50})
+				s.Take()
+			}
+		})
+	}
+}
+
+// BenchmarkLoadFrame measures an agent's load report from its encoding to the entry's view.
+func BenchmarkLoadFrame(b *testing.B) {
+	s := newTestState(1)
+	f := &wire.Frame{Clock: 1, Echo: 1, WorkerLoad: loadReport(8000)}
+	f.WorkerLoad.Waiting = []wire.WaitingLoad{{Priority: 1, Size: wire.SizeRow{Processors: 1600, Memory: 64}}}
+	data, err := wire.Marshal(f)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), "bytes")
+	for b.Loop() {
+		data, err := wire.Marshal(f)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var g wire.Frame
+		if err := wire.Unmarshal(data, &g); err != nil {
+			b.Fatal(err)
+		}
+		s.ObserveLoad(1, workerID(0), g.WorkerLoad)
+	}
+}
--- /dev/null
+++ b/internal/runner/bench_test.go
@@ -0,0 +1,25 @@
+package runner
+
+import (
+	"testing"
+
+	"gypsumtide"
+)
+
+// BenchmarkRun measures a run at the agent from its order to its report.
+func BenchmarkRun(b *testing.B) {
+	s := openState()
+	n := 0
+	for b.Loop() {
+		n++
+		o := testOrder(n)
+		s.Submit(gypsumtide.Millis(n), "entry", o)
+		e := s.Take()
+		s.StartAnswered(gypsumtide.Millis(n), e.Starts[0], 5000, nil)
+		c, _ := s.NextHold(gypsumtide.Millis(n), 60)
+		s.HoldAnswered(gypsumtide.Millis(n), gypsumtide.Millis(n), c, gypsumtide.HoldAnswer{
+			Born: testLife.Born, Clock: 5000, Ended: []gypsumtide.RunEnd{{Number: uint64(n), Ref: o.Ref, Kind: gypsumtide.EndDone}},
+		}, nil)
+		s.Take()
+	}
+}
