--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,7 @@
 package gypsumtide
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -58,3 +59,15 @@
 	}
 	return FromDuration(time.Duration(ts.Nano()))
 }
+
+// Sleep waits for d and reports whether ctx is still in force.
+func Sleep(ctx context.Context, d Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -44,7 +44,7 @@
 type Entry struct {
 	cfg     Config
 	clock   gypsumtide.Clock
-	log     Recorder
+	log     gypsumtide.Recorder
 	metrics *entryMetrics
 	entries *link.Addresses
 
@@ -55,7 +55,7 @@
 }
 
 // New returns an Entry that tells agents the addresses in entries.
-func New(cfg Config, clock gypsumtide.Clock, log Recorder, set *metrics.Set, entries *link.Addresses) *Entry {
+func New(cfg Config, clock gypsumtide.Clock, log gypsumtide.Recorder, set *metrics.Set, entries *link.Addresses) *Entry {
 	e := &Entry{
 		cfg: cfg, clock: clock, log: log, entries: entries,
 		state: NewState(clock.Now(), cfg.Zone, cfg.RemoteFactor, Timing{
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -38,9 +38,6 @@
 	LostRun gypsumtide.Millis
 }
 
-// Recorder writes decision lines.
-type Recorder = runner.Recorder
-
 // State decides about the jobs of one entry. It performs no I/O and is not safe
 // for concurrent use.
 type State struct {
@@ -48,7 +45,7 @@
 	zone         string
 	remoteFactor float64
 	timing       Timing
-	log          Recorder
+	log          gypsumtide.Recorder
 	workers      map[WorkerID]*worker
 	jobs         map[string]*job
 	learner      *learner
@@ -58,7 +55,7 @@
 }
 
 // NewState returns a State without workers.
-func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log Recorder) *State {
+func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log gypsumtide.Recorder) *State {
 	return &State{
 		began: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
 		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), learner: newLearner(),
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"maps"
 	"sync"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -122,7 +121,7 @@
 }
 
 // flushInterval collects lines, so that a busy process makes few system calls.
-const flushInterval = 50 * time.Millisecond
+const flushInterval gypsumtide.Millis = 50
 
 // Run writes lines until ctx is done, and then those that are left.
 func (l *Log) Run(ctx context.Context) error {
@@ -135,20 +134,11 @@
 		case line := <-l.lines:
 			batch = append(batch[:0], line...)
 		}
-		wait(ctx, flushInterval)
+		gypsumtide.Sleep(ctx, flushInterval)
 		l.write(l.collect(batch))
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (l *Log) collect(batch []byte) []byte {
 	for {
 		select {
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -7,16 +7,11 @@
 	"gypsumtide"
 )
 
-// Recorder writes decision lines.
-type Recorder interface {
-	Decision(kind string, keysAndValues ...any)
-}
-
 // Holder holds the newest table seen in this life of the process. The version
 // never goes back.
 type Holder struct {
 	clock gypsumtide.Clock
-	log   Recorder
+	log   gypsumtide.Recorder
 
 	mu    sync.Mutex
 	table *gypsumtide.RouteTable
@@ -25,7 +20,7 @@
 }
 
 // NewHolder returns a Holder without a table.
-func NewHolder(clock gypsumtide.Clock, log Recorder) *Holder {
+func NewHolder(clock gypsumtide.Clock, log gypsumtide.Recorder) *Holder {
 	return &Holder{clock: clock, log: log}
 }
 
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -54,7 +54,7 @@
 	decode    func(raw []byte) (*gypsumtide.RouteTable, error)
 	directory gypsumtide.Directory
 	clock     gypsumtide.Clock
-	log       Recorder
+	log       gypsumtide.Recorder
 	client    *http.Client
 	began     gypsumtide.Millis
 
@@ -63,7 +63,7 @@
 }
 
 // NewPeers returns the exchange of the entry at the address self.
-func NewPeers(name, self string, entries *link.Addresses, holder *Holder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log Recorder) *Peers {
+func NewPeers(name, self string, entries *link.Addresses, holder *Holder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log gypsumtide.Recorder) *Peers {
 	dialer := &net.Dialer{Timeout: exchangeTimeout.Duration()}
 	return &Peers{
 		self: self, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
@@ -117,10 +117,10 @@
 	for ctx.Err() == nil {
 		if err := p.useDirectory(ctx); err != nil {
 			p.log.Decision("directory-unreachable", "error", err.Error())
-			pause(ctx, announceRetry)
+			gypsumtide.Sleep(ctx, announceRetry)
 			continue
 		}
-		pause(ctx, announceInterval)
+		gypsumtide.Sleep(ctx, announceInterval)
 	}
 	return ctx.Err()
 }
--- a/internal/routing/poller.go
+++ b/internal/routing/poller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"gypsumtide"
 )
@@ -28,12 +27,12 @@
 	source gypsumtide.TableSource
 	holder *Holder
 	clock  gypsumtide.Clock
-	log    Recorder
+	log    gypsumtide.Recorder
 	lost   bool
 }
 
 // NewPoller returns a Poller that offers tables to holder.
-func NewPoller(source gypsumtide.TableSource, holder *Holder, clock gypsumtide.Clock, log Recorder) *Poller {
+func NewPoller(source gypsumtide.TableSource, holder *Holder, clock gypsumtide.Clock, log gypsumtide.Recorder) *Poller {
 	return &Poller{source: source, holder: holder, clock: clock, log: log}
 }
 
@@ -46,7 +45,7 @@
 		}
 		p.note(err)
 		if err != nil {
-			pause(ctx, retryPause)
+			gypsumtide.Sleep(ctx, retryPause)
 		}
 	}
 	return ctx.Err()
@@ -109,12 +108,3 @@
 	}
 	p.log.Decision("store-regained", "version", p.holder.Version())
 }
-
-func pause(ctx context.Context, d gypsumtide.Millis) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -48,7 +48,7 @@
 }
 
 func (s *testSource) Next(ctx context.Context, position uint64, _ gypsumtide.Millis) ([]byte, uint64, error) {
-	pause(ctx, 5)
+	gypsumtide.Sleep(ctx, 5)
 	s.mu.Lock()
 	trimmed := s.trimmed
 	s.mu.Unlock()
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -67,7 +66,7 @@
 type Agent struct {
 	cfg     Config
 	clock   gypsumtide.Clock
-	log     Recorder
+	log     gypsumtide.Recorder
 	metrics *agentMetrics
 
 	mu       sync.Mutex
@@ -91,7 +90,7 @@
 }
 
 // NewAgent returns an Agent. The first fencing token is above the wall clock.
-func NewAgent(cfg Config, clock gypsumtide.Clock, log Recorder, set *metrics.Set) *Agent {
+func NewAgent(cfg Config, clock gypsumtide.Clock, log gypsumtide.Recorder, set *metrics.Set) *Agent {
 	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, StopRetry: stopRetry, SyncRetry: syncRetry}
 	a := &Agent{
 		cfg: cfg, clock: clock, log: log,
@@ -148,15 +147,15 @@
 	a.update(func(now gypsumtide.Millis) { a.state.Drain(now) })
 	start := a.clock.Now()
 	for a.clock.Now()-start < a.cfg.DrainTimeout && a.running() > 0 {
-		if !sleep(ctx, tickInterval) {
+		if !gypsumtide.Sleep(ctx, tickInterval) {
 			return
 		}
 	}
 	if a.running() > 0 {
 		a.update(func(now gypsumtide.Millis) { a.state.StopAll(now) })
-		sleep(ctx, drainPause)
+		gypsumtide.Sleep(ctx, drainPause)
 	}
-	sleep(ctx, drainPause)
+	gypsumtide.Sleep(ctx, drainPause)
 }
 
 func (a *Agent) running() int {
@@ -305,7 +304,7 @@
 const reportInterval gypsumtide.Millis = 200
 
 func (a *Agent) tickLoop(ctx context.Context) error {
-	for sleep(ctx, tickInterval) {
+	for gypsumtide.Sleep(ctx, tickInterval) {
 		a.update(func(now gypsumtide.Millis) {
 			a.state.Tick(now)
 			a.forgetOwners()
@@ -396,7 +395,7 @@
 		c, ok := a.state.NextHold(sentAt, holdWait)
 		a.mu.Unlock()
 		if !ok {
-			sleep(ctx, tickInterval/2)
+			gypsumtide.Sleep(ctx, tickInterval/2)
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, (holdWait + holdMargin).Duration())
@@ -406,7 +405,7 @@
 		a.metrics.workerCall("hold", err)
 		a.update(func(now gypsumtide.Millis) { a.state.HoldAnswered(now, sentAt, c, answer, err) })
 		if err != nil && !late {
-			sleep(ctx, tickInterval)
+			gypsumtide.Sleep(ctx, tickInterval)
 		}
 	}
 	return ctx.Err()
@@ -417,15 +416,3 @@
 	defer a.mu.Unlock()
 	return a.worker
 }
-
-// sleep waits for d and reports whether ctx is still in force.
-func sleep(ctx context.Context, d gypsumtide.Millis) bool {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/runner/memory.go
+++ b/internal/runner/memory.go
@@ -42,7 +42,7 @@
 				remembered = info
 				continue
 			}
-			sleep(ctx, rememberRetry)
+			gypsumtide.Sleep(ctx, rememberRetry)
 		}
 	}
 }
@@ -67,7 +67,7 @@
 		cancel()
 		if err != nil {
 			a.log.Decision("memory-read-failed", "error", err.Error())
-			sleep(ctx, tickInterval)
+			gypsumtide.Sleep(ctx, tickInterval)
 			continue
 		}
 		if info == nil {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -28,7 +28,7 @@
 	g := group.New(ctx)
 	dialled := make(map[string]bool)
 	var asked gypsumtide.Millis
-	for sleep(g.Context(), redialInterval) {
+	for gypsumtide.Sleep(g.Context(), redialInterval) {
 		for _, address := range a.entries.List() {
 			if dialled[address] {
 				continue
@@ -75,7 +75,7 @@
 		if a.clock.Now()-begin > maxRedialInterval {
 			wait = redialInterval
 		}
-		sleep(ctx, wait)
+		gypsumtide.Sleep(ctx, wait)
 		wait = min(2*wait, maxRedialInterval)
 	}
 	return ctx.Err()
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -90,7 +90,7 @@
 // not safe for concurrent use.
 type State struct {
 	timing Timing
-	log    Recorder
+	log    gypsumtide.Recorder
 	info   gypsumtide.WorkerInfo
 	life   gypsumtide.Life
 	// known is set when info describes life.
@@ -129,14 +129,9 @@
 	booked gypsumtide.Size
 }
 
-// Recorder writes decision lines. Info is called with alternating keys and values.
-type Recorder interface {
-	Decision(kind string, keysAndValues ...any)
-}
-
 // NewState returns a State that knows no worker. The first fencing token is
 // above fence.
-func NewState(timing Timing, fence uint64, log Recorder) *State {
+func NewState(timing Timing, fence uint64, log gypsumtide.Recorder) *State {
 	return &State{
 		timing: timing, log: log, fence: fence,
 		book:    booking.New(),
