--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"gypsumtide"
+	"gypsumtide/internal/group"
 	"gypsumtide/internal/link"
 	"gypsumtide/internal/wire"
 )
@@ -31,6 +32,8 @@
 // Intervals of the entry.
 const (
 	tickInterval gypsumtide.Millis = 10
+	// tellInterval is the time between two lists of entries to the agents.
+	tellInterval gypsumtide.Millis = 500
 	// resumeGrace covers a reconnection of an agent.
 	resumeGrace gypsumtide.Millis = 450
 	// leaseMargin covers a worker clock that is 2% slow and the way of a renewal.
@@ -160,8 +163,20 @@
 	}
 }
 
-// Run ends jobs whose time is over until ctx is done.
+// Run ends jobs whose time is over, and tells agents the entries, until ctx is done.
 func (e *Entry) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	g.Add("tick", e.tickLoop)
+	g.Add("entries", func(ctx context.Context) error {
+		for gypsumtide.Sleep(ctx, tellInterval) {
+			e.tellEntries()
+		}
+		return ctx.Err()
+	})
+	return g.Wait()
+}
+
+func (e *Entry) tickLoop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval.Duration())
 	defer ticker.Stop()
 	for {
@@ -247,8 +262,8 @@
 	return nil
 }
 
-// TellEntries sends the known entries to every agent.
-func (e *Entry) TellEntries() {
+// tellEntries sends every agent the known entries and the rate of reports.
+func (e *Entry) tellEntries() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := e.entries.List()
