--- a/route.go
+++ b/route.go
@@ -33,13 +33,20 @@
 type RouteTable struct {
 	version uint64
 	routes  []QueueRoute
+	// byHost holds the routes of each host, since a table may have thousands.
+	byHost map[string][]*QueueRoute
 	// maxBody bounds a request body in bytes.
 	maxBody int64
 }
 
 // NewRouteTable returns a table with the routes of a version.
 func NewRouteTable(version uint64, routes []QueueRoute, maxBody int64) *RouteTable {
-	return &RouteTable{version: version, routes: routes, maxBody: maxBody}
+	t := &RouteTable{version: version, routes: routes, byHost: make(map[string][]*QueueRoute), maxBody: maxBody}
+	for i := range routes {
+		r := &routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	return t
 }
 
 // Version returns the version, which rises with each change.
@@ -54,9 +61,8 @@
 // Match returns the route with the longest prefix of path on host, or nil.
 func (t *RouteTable) Match(host, path string) *QueueRoute {
 	var best *QueueRoute
-	for i := range t.routes {
-		r := &t.routes[i]
-		if r.Host != host || !strings.HasPrefix(path, r.Prefix) {
+	for _, r := range t.byHost[host] {
+		if !strings.HasPrefix(path, r.Prefix) {
 			continue
 		}
 		if best == nil || len(r.Prefix) > len(best.Prefix) {
