--- /dev/null
+++ b/internal/dispatch/admit.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"math"
+
+	"gypsumtide"
+)
+
+// Limits of admission.
+const (
+	// lateFactor times the objective is the latest time at which an answer is
+	// still useful.
+	lateFactor = 3
+	// hopelessFactor times the time until the deadline is the expected run time
+	// from which a job is refused. Estimates are often off by half.
+	hopelessFactor = 1.6
+	// orderMargin is the time for an order to reach its agent and for the answer
+	// to come back.
+	orderMargin gypsumtide.Millis = 6
+)
+
+// admit decides whether a job can be served usefully. Load pattern: a crest
+// above the capacity, where a job that is admitted without hope of its
+// objective takes room from jobs that could meet theirs.
+func (s *State) admit(now gypsumtide.Millis, j *job) (Answer, bool) {
+	for i := range j.steps {
+		if float64(s.expected(j, i)) > hopelessFactor*float64(j.deadline-now) {
+			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: retryAfter}, false
+		}
+		if len(j.steps[i].After) > 0 {
+			continue
+		}
+		best, usable := s.bestWait(j, i)
+		if !usable && s.starting(now) {
+			continue
+		}
+		if best > float64(s.latestStart(j, i)-now) {
+			return s.refusal(usable), false
+		}
+	}
+	return Answer{}, true
+}
+
+// bestWait returns the shortest expected wait for a step, and whether any
+// worker takes its tasks.
+func (s *State) bestWait(j *job, step int) (float64, bool) {
+	best, usable := math.Inf(1), false
+	for _, w := range s.workers {
+		if w.usable() && w.suits(j.route.Service, &j.steps[step]) {
+			usable = true
+			best = min(best, w.wait(j.steps[step].Size, j.route.Priority))
+		}
+	}
+	return best, usable
+}
+
+// startingTime is how long after its start an entry expects agents to connect.
+// Load pattern: all hosts return after a loss of power, and callers arrive
+// before the first session.
+const startingTime gypsumtide.Millis = 3000
+
+func (s *State) starting(now gypsumtide.Millis) bool { return now-s.began < startingTime }
+
+// refusal describes why no worker is free, and when callers may return.
+func (s *State) refusal(usable bool) Answer {
+	a := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "no worker is free in time", RetryAfter: retryAfter}
+	if !usable {
+		a.Reason = "no worker takes such tasks"
+		a.RetryAfter = retryWithoutWorkers
+	}
+	return a
+}
+
+// Times after which refused callers may return.
+const (
+	retryAfter          gypsumtide.Millis = 1000
+	retryWithoutWorkers gypsumtide.Millis = 2000
+)
+
+// latestStart returns the latest start of a step's task for a job that has not
+// begun and is to meet its objective.
+func (s *State) latestStart(j *job, step int) gypsumtide.Millis {
+	return max(j.arrived+minQueue, j.objective-s.expected(j, step)-orderMargin)
+}
+
+// minQueue is the shortest time for which a task may wait.
+const minQueue gypsumtide.Millis = 15
+
+// lastUseful returns the latest start with which an answer is still useful.
+func (s *State) lastUseful(j *job, step int) gypsumtide.Millis {
+	end := min(j.arrived+lateFactor*(j.objective-j.arrived), j.deadline)
+	return end - s.expected(j, step) - orderMargin
+}
+
+// startBy returns the latest useful start of a task.
+func (s *State) startBy(j *job, step int) gypsumtide.Millis {
+	if !j.begun {
+		return min(s.latestStart(j, step), j.deadline)
+	}
+	return j.deadline
+}
