--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -85,6 +85,7 @@
 	stops   chan StopCall
 	syncs   chan HoldCall
 	entries *link.Addresses
+
 	// memorable holds the newest announcement to remember.
 	memorable chan gypsumtide.WorkerInfo
 }
@@ -94,16 +95,15 @@
 	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, StopRetry: stopRetry, SyncRetry: syncRetry}
 	a := &Agent{
 		cfg: cfg, clock: clock, log: log,
-		state:    NewState(timing, uint64(max(1, clock.Wall())), log),
-		sessions: make(map[Owner]*wire.Session),
-		outboxes: make(map[Owner]*outbox),
-		reported: make(map[Owner]gypsumtide.Millis),
-		left:     make(map[gypsumtide.Life]bool),
-		starts:   make(chan StartCall, callBacklog),
-		stops:    make(chan StopCall, callBacklog),
-		syncs:    make(chan HoldCall, 1),
-		entries:  link.NewAddresses(cfg.Seeds),
-
+		state:     NewState(timing, uint64(max(1, clock.Wall())), log),
+		sessions:  make(map[Owner]*wire.Session),
+		outboxes:  make(map[Owner]*outbox),
+		reported:  make(map[Owner]gypsumtide.Millis),
+		left:      make(map[gypsumtide.Life]bool),
+		starts:    make(chan StartCall, callBacklog),
+		stops:     make(chan StopCall, callBacklog),
+		syncs:     make(chan HoldCall, 1),
+		entries:   link.NewAddresses(cfg.Seeds),
 		memorable: make(chan gypsumtide.WorkerInfo, 1),
 	}
 	a.metrics = newAgentMetrics(set, a)
@@ -281,11 +281,6 @@
 	return o
 }
 
-func (s *State) hasOwner(owner Owner) bool {
-	_, ok := s.owners[owner]
-	return ok
-}
-
 // broadcast tells every entry the state of the worker.
 func (a *Agent) broadcast(now gypsumtide.Millis) {
 	a.dirty = false
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -182,6 +182,11 @@
 	return o
 }
 
+func (s *State) hasOwner(owner Owner) bool {
+	_, ok := s.owners[owner]
+	return ok
+}
+
 // Open reports whether the worker takes starts.
 func (s *State) Open() bool {
 	return s.known && !s.syncing && !s.draining && !s.info.Draining
