--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"gypsumtide"
 )
 
@@ -24,6 +26,16 @@
 	return &Holder{clock: clock, log: log}
 }
 
+// Register adds the version of the table, and the time since it was taken, to set.
+func (h *Holder) Register(set *metrics.Set) {
+	set.NewGauge("gypsumtide_entry_table_version", func() float64 { return float64(h.Version()) })
+	set.NewGauge("gypsumtide_entry_table_age_seconds", func() float64 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return (h.clock.Now() - h.taken).Duration().Seconds()
+	})
+}
+
 // Table returns the newest table, or nil.
 func (h *Holder) Table() *gypsumtide.RouteTable {
 	h.mu.Lock()
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumtide"
@@ -86,6 +87,17 @@
 		So(h.Offer(gypsumtide.NewRouteTable(4, nil, 1), nil, "peer"), ShouldBeFalse)
 		So(h.Version(), ShouldEqual, 5)
 	})
+
+	Convey("The version and its age are metrics", t, func() {
+		set := metrics.NewSet()
+		h := NewHolder(gypsumtide.NewSystemClock(), silent{})
+		h.Register(set)
+		h.Offer(gypsumtide.NewRouteTable(5, nil, 1), nil, "store")
+		var out strings.Builder
+		set.WritePrometheus(&out)
+		So(out.String(), ShouldContainSubstring, "gypsumtide_entry_table_version 5")
+		So(out.String(), ShouldContainSubstring, "gypsumtide_entry_table_age_seconds")
+	})
 }
 
 func TestPoller(t *testing.T) {
