--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -111,6 +111,13 @@
 		server.run(ctx)
 		f := server.find(t, func(f *Frame) bool { return len(f.Results) > 0 })
 		So(f.Results, ShouldHaveLength, 100)
+		// The frame may arrive before the write that sent it has returned.
+		for range 1000 {
+			if client.counters.FramesSent() > 0 {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
 		So(client.counters.FramesSent(), ShouldEqual, 1)
 		So(server.counters.FramesReceived(), ShouldEqual, 1)
 		So(server.counters.BytesReceived(), ShouldEqual, client.counters.BytesSent())
