deployment: wait for a paused process to stop before it is asked to end

Cause: SIGSTOP and SIGTERM were both pending when the process first ran, and the kernel handles SIGTERM first, so the process that should have been paused ended. The test now waits until the kernel shows the process as stopped; what must hold afterwards is the same.

--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -76,6 +78,19 @@
 }
 
 // Guards against processes that outlive a test, or a restart that hits another process.
+// stopped waits until the kernel shows the process as stopped. A process that has
+// not run since both signals were sent handles SIGTERM before SIGSTOP.
+func stopped(pid int) bool {
+	for range 1000 {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err == nil && strings.Contains(string(stat), ") T ") {
+			return true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
+
 func TestProcess(t *testing.T) {
 	sleep, err := exec.LookPath("sleep")
 	if err != nil {
@@ -106,6 +121,7 @@
 		})
 		Convey("a paused process does not end by terminate, and Close ends it", func() {
 			So(p.Pause(), ShouldBeNil)
+			So(stopped(pid), ShouldBeTrue)
 			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 			defer cancel()
 			So(errors.Is(p.Terminate(ctx), context.DeadlineExceeded), ShouldBeTrue)
