--- a/internal/journal/follower_test.go
+++ b/internal/journal/follower_test.go
@@ -123,7 +123,7 @@
 		{"long outage", platformlog.Faults{Down: true}, false, 300 * time.Millisecond, true, nil},
 		{"hang that ends", platformlog.Faults{Hang: true}, true, 3 * time.Second, false, []string{"x"}},
 		{"hang, takes effect after the caller gave up", platformlog.Faults{Hang: true}, false, 300 * time.Millisecond, true, []string{"x"}},
-		{"slower than the client's time-out", platformlog.Faults{SlowMillis: 400}, false, 700 * time.Millisecond, true, []string{"x"}},
+		{"slower than the client's time-out", platformlog.Faults{SlowMillis: 600}, false, 700 * time.Millisecond, true, []string{"x"}},
 	} {
 		Convey("Append: "+c.name, t, func() {
 			s, url := startLog(t, 0)
