link: forget the addresses of entries that are gone

Cause: the set of entry addresses only grew.

Records in the directory carry the time at which they were written; old ones are ignored.

Ruled out: dropping an address at the first failed contact. An entry behind a partition would be lost to processes that know it only by hearsay.

Also removes runner.Agent.Ready, which nothing called.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -206,7 +206,7 @@
 	id := WorkerID{Agent: hello.Name, Incarnation: hello.Incarnation}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.Update(func(f *wire.Frame) { f.Entries = e.entries.List() })
+	s.Update(func(f *wire.Frame) { f.Entries = e.entries.Vouched() })
 	err = s.Run(ctx, func(f *wire.Frame) error { return e.receive(id, s, f) })
 	e.disconnect(id, s, err)
 }
@@ -227,9 +227,6 @@
 
 // receive handles a frame of an agent.
 func (e *Entry) receive(id WorkerID, s *wire.Session, f *wire.Frame) error {
-	for _, address := range f.Entries {
-		e.entries.Add(address)
-	}
 	if f.Resume == nil && f.Worker == nil && f.WorkerLoad == nil && len(f.RunReports) == 0 {
 		return nil
 	}
@@ -266,7 +263,7 @@
 func (e *Entry) tellEntries() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := e.entries.List()
+	list := e.entries.Vouched()
 	every := e.reportInterval()
 	for _, s := range e.sessions {
 		s.Update(func(f *wire.Frame) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,9 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sort"
-	"sync"
-	"time"
 
 	"gypsumtide"
 	"gypsumtide/internal/wire"
@@ -82,43 +79,3 @@
 	}
 	return *f.Hello, nil
 }
-
-// Addresses is a set of addresses that only grows. Addresses of entries that
-// are gone cost one failed connection attempt per redial.
-type Addresses struct {
-	mu    sync.Mutex
-	known map[string]time.Time
-}
-
-// NewAddresses returns a set with the seeds.
-func NewAddresses(seeds []string) *Addresses {
-	a := &Addresses{known: make(map[string]time.Time)}
-	for _, s := range seeds {
-		a.Add(s)
-	}
-	return a
-}
-
-// Add adds an address.
-func (a *Addresses) Add(address string) {
-	if address == "" {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if _, ok := a.known[address]; !ok {
-		a.known[address] = time.Now()
-	}
-}
-
-// List returns the addresses in order.
-func (a *Addresses) List() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	out := make([]string, 0, len(a.known))
-	for s := range a.known {
-		out = append(out, s)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -128,21 +128,17 @@
 func (p *Peers) useDirectory(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
-	if err := p.directory.Announce(cctx, p.name, p.self); err != nil {
+	record := gypsumtide.DirectoryRecord{Name: p.name, Address: p.self, Announced: p.clock.Wall()}
+	if err := p.directory.Announce(cctx, record); err != nil {
 		return err
 	}
-	found, err := p.directory.Addresses(cctx)
-	if err != nil {
-		return err
-	}
-	for _, address := range found {
-		p.entries.Add(address)
-	}
-	return nil
+	records, err := p.directory.Records(cctx)
+	p.entries.AddRecords(records)
+	return err
 }
 
 func (p *Peers) greeting() greeting {
-	return greeting{Address: p.self, Version: p.holder.Version(), Entries: p.entries.List()}
+	return greeting{Address: p.self, Version: p.holder.Version(), Entries: p.entries.Vouched()}
 }
 
 // greet exchanges greetings with an entry and fetches its table if it is newer.
@@ -153,6 +149,7 @@
 	if err != nil {
 		return // The entry may be gone; its agents and callers notice first.
 	}
+	p.entries.Confirm(address)
 	for _, a := range g.Entries {
 		p.entries.Add(a)
 	}
@@ -232,7 +229,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	p.entries.Add(g.Address)
+	p.entries.Confirm(g.Address)
 	for _, a := range g.Entries {
 		p.entries.Add(a)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -121,10 +121,10 @@
 // testDirectory knows no entries.
 type testDirectory struct{}
 
-func (testDirectory) Announce(context.Context, string, string) error {
+func (testDirectory) Announce(context.Context, gypsumtide.DirectoryRecord) error {
 	return errors.New("store is down")
 }
-func (testDirectory) Addresses(context.Context) (map[string]string, error) {
+func (testDirectory) Records(context.Context) ([]gypsumtide.DirectoryRecord, error) {
 	return nil, errors.New("store is down")
 }
 
@@ -139,12 +139,12 @@
 		behind.Offer(gypsumtide.NewRouteTable(6, nil, 1), []byte("6"), "store")
 
 		mux := http.NewServeMux()
-		known := link.NewAddresses(nil)
+		known := link.NewAddresses(nil, clock)
 		NewPeers("ahead", "127.0.0.1:1", known, ahead, source, testDirectory{}, clock, silent{}).Handle(mux)
 		server := httptest.NewServer(mux)
 		defer server.Close()
 
-		entries := link.NewAddresses([]string{strings.TrimPrefix(server.URL, "http://")})
+		entries := link.NewAddresses([]string{strings.TrimPrefix(server.URL, "http://")}, clock)
 		peers := NewPeers("behind", "127.0.0.1:2", entries, behind, source, testDirectory{}, clock, silent{})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := group.Go(ctx, peers.Run)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -103,7 +103,7 @@
 		starts:    make(chan StartCall, callBacklog),
 		stops:     make(chan StopCall, callBacklog),
 		syncs:     make(chan HoldCall, 1),
-		entries:   link.NewAddresses(cfg.Seeds),
+		entries:   link.NewAddresses(cfg.Seeds, clock),
 		memorable: make(chan gypsumtide.WorkerInfo, 1),
 	}
 	a.metrics = newAgentMetrics(set, a)
@@ -164,13 +164,6 @@
 	return a.state.Running()
 }
 
-// Ready reports whether the worker takes starts.
-func (a *Agent) Ready() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.state.Open()
-}
-
 // Heartbeat takes what a worker announces of itself.
 func (a *Agent) Heartbeat(info gypsumtide.WorkerInfo) {
 	a.update(func(now gypsumtide.Millis) {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"gypsumtide"
@@ -26,15 +27,17 @@
 // dialEntries keeps one session to each entry that is known.
 func (a *Agent) dialEntries(ctx context.Context) error {
 	g := group.New(ctx)
-	dialled := make(map[string]bool)
+	var dialled sync.Map
 	var asked gypsumtide.Millis
 	for gypsumtide.Sleep(g.Context(), redialInterval) {
 		for _, address := range a.entries.List() {
-			if dialled[address] {
+			if _, ok := dialled.LoadOrStore(address, true); ok {
 				continue
 			}
-			dialled[address] = true
-			g.Add("session to "+address, func(ctx context.Context) error { return a.keepSession(ctx, address) })
+			g.Add("session to "+address, func(ctx context.Context) error {
+				defer dialled.Delete(address)
+				return a.keepSession(ctx, address)
+			})
 		}
 		if now := a.clock.Now(); a.cfg.Directory != nil && !a.connected() && now-asked >= directoryInterval {
 			asked = now
@@ -53,20 +56,17 @@
 func (a *Agent) askDirectory(ctx context.Context) {
 	cctx, cancel := context.WithTimeout(ctx, directoryInterval.Duration()/2)
 	defer cancel()
-	found, err := a.cfg.Directory.Addresses(cctx)
+	records, err := a.cfg.Directory.Records(cctx)
+	a.entries.AddRecords(records)
 	if err != nil {
-		a.log.Decision("directory-unreachable", "error", err.Error())
-		return
-	}
-	for _, address := range found {
-		a.entries.Add(address)
+		a.log.Decision("directory-unreachable", "records", len(records), "error", err.Error())
 	}
 }
 
-// keepSession dials an entry again and again.
+// keepSession dials an entry again and again until its address is forgotten.
 func (a *Agent) keepSession(ctx context.Context, address string) error {
 	wait := redialInterval
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && a.entries.Has(address) {
 		begin := a.clock.Now()
 		err := a.session(ctx, address)
 		if err != nil && !errors.Is(err, context.Canceled) {
@@ -94,6 +94,7 @@
 		return err
 	}
 	owner := Owner(welcome.Name + "/" + welcome.Incarnation)
+	defer a.entries.Confirm(address)
 	a.attach(owner, s)
 	a.log.Decision("entry-connected", "entry", owner, "address", address)
 	err = s.Run(ctx, func(f *wire.Frame) error { return a.receive(owner, s, f) })
--- a/route.go
+++ b/route.go
@@ -93,8 +93,16 @@
 
 // Directory keeps the addresses of the entries.
 type Directory interface {
-	// Announce records an entry's address.
-	Announce(ctx context.Context, name, address string) error
-	// Addresses returns the recorded addresses by name.
-	Addresses(ctx context.Context) (map[string]string, error)
+	// Announce writes the record of an entry, in place of an earlier one of the name.
+	Announce(ctx context.Context, r DirectoryRecord) error
+	// Records returns the newest record of each name.
+	Records(ctx context.Context) ([]DirectoryRecord, error)
+}
+
+// DirectoryRecord is an entry's record in the directory.
+type DirectoryRecord struct {
+	Name    string `cbor:"1,keyasint,omitempty"`
+	Address string `cbor:"2,keyasint,omitempty"`
+	// Announced is the wall clock of the entry when it wrote the record.
+	Announced Millis `cbor:"3,keyasint,omitempty"`
 }
