--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -19,12 +19,28 @@
 	forward mode = iota
 	// hold keeps data back in order.
 	hold
+	// holdRequests and holdAnswers do so for one way only.
+	holdRequests
+	holdAnswers
 	// drop loses data while both sides see an open connection.
 	drop
 	// cut resets every connection.
 	cut
 )
 
+// way is a direction of a connection.
+type way int
+
+const (
+	requests way = iota
+	answers
+)
+
+// holds reports whether data of the way is kept back.
+func (m mode) holds(w way) bool {
+	return m == hold || m == holdRequests && w == requests || m == holdAnswers && w == answers
+}
+
 // Proxy forwards connections to one target. Bytes of one direction of a
 // connection keep their order under every setting.
 type Proxy struct {
@@ -87,7 +103,14 @@
 // Pause holds data back until Heal.
 func (p *Proxy) Pause() { p.set(hold) }
 
-// Heal ends Drop, Cut and Pause. Connections that lost data are reset.
+// PauseRequests holds back what callers send until Heal, PauseAnswers what they
+// would receive. The other way goes on.
+func (p *Proxy) PauseRequests() { p.set(holdRequests) }
+
+// PauseAnswers is described at PauseRequests.
+func (p *Proxy) PauseAnswers() { p.set(holdAnswers) }
+
+// Heal ends Drop, Cut and every pause. Connections that lost data are reset.
 func (p *Proxy) Heal() { p.set(forward) }
 
 // Reset resets all present connections once.
@@ -104,7 +127,7 @@
 	if m == cut {
 		p.resetLocked(func(*pair) bool { return true })
 	}
-	if m == forward || m == hold {
+	if m != cut && m != drop {
 		p.resetLocked(func(c *pair) bool { return c.lossy })
 	}
 	close(p.changed)
@@ -176,8 +199,8 @@
 		return
 	}
 	var ways sync.WaitGroup
-	ways.Go(func() { p.pipe(ctx, c, c.caller, c.target) })
-	ways.Go(func() { p.pipe(ctx, c, c.target, c.caller) })
+	ways.Go(func() { p.pipe(ctx, c, requests, c.caller, c.target) })
+	ways.Go(func() { p.pipe(ctx, c, answers, c.target, c.caller) })
 	ways.Wait()
 }
 
@@ -216,13 +239,13 @@
 
 // pipe forwards one direction. The channel between its two halves is bounded,
 // so a stalled link pushes back on the sender as a full window does.
-func (p *Proxy) pipe(ctx context.Context, c *pair, from, to net.Conn) {
+func (p *Proxy) pipe(ctx context.Context, c *pair, w way, from, to net.Conn) {
 	chunks := make(chan chunk, 256)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
 		for ch := range chunks {
-			if !p.send(ctx, c, to, ch) {
+			if !p.send(ctx, c, w, to, ch) {
 				c.close()
 				break
 			}
@@ -255,7 +278,7 @@
 }
 
 // send writes one chunk at its time, or loses it.
-func (p *Proxy) send(ctx context.Context, c *pair, to net.Conn, ch chunk) bool {
+func (p *Proxy) send(ctx context.Context, c *pair, w way, to net.Conn, ch chunk) bool {
 	wait := time.NewTimer(time.Until(ch.due))
 	defer wait.Stop()
 	select {
@@ -263,7 +286,7 @@
 		return false
 	case <-wait.C:
 	}
-	m, _, ok := p.await(ctx, func(m mode) bool { return m != hold })
+	m, _, ok := p.await(ctx, func(m mode) bool { return !m.holds(w) })
 	if !ok || m == cut {
 		return false
 	}
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -98,6 +98,24 @@
 			So(err, ShouldBeNil)
 			So(time.Since(start), ShouldBeGreaterThanOrEqualTo, 40*time.Millisecond)
 		})
+		// A cut in one direction must not stop the other, or it would be a plain cut.
+		Convey("a pause of one way keeps back that way only", func() {
+			p.PauseAnswers()
+			_, err := c.call("held back", short)
+			So(err, ShouldNotBeNil)
+			p.Heal()
+			s, err := c.read(long)
+			So(err, ShouldBeNil)
+			So(s, ShouldEqual, "held back\n")
+			p.PauseRequests()
+			_, err = c.call("not sent", short)
+			So(err, ShouldNotBeNil)
+			p.PauseAnswers()
+			p.Heal()
+			s, err = c.read(long)
+			So(err, ShouldBeNil)
+			So(s, ShouldEqual, "not sent\n")
+		})
 		// Reordered bytes would corrupt frames and show faults that do not exist.
 		Convey("order is kept while the delay shrinks and the link is held", func() {
 			p.SetDelay(30 * time.Millisecond)
