daemon: let the collector use its usual bound

Cause: a target of 300% sets the first collection at 12 MB, so every process kept three times the memory it needs. Memory at its peak is charged to the users, and 89 processes ran on the larger site.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,7 @@
 
 // gcPercent lets the small heap grow further between two collections, which
 // would take a noticeable part of a small processor share.
-const gcPercent = 300
+const gcPercent = 100
 
 // incarnationLength is enough to tell the incarnations of one host apart.
 const incarnationLength = 8
