dispatch: shorten the wait of jobs that have not begun while a crest lasts

Cause: a job could wait for all of its slack.

The average of what waits at all workers now shortens the wait (pressure.go).

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -78,9 +78,11 @@
 )
 
 // latestStart returns the latest start of a step's task for a job that has not
-// begun and is to meet its objective.
+// begun. It leaves the job time to meet its objective, the more the longer the
+// workers have been full.
 func (s *State) latestStart(j *job, step int) gypsumtide.Millis {
-	return max(j.arrived+minQueue, j.objective-s.expected(j, step)-orderMargin)
+	slack := float64(j.objective - j.arrived - s.expected(j, step) - orderMargin)
+	return j.arrived + max(minQueue, gypsumtide.Millis(slack*s.pressure.patience()))
 }
 
 // minQueue is the shortest time for which a task may wait.
--- /dev/null
+++ b/internal/dispatch/pressure.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"math"
+
+	"gypsumtide"
+)
+
+// pressure is the average of the work that waits at all workers, relative to
+// their capacity.
+type pressure struct {
+	average float64
+	at      gypsumtide.Millis
+}
+
+// Patience of jobs that have not begun. Load pattern: a crest above the capacity
+// that lasts. If jobs may wait for all of their slack, the queues fill until
+// every job starts at the last moment, and each error of an estimate makes it
+// late; as many are refused all the same.
+const (
+	// pressureTime is the time constant of the average in milliseconds. The queues
+	// absorb a burst that is shorter.
+	pressureTime = 100
+	// pressureScale is the share of waiting work that halves the patience.
+	pressureScale = 0.15
+	// leastPatience keeps the queues long enough to refill a worker without a pause.
+	leastPatience = 0.15
+)
+
+func (p *pressure) observe(now gypsumtide.Millis, share float64) {
+	weight := 1 - math.Exp(-float64(now-p.at)/pressureTime)
+	p.average += weight * (share - p.average)
+	p.at = now
+}
+
+// patience returns the part of its slack for which a job may wait.
+func (p *pressure) patience() float64 {
+	return max(leastPatience, 1/(1+square(p.average/pressureScale)))
+}
+
+// waitingShare returns what waits at the workers relative to their capacity, as
+// far as the agents have reported it.
+func (s *State) waitingShare() float64 {
+	var waiting, capacity int64
+	for _, w := range s.workers {
+		if !w.usable() {
+			continue
+		}
+		capacity += w.report.Capacity.Processors
+		for _, l := range w.waiting {
+			waiting += l.size.Processors
+		}
+		for _, l := range w.own {
+			waiting += l.size.Processors
+		}
+	}
+	return ratio(waiting, capacity)
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -50,6 +50,7 @@
 	jobs         map[string]*job
 	learner      *learner
 	effects      Effects
+	pressure     pressure
 	// moves is how many waiting orders may be recalled until the next tick.
 	moves int
 }
@@ -334,6 +335,7 @@
 // Tick ends jobs whose time is over and moves runs that stand still.
 func (s *State) Tick(now gypsumtide.Millis) {
 	s.settleLost(now)
+	s.pressure.observe(now, s.waitingShare())
 	s.moves = s.freeWorkers()
 	for _, j := range s.jobs {
 		s.check(now, j)
