dispatch: keep tasks at the entry while every worker has a queue; tell a hang from a long task

Two causes of lost work at a crest and beside a hanging worker.

An order at an agent is bound to one worker. With queues everywhere a task could not go to the worker that had room first. A task that would wait longer than 60 ms now stays at the entry and goes out in order of begun jobs, priority and objective. Load weighs more in the choice of a worker (80 instead of 30).

A run without any progress was projected to a hundred times its age and taken for a long task, so its job was given up.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -164,6 +164,16 @@
 	return true
 }
 
+// ready reports whether a task has no run.
+func (j *job) ready() bool {
+	for _, t := range j.tasks {
+		if t.phase == taskReady {
+			return true
+		}
+	}
+	return false
+}
+
 // open reports whether a run of a task may exist.
 func (j *job) open() bool {
 	for _, t := range j.tasks {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -74,17 +74,22 @@
 
 // projected takes the time that a long run has left. The run is tried elsewhere
 // if it would end sooner there; the job is given up if it cannot end in time.
-func (s *State) projected(now gypsumtide.Millis, t *task, left gypsumtide.Millis) {
+func (s *State) projected(now gypsumtide.Millis, t *task, left gypsumtide.Millis, still bool) {
 	j := t.job
 	t.ends = now + left
 	if s.jobs[j.id] != j || t.stopping || j.ending != nil {
 		return
 	}
-	if s.movePays(now, t) {
-		s.move(now, t, "faster-elsewhere")
+	elsewhere := s.leftElsewhere(now, t, still)
+	if elsewhere < float64(left)*(1-movePayment) {
+		reason := "faster-elsewhere"
+		if still {
+			reason = "stands-still"
+		}
+		s.move(now, t, reason)
 		return
 	}
-	if float64(left) > giveUpFactor*float64(j.deadline-now) {
+	if min(float64(left), elsewhere) > giveUpFactor*float64(j.deadline-now) {
 		s.abandon(now, j, "cannot-end-in-time")
 	}
 }
@@ -99,18 +104,24 @@
 	moveDelay = 15
 )
 
-// movePays reports whether a run would end much sooner on another worker. The
-// work of a run stays the same; only the workers differ.
-func (s *State) movePays(now gypsumtide.Millis, t *task) bool {
+// leftElsewhere returns the time to the end of a task that is tried again on
+// another worker. The work stays the same and only the workers differ, unless
+// the run stands still: then its worker is at fault, and the expected time holds.
+func (s *State) leftElsewhere(now gypsumtide.Millis, t *task, still bool) float64 {
 	w, ok := s.workers[t.worker]
 	if !ok {
-		return false
+		return math.Inf(1)
 	}
+	before := t.avoid
+	t.avoid = w.id
 	c := s.choose(t)
-	if c.worker == nil || c.worker.id == t.worker {
-		return false
+	t.avoid = before
+	if c.worker == nil || c.worker == w {
+		return math.Inf(1)
 	}
 	work := float64(t.ends-max(t.ordered, t.started)) / w.slowness
-	left := float64(t.ends - now)
-	return moveDelay+c.estimate.wait+work*c.worker.slowness < left*(1-movePayment)
+	if still {
+		work = float64(s.expected(t.job, t.step))
+	}
+	return moveDelay + c.estimate.wait + work*c.worker.slowness
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"gypsumtide"
 	"gypsumtide/internal/wire"
@@ -19,13 +21,48 @@
 // place orders a run of the task at the worker where it ends first.
 func (s *State) place(now gypsumtide.Millis, t *task) bool {
 	c := s.choose(t)
-	if c.worker == nil {
+	if !c.near() {
 		return false
 	}
 	s.orderAt(now, t, c)
 	return true
 }
 
+// maxAgentWait is the longest expected wait of an order at an agent. Load
+// pattern: a crest at which all workers have queues. An order there is bound to
+// one worker; a task that would wait longer is kept at the entry, in order of
+// urgency, and goes to whichever worker has room first. Shorter queues would
+// leave workers idle until the next order arrives.
+const maxAgentWait = 60
+
+// near reports whether the task can be expected to start soon.
+func (c *choice) near() bool { return c.worker != nil && c.estimate.wait <= maxAgentWait }
+
+// ranked returns the jobs in progress. Those with tasks to be placed come first
+// and in order: begun jobs, since a partly served job is worth nothing, then by
+// priority and objective.
+func (s *State) ranked() []*job {
+	list := make([]*job, 0, len(s.jobs))
+	first := 0
+	for _, j := range s.jobs {
+		list = append(list, j)
+		if j.ready() {
+			list[first], list[len(list)-1] = j, list[first]
+			first++
+		}
+	}
+	slices.SortFunc(list[:first], func(a, b *job) int {
+		switch {
+		case a.begun != b.begun && a.begun:
+			return -1
+		case a.begun != b.begun:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.objective, b.objective), cmp.Compare(a.id, b.id))
+	})
+	return list
+}
+
 // choice is the worker with the least cost for a task.
 type choice struct {
 	worker     *worker
@@ -128,7 +165,9 @@
 			s.refuse(now, j, "not started in time")
 			return
 		}
-		s.orderAt(now, t, c)
+		if c.near() {
+			s.orderAt(now, t, c)
+		}
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -179,7 +179,7 @@
 		s.started(now, t)
 		return
 	case r.End == "":
-		s.projected(now, t, r.Left)
+		s.projected(now, t, r.Left, r.Still)
 		return
 	}
 	s.leave(w, t)
@@ -337,7 +337,7 @@
 	s.settleLost(now)
 	s.pressure.observe(now, s.waitingShare())
 	s.moves = s.freeWorkers()
-	for _, j := range s.jobs {
+	for _, j := range s.ranked() {
 		s.check(now, j)
 	}
 }
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -263,6 +263,48 @@
 		}
 	})
 
+	// Load pattern: a worker begins to hang, and its load falls with every run that
+	// is moved away, so that it looks best.
+	Convey("A run that makes no progress is moved, also from the emptiest worker", t, func() {
+		s := newTestState(2)
+		s.Submit(0, submission("a", 1, 50, 0))
+		orders := ordered(s.Take())
+		for _, id := range []WorkerID{workerID(0), workerID(1)} {
+			if _, ok := orders[id]; !ok {
+				s.ObserveLoad(30, id, loadReport(testCapacity*9/10))
+			}
+		}
+		reportAll(s, 45, orders, wire.RunReport{Left: 4000, Still: true})
+		e := s.Take()
+		So(e.Answers, ShouldBeEmpty)
+		for id := range orders {
+			So(e.Messages[id].Stops, ShouldHaveLength, 1)
+		}
+		reportAll(s, 50, orders, wire.RunReport{End: gypsumtide.EndStopped})
+		for id := range ordered(s.Take()) {
+			So(orders, ShouldNotContainKey, id)
+		}
+	})
+
+	// Load pattern: a crest at which every worker has a queue. An order at an
+	// agent cannot go to the worker that has room first.
+	Convey("At full workers tasks wait at the entry and go out in order of priority", t, func() {
+		s := newTestState(2)
+		full := loadReport(testCapacity)
+		full.Waiting = []wire.WaitingLoad{{Size: wire.SizeRow{Processors: testCapacity / 4}}}
+		for n := range 2 {
+			s.ObserveLoad(0, workerID(n), full)
+		}
+		s.Submit(0, submission("low", 1, 500, 1))
+		s.Submit(1, submission("high", 1, 500, 0))
+		So(ordered(s.Take()), ShouldBeEmpty)
+		s.ObserveLoad(2, workerID(1), loadReport(testCapacity-1600))
+		s.Tick(10)
+		orders := ordered(s.Take())
+		So(orders[workerID(1)], ShouldNotBeEmpty)
+		So(orders[workerID(1)][0].Task.Job, ShouldEqual, "high")
+	})
+
 	Convey("A run that cannot end in time on any worker is given up at once", t, func() {
 		s := newTestState(2)
 		s.Submit(0, submission("a", 1, 500, 0))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -111,7 +111,7 @@
 	meanRun gypsumtide.Millis = 250
 	// loadWeight is what a fully used worker costs. The cost rises with the square
 	// of the load, since a report is older than the orders of other entries.
-	loadWeight = 30
+	loadWeight = 80
 	// zoneCost is the cost of a worker in another availability zone.
 	zoneCost = 1
 )
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -96,13 +96,16 @@
 	}
 }
 
-// progress samples the projected run time of a run that takes longer than expected.
-func (h *health) progress(now gypsumtide.Millis, r *run, percent int) {
+// progress samples the projected run time of a run that takes longer than
+// expected, or makes no progress.
+func (h *health) progress(now gypsumtide.Millis, r *run) {
 	elapsed := float64(now - r.started)
-	if elapsed < overdueFactor*float64(r.order.Expected) {
-		return
+	switch {
+	case r.still(now):
+		h.sampleSlowness(now, r, maxSlowness*float64(r.order.Expected))
+	case elapsed >= overdueFactor*float64(r.order.Expected):
+		h.sampleSlowness(now, r, elapsed*100/float64(max(r.percent, 1)))
 	}
-	h.sampleSlowness(now, r, elapsed*100/float64(max(percent, 1)))
 }
 
 // overdue samples a run that has taken several times the expected time.
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -40,8 +40,11 @@
 	announced bool
 	// projected is the total run time that was reported last.
 	projected gypsumtide.Millis
-	stopping  bool
-	stopAt    gypsumtide.Millis
+	// percent is the progress, and advanced the time since which it has not changed.
+	percent  int
+	advanced gypsumtide.Millis
+	stopping bool
+	stopAt   gypsumtide.Millis
 }
 
 // StartCall is a start to send to the worker.
@@ -240,6 +243,7 @@
 	r.life = s.life
 	r.fence = s.fence
 	r.started = now
+	r.percent, r.advanced = 0, now
 	s.leased = now
 	s.effects.Starts = append(s.effects.Starts, StartCall{Life: s.life, Order: gypsumtide.RunOrder{
 		Ref: r.order.Ref, Spec: r.order.Spec, Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease),
--- /dev/null
+++ b/internal/runner/still_test.go
@@ -0,0 +1,59 @@
+package runner
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+)
+
+// Guards against a worker that hangs and is taken for one with a long task: its
+// runs were given up instead of moved, and it went on receiving new ones.
+func TestStill(t *testing.T) {
+	Convey("Given a run that has started", t, func() {
+		s := openState()
+		s.Submit(2, "entry", testOrder(0))
+		ref := testOrder(0).Ref
+		start := s.Take().Starts[0]
+		s.StartAnswered(3, start, 5002, nil)
+		progress := func(now gypsumtide.Millis, percent int) {
+			call, ok := s.NextHold(now-1, 60)
+			So(ok, ShouldBeTrue)
+			s.HoldAnswered(now, now-1, call, gypsumtide.HoldAnswer{
+				Born: testLife.Born, Clock: 5000 + now, Running: []gypsumtide.RunProgress{{Ref: ref, Percent: percent}},
+			}, nil)
+		}
+
+		Convey("Without progress it is reported as standing still, and the worker as slow", func() {
+			progress(30, 0)
+			So(s.Take().Reports, ShouldBeEmpty)
+			progress(62, 0)
+			reports := s.Take().Reports["entry"]
+			So(reports, ShouldHaveLength, 1)
+			So(reports[0].Still, ShouldBeTrue)
+			So(s.health.Slowness(62), ShouldBeGreaterThan, 1.4)
+		})
+		Convey("A long task that advances is reported as long only", func() {
+			progress(30, 2)
+			progress(62, 4)
+			reports := s.Take().Reports["entry"]
+			So(reports, ShouldNotBeEmpty)
+			for _, r := range reports {
+				So(r.Still, ShouldBeFalse)
+				So(r.Left, ShouldBeGreaterThan, 1000)
+			}
+		})
+		Convey("A task that stops in the middle stands still", func() {
+			progress(30, 50)
+			progress(55, 50)
+			for _, r := range s.Take().Reports["entry"] {
+				So(r.Still, ShouldBeFalse)
+			}
+			progress(150, 50)
+			reports := s.Take().Reports["entry"]
+			So(reports, ShouldHaveLength, 1)
+			So(reports[0].Still, ShouldBeTrue)
+		})
+	})
+}
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -260,8 +260,11 @@
 			s.beginSync(now)
 			return
 		}
-		s.health.progress(now, r, p.Percent)
-		s.project(now, r, p.Percent)
+		if p.Percent > r.percent {
+			r.percent, r.advanced = p.Percent, now
+		}
+		s.health.progress(now, r)
+		s.project(now, r)
 	}
 	for ref, r := range s.runs {
 		if r.phase == phaseRunning && r.started+missingGrace < sentAt && !listed[ref] {
@@ -281,18 +284,29 @@
 	projectFactor = 1.4
 )
 
+// still reports whether a run makes no progress. A run that is merely slow
+// advances by a percent within a small part of its time.
+func (r *run) still(now gypsumtide.Millis) bool {
+	return now-r.advanced >= max(projectAfter, r.order.Expected/stillPart)
+}
+
+// stillPart is the part of the expected run time without progress from which a
+// run stands still.
+const stillPart = 4
+
 // project reports the time that a run has left if it takes much longer than expected.
-func (s *State) project(now gypsumtide.Millis, r *run, percent int) {
+func (s *State) project(now gypsumtide.Millis, r *run) {
 	elapsed := now - r.started
-	if elapsed < projectAfter || r.stopping || percent >= 100 {
+	still := r.still(now)
+	if elapsed < projectAfter || r.stopping || r.percent >= 100 || r.percent == 0 && !still {
 		return
 	}
-	total := elapsed * 100 / gypsumtide.Millis(max(1, percent))
+	total := elapsed * 100 / gypsumtide.Millis(max(1, r.percent))
 	if float64(total) < projectFactor*float64(max(r.order.Expected, r.projected)) {
 		return
 	}
 	r.projected = total
-	s.report(r.owner, wire.RunReport{Ref: r.order.Ref, Left: total - elapsed})
+	s.report(r.owner, wire.RunReport{Ref: r.order.Ref, Left: total - elapsed, Still: still})
 }
 
 // missingGrace is the age from which a run must be listed. Answers on other
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -41,6 +41,9 @@
 	// Left is the projected time to the end of a run that takes longer than
 	// expected, set without an End.
 	Left gypsumtide.Millis `cbor:"6,keyasint,omitempty"`
+	// Still means that the run makes no progress, so that Left tells nothing of
+	// the task itself.
+	Still bool `cbor:"9,keyasint,omitempty"`
 	// Number rises with each report to an entry. A report is sent again on the
 	// next session until the entry has acknowledged it.
 	Number uint64 `cbor:"7,keyasint,omitempty"`
