--- a/cmd/gypsumtide-measure/main.go
+++ b/cmd/gypsumtide-measure/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"gypsumtide/internal/cli"
+	"gypsumtide/internal/program"
 )
 
-func main() { os.Exit(cli.Main(cli.Measure())) }
+func main() { os.Exit(program.Main(cli.Measure())) }
--- a/cmd/gypsumtide-platform/main.go
+++ b/cmd/gypsumtide-platform/main.go
@@ -4,8 +4,8 @@
 import (
 	"os"
 
-	"gypsumtide/internal/cli"
+	"gypsumtide/internal/program"
 	"gypsumtide/platform"
 )
 
-func main() { os.Exit(cli.Main(platform.Command(cli.Version))) }
+func main() { os.Exit(program.Main(platform.Command(program.Version))) }
--- a/cmd/standin-upstream/main.go
+++ b/cmd/standin-upstream/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"gypsumtide/internal/cli"
+	"gypsumtide/internal/program"
 )
 
 func main() {
-	os.Exit(cli.Main(cli.StandinUpstream()))
+	os.Exit(program.Main(cli.StandinUpstream()))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,42 +3,25 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
+	"gypsumtide/internal/program"
 	"gypsumtide/internal/settings"
 )
 
-// Version is set by the linker for releases.
-var Version = "development"
-
-// Main runs cmd until it ends or the process receives SIGTERM or SIGINT, and
-// returns the exit status.
-func Main(cmd *cli.Command) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := cmd.Run(ctx, os.Args); err != nil && !errors.Is(err, context.Canceled) {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return 0
-}
-
 // daemon returns the command of a daemon: it loads the settings, and either
 // checks them or runs.
 func daemon(name, usage string, cfg settings.Checked, log *settings.Log, run func(ctx context.Context, log logr.Logger) error) *cli.Command {
 	return &cli.Command{
 		Name:    name,
 		Usage:   usage,
-		Version: Version,
+		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "YAML settings `FILE`; the defaults run as they are"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings, list every error, and exit"},
@@ -62,7 +45,7 @@
 		Name:  "version",
 		Usage: "print the version",
 		Action: func(context.Context, *cli.Command) error {
-			fmt.Println(name, Version)
+			fmt.Println(name, program.Version)
 			return nil
 		},
 	}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -5,6 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"gypsumtide/internal/program"
 	"gypsumtide/internal/standin/demo"
 )
 
@@ -15,7 +16,7 @@
 	return &cli.Command{
 		Name:    name,
 		Usage:   "run a small deployment under mixed load and check its history",
-		Version: Version,
+		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "bin", Value: cfg.Bin, Destination: &cfg.Bin, Usage: "`DIRECTORY` of the programs"},
 			&cli.StringFlag{Name: "dir", Destination: &cfg.Dir, Usage: "`DIRECTORY` for logs and histories; a new temporary one if empty"},
--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -19,6 +19,7 @@
 	"gypsumtide"
 	"gypsumtide/internal/object"
 	"gypsumtide/internal/operator"
+	"gypsumtide/internal/program"
 )
 
 // operatorTimeout is above the time that an entry waits for the log.
@@ -30,7 +31,7 @@
 	return &cli.Command{
 		Name:    "gypsumctl",
 		Usage:   "publish, inspect and explain the configuration",
-		Version: Version,
+		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7001", Usage: "`URL` of an entry", Sources: cli.EnvVars("GYPSUMTIDE_ENTRY")},
 			&cli.BoolFlag{Name: "json", Usage: "print the answer of the entry as JSON"},
@@ -59,7 +60,10 @@
 			{Name: "drain", Usage: "let a node finish its work and take no more", ArgsUsage: "NODE", Action: drainNode},
 			{Name: "retire", Usage: "state that the host of an agent is gone", ArgsUsage: "AGENT", Action: retireAgent},
 			{Name: "trace", Usage: "print the decision lines of one job from the logs of several processes", ArgsUsage: "ID FILE...", Action: traceJob},
-			{Name: "log-summary", Usage: "count outcomes and reasons by second", ArgsUsage: "FILE...", Action: summarizeLogs},
+			{
+				Name: "log-summary", Usage: "count outcomes and reasons by second", ArgsUsage: "FILE...", Action: summarizeLogs,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "plot", Usage: "also draw them as SVG to `FILE`"}},
+			},
 			versionCommand("gypsumctl"),
 		},
 	}
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"gypsumtide"
+	"gypsumtide/internal/program"
 	"gypsumtide/internal/settings"
 	"gypsumtide/internal/standin/load"
 )
@@ -21,7 +22,7 @@
 	return &cli.Command{
 		Name:    name,
 		Usage:   "send open-loop load to entries and report response times and outcomes",
-		Version: Version,
+		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "YAML `FILE` with classes, swing and targets"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings, list every error, and exit"},
--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -4,9 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"os"
+	"slices"
 
 	"github.com/urfave/cli/v3"
+	"github.com/wcharczuk/go-chart/v2"
 
 	"gypsumtide/internal/eventlog"
 )
@@ -59,5 +63,48 @@
 	if err != nil {
 		return err
 	}
+	if path := cmd.String("plot"); path != "" {
+		if err := plotFile(path, lines); err != nil {
+			return err
+		}
+	}
 	return eventlog.Summary(cmd.Root().Writer, lines)
 }
+
+func plotFile(path string, lines []eventlog.Line) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return errors.Join(plotOutcomes(f, eventlog.Outcomes(lines)), f.Close())
+}
+
+// plotOutcomes draws the number of jobs by outcome and reason over time as SVG.
+func plotOutcomes(w io.Writer, seconds []eventlog.Second) error {
+	outcomes := make(map[string]bool)
+	for _, s := range seconds {
+		for outcome := range s.Counts {
+			outcomes[outcome] = true
+		}
+	}
+	graph := chart.Chart{
+		Title: "jobs by outcome", XAxis: chart.XAxis{Name: "seconds"}, YAxis: chart.YAxis{Name: "jobs a second"},
+		YAxisSecondary: chart.YAxis{Style: chart.Hidden()},
+	}
+	for _, outcome := range slices.Sorted(maps.Keys(outcomes)) {
+		series := chart.ContinuousSeries{Name: outcome}
+		for _, s := range seconds {
+			series.XValues = append(series.XValues, s.At.Sub(seconds[0].At).Seconds())
+			series.YValues = append(series.YValues, float64(s.Counts[outcome]))
+		}
+		graph.Series = append(graph.Series, series)
+	}
+	if len(seconds) < 2 {
+		return errors.New("plot: the logs show the ends of jobs in less than two seconds")
+	}
+	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	if err := graph.Render(chart.SVG, w); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"gypsumtide/internal/program"
 	"gypsumtide/internal/standin/measure"
 )
 
@@ -17,7 +18,7 @@
 	return &cli.Command{
 		Name:    name,
 		Usage:   "run deployments under the users' loads and write tables of the measures",
-		Version: Version,
+		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "bin", Value: cfg.Bin, Destination: &cfg.Bin, Usage: "`DIRECTORY` of the programs"},
 			&cli.StringFlag{Name: "dir", Destination: &cfg.Dir, Usage: "`DIRECTORY` that keeps logs and histories; temporary if empty"},
--- a/internal/cli/standin_upstream.go
+++ b/internal/cli/standin_upstream.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"gypsumtide"
+	"gypsumtide/internal/program"
 	"gypsumtide/internal/standin/worker"
 )
 
@@ -21,7 +22,7 @@
 	return &cli.Command{
 		Name:    "standin-upstream",
 		Usage:   "stand-in for a worker with one upstream, for tests",
-		Version: Version,
+		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "name", Value: d.Name, Usage: "`NAME` of the upstream"},
 			&cli.StringFlag{Name: "agent", Value: d.Agent, Usage: "base `URL` of the agent"},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,7 +59,9 @@
 	clock := gypsumtide.NewBootClock()
 	incarnation := uuid.NewString()[:incarnationLength]
 	log := eventlog.New(os.Stdout, clock, cfg.LogBytes).WithNode(cfg.Name, incarnation)
-	return &Process{cfg: cfg, incarnation: incarnation, clock: clock, log: log, metrics: metrics.NewSet()}
+	set := metrics.NewSet()
+	log.Register(set)
+	return &Process{cfg: cfg, incarnation: incarnation, clock: clock, log: log, metrics: set}
 }
 
 // Incarnation identifies this life of the process.
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -34,7 +34,9 @@
 		if !usable && s.starting(now) {
 			continue
 		}
-		if best > float64(s.latestStart(j, i)-now) {
+		if allowed := s.latestStart(j, i) - now; best > float64(allowed) {
+			s.log.Decision("admission-refused", "job", j.id, "request", j.request, "expected-ms", s.expected(j, i), "best-wait-ms", math.Round(best),
+				"allowed-ms", allowed, "patience", math.Round(100*s.pressure.patience())/100, "workers", s.Workers(), "view-age-ms", s.viewAge(now))
 			return s.refusal(usable), false
 		}
 	}
@@ -54,6 +56,17 @@
 	return best, usable
 }
 
+// viewAge returns the age of the oldest load report of a worker in use.
+func (s *State) viewAge(now gypsumtide.Millis) gypsumtide.Millis {
+	var age gypsumtide.Millis
+	for _, w := range s.workers {
+		if w.usable() {
+			age = max(age, now-w.reported)
+		}
+	}
+	return age
+}
+
 // startingTime is how long after its start an entry expects agents to connect.
 // Load pattern: all hosts return after a loss of power, and callers arrive
 // before the first session.
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -147,6 +146,7 @@
 	change(e.clock.Now())
 	eff := e.state.Take()
 	for id, m := range eff.Messages {
+		e.metrics.ordered(m.Orders)
 		if s, ok := e.sessions[id]; ok {
 			s.Update(func(f *wire.Frame) {
 				f.Orders = append(f.Orders, m.Orders...)
@@ -285,19 +285,3 @@
 
 // minCores replaces a missing setting.
 const minCores = 0.1
-
-// entryMetrics counts what the entry does.
-type entryMetrics struct {
-	set *metrics.Set
-}
-
-func newEntryMetrics(set *metrics.Set, e *Entry) *entryMetrics {
-	set.NewGauge("gypsumtide_entry_jobs", func() float64 { return float64(e.Jobs()) })
-	set.NewGauge("gypsumtide_entry_workers", func() float64 { return float64(e.Workers()) })
-	return &entryMetrics{set: set}
-}
-
-func (m *entryMetrics) answered(route string, a Answer, begin time.Time) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_answers_total{route=%q,outcome=%q}", route, a.Outcome)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumtide_entry_answer_seconds{route=%q,outcome=%q}", route, a.Outcome)).UpdateDuration(begin)
-}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+// entryMetrics counts what the entry does.
+type entryMetrics struct {
+	set *metrics.Set
+	// orders are the first runs of tasks, retries the further ones.
+	orders, retries *metrics.Counter
+}
+
+func newEntryMetrics(set *metrics.Set, e *Entry) *entryMetrics {
+	set.NewGauge("gypsumtide_entry_jobs", func() float64 { return float64(e.Jobs()) })
+	set.NewGauge("gypsumtide_entry_workers", func() float64 { return float64(e.Workers()) })
+	set.NewGauge("gypsumtide_entry_sessions", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(len(e.sessions))
+	})
+	set.NewGauge("gypsumtide_entry_patience", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.state.pressure.patience()
+	})
+	return &entryMetrics{
+		set:     set,
+		orders:  set.NewCounter(`gypsumtide_entry_orders_total{try="first"}`),
+		retries: set.NewCounter(`gypsumtide_entry_orders_total{try="again"}`),
+	}
+}
+
+func (m *entryMetrics) ordered(orders []wire.Order) {
+	for _, o := range orders {
+		switch {
+		case o.Update:
+		case o.Ref.Number > 1:
+			m.retries.Inc()
+		default:
+			m.orders.Inc()
+		}
+	}
+}
+
+func (m *entryMetrics) answered(route string, a Answer, begin time.Time) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_answers_total{route=%q,outcome=%q}", route, a.Outcome)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumtide_entry_answer_seconds{route=%q,outcome=%q}", route, a.Outcome)).UpdateDuration(begin)
+	if a.Outcome == gypsumtide.OutcomeNotRun {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_refusals_total{reason=%q}", a.Reason)).Inc()
+	}
+}
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -136,7 +136,6 @@
 	holdDue  int64
 	reported gypsumtide.Millis
 	dirty    bool
-	number   uint64
 	busy     float64
 }
 
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -9,6 +9,7 @@
 	"maps"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"gypsumtide"
@@ -34,6 +35,7 @@
 	mu      sync.Mutex
 	budget  float64
 	tokens  float64
+	written float64
 	filled  gypsumtide.Millis
 	dropped map[string]int
 	// untold is set while a count has changed since the last line that told it.
@@ -50,6 +52,24 @@
 	return l
 }
 
+// Register adds the bytes written and the lines dropped to set.
+func (l *Log) Register(set *metrics.Set) {
+	set.NewGauge("gypsumtide_log_bytes", func() float64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.written
+	})
+	set.NewGauge("gypsumtide_log_dropped_lines", func() float64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		sum := 0
+		for _, n := range l.dropped {
+			sum += n
+		}
+		return float64(sum)
+	})
+}
+
 // WithNode adds the name of the process to every line.
 func (l *Log) WithNode(node, incarnation string) *Log {
 	l.logger = l.logger.WithValues("node", node, "incarnation", incarnation)
@@ -108,6 +128,7 @@
 func (w lineWriter) Write(p []byte) (int, error) {
 	w.log.mu.Lock()
 	w.log.tokens -= float64(len(p))
+	w.log.written += float64(len(p))
 	w.log.mu.Unlock()
 	line := append(make([]byte, 0, len(p)), p...)
 	select {
--- a/internal/eventlog/trace.go
+++ b/internal/eventlog/trace.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -112,8 +114,14 @@
 // summaryStep is the width of a row of a summary.
 const summaryStep = time.Second
 
-// Summary writes how many jobs ended in which way, second by second.
-func Summary(w io.Writer, lines []Line) error {
+// Second is how many jobs ended in which way in one second.
+type Second struct {
+	At     time.Time
+	Counts map[string]int
+}
+
+// Outcomes counts the ends of jobs by outcome and reason, second by second.
+func Outcomes(lines []Line) []Second {
 	counts := make(map[time.Time]map[string]int)
 	for _, l := range lines {
 		if l.Kind != "job-answered" {
@@ -125,19 +133,19 @@
 		}
 		counts[at][strings.TrimSuffix(l.Text("outcome")+": "+l.Text("reason"), ": ")]++
 	}
-	var times []time.Time
-	for at := range counts {
-		times = append(times, at)
+	seconds := make([]Second, 0, len(counts))
+	for at, c := range counts {
+		seconds = append(seconds, Second{At: at, Counts: c})
 	}
-	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
-	for _, at := range times {
-		var outcomes []string
-		for outcome := range counts[at] {
-			outcomes = append(outcomes, outcome)
-		}
-		sort.Strings(outcomes)
-		for _, outcome := range outcomes {
-			if _, err := fmt.Fprintf(w, "%s  %5d  %s\n", at.Format(time.TimeOnly), counts[at][outcome], outcome); err != nil {
+	sort.Slice(seconds, func(i, j int) bool { return seconds[i].At.Before(seconds[j].At) })
+	return seconds
+}
+
+// Summary writes the outcomes, a line for each second, outcome and reason.
+func Summary(w io.Writer, lines []Line) error {
+	for _, s := range Outcomes(lines) {
+		for _, outcome := range slices.Sorted(maps.Keys(s.Counts)) {
+			if _, err := fmt.Fprintf(w, "%s  %5d  %s\n", s.At.Format(time.TimeOnly), s.Counts[outcome], outcome); err != nil {
 				return err
 			}
 		}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -203,6 +203,7 @@
 func (a *Agent) carryOut(now gypsumtide.Millis, e Effects) {
 	for _, c := range e.Starts {
 		a.metrics.starts.Inc()
+		a.metrics.queued.Update(c.Waited.Duration().Seconds())
 		a.starts <- c
 	}
 	for _, c := range e.Stops {
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -17,6 +17,7 @@
 	sessionsLost *metrics.Counter
 	frame        *metrics.Histogram
 	ran          *metrics.Histogram
+	queued       *metrics.Histogram
 }
 
 func newAgentMetrics(set *metrics.Set, a *Agent) *agentMetrics {
@@ -28,6 +29,7 @@
 		sessionsLost: set.NewCounter("gypsumtide_agent_sessions_lost_total"),
 		frame:        set.NewHistogram("gypsumtide_agent_frame_seconds"),
 		ran:          set.NewHistogram("gypsumtide_agent_run_seconds"),
+		queued:       set.NewHistogram("gypsumtide_agent_queue_seconds"),
 	}
 	set.NewGauge("gypsumtide_agent_bookings", func() float64 { return float64(a.running()) })
 	set.NewGauge("gypsumtide_agent_waiting", func() float64 {
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -51,6 +51,8 @@
 type StartCall struct {
 	Life  gypsumtide.Life
 	Order gypsumtide.RunOrder
+	// Waited is how long the order was in the queue.
+	Waited gypsumtide.Millis
 }
 
 // StopCall is a stop to send to the worker.
@@ -245,7 +247,7 @@
 	r.started = now
 	r.percent, r.advanced = 0, now
 	s.leased = now
-	s.effects.Starts = append(s.effects.Starts, StartCall{Life: s.life, Order: gypsumtide.RunOrder{
+	s.effects.Starts = append(s.effects.Starts, StartCall{Life: s.life, Waited: now - r.queued, Order: gypsumtide.RunOrder{
 		Ref: r.order.Ref, Spec: r.order.Spec, Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease),
 	}})
 	s.log.Decision("run-sent", "run", r.order.Ref, "owner", r.owner, "life", s.life, "fence", s.fence,
