dispatch: give lost orders again once each, and wait until a restarted agent has settled

When a session came back, the entry went over the runs of the agent while each report could place its task again on the same worker. The runs are listed before the pass now.

A new incarnation of an agent said that it was open while it was still stopping the runs of the one before, and the entry tried these elsewhere. Agents now say when nothing is left of an earlier incarnation (Settled), and only then does the entry count its runs as ended.

Ruled out: a resubmission at another entry (one entry placed all the runs) and a late order (each start was answered).

Tests: two cases in TestLostAgent, TestSettled; each fails without the change.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumtide"
@@ -24,7 +27,8 @@
 			m.Stops = append(m.Stops, ref)
 		}
 	}
-	for ref := range w.tasks {
+	// Each report may place the task again on this worker, so the runs are listed first.
+	for _, ref := range slices.Collect(maps.Keys(w.tasks)) {
 		if !present[ref] {
 			missing.Ref = ref
 			s.Report(now, id, missing)
@@ -65,7 +69,7 @@
 	}
 	w.report = r
 	w.updateSlowness()
-	if r.Open {
+	if r.Settled {
 		s.retire(now, id)
 	}
 }
@@ -78,8 +82,8 @@
 	}
 }
 
-// retire ends what earlier incarnations of an agent ran: the new one takes
-// orders only after the worker has nothing left of them.
+// retire ends what earlier incarnations of an agent ran, once the new one has
+// seen that the worker has nothing left of them.
 func (s *State) retire(now gypsumtide.Millis, id WorkerID) {
 	for other, w := range s.workers {
 		if other.Agent == id.Agent && other.Incarnation != id.Incarnation && !w.connected {
@@ -90,7 +94,7 @@
 
 // drop removes a worker. Its runs have ended without a report.
 func (s *State) drop(now gypsumtide.Millis, w *worker, reason string) {
-	for ref := range w.tasks {
+	for _, ref := range slices.Collect(maps.Keys(w.tasks)) {
 		s.Report(now, w.id, wire.RunReport{Ref: ref, End: gypsumtide.EndLost, Reason: reason})
 	}
 	delete(s.workers, w.id)
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -365,11 +365,17 @@
 			s.Tick(1110)
 			So(len(ordered(s.Take())[workerID(1)]), ShouldEqual, 1)
 		})
-		Convey("a new incarnation of the agent ends its runs when it opens", func() {
+		// Guards against two runs of a task: the new incarnation took orders while it
+		// was still stopping the runs of the one before (deploy/days/own-processes).
+		Convey("a new incarnation of the agent ends its runs when nothing is left of them", func() {
 			id := WorkerID{Agent: "agent-0", Incarnation: "b"}
 			s.Connected(200, id, wire.Resume{Complete: true})
 			So(ordered(s.Take()), ShouldBeEmpty)
-			s.Observe(210, id, wire.WorkerReport{Life: lifeOf(0), Service: "stock", Capacity: gypsumtide.Size{Processors: testCapacity, Memory: 9999}, Open: true})
+			r := wire.WorkerReport{Life: lifeOf(0), Service: "stock", Capacity: gypsumtide.Size{Processors: testCapacity, Memory: 9999}, Open: true}
+			s.Observe(210, id, r)
+			So(ordered(s.Take()), ShouldBeEmpty)
+			r.Settled = true
+			s.Observe(240, id, r)
 			So(len(ordered(s.Take())[id]), ShouldEqual, 1)
 		})
 		Convey("a report that arrives twice counts once", func() {
@@ -378,6 +384,27 @@
 		})
 	})
 
+	// Guards against two runs of a task: the orders that replaced lost ones were
+	// taken for lost as well, in the same pass over the runs of the agent
+	// (deploy/days/own-processes).
+	Convey("Orders that did not arrive are given again once each", t, func() {
+		for range 50 { // The order of a map's keys is random.
+			s := newTestState(1)
+			s.Submit(0, submission("a", 10, 50, 0))
+			So(ordered(s.Take())[workerID(0)], ShouldHaveLength, 10)
+			s.Disconnected(10, workerID(0), "reset")
+			s.Connected(30, workerID(0), wire.Resume{Complete: true})
+			again := make(map[gypsumtide.TaskName]int)
+			for _, ref := range ordered(s.Take())[workerID(0)] {
+				again[ref.Task]++
+			}
+			So(again, ShouldHaveLength, 10)
+			for _, n := range again {
+				So(n, ShouldEqual, 1)
+			}
+		}
+	})
+
 	// Guards against a run number that the worker has seen from an earlier
 	// submission of the job at another entry.
 	Convey("An order with an old run number is repeated with a higher one", t, func() {
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -372,7 +372,10 @@
 			answer, err := a.client().Hold(cctx, c.Life, c.Request)
 			cancel()
 			a.metrics.workerCall("sync", err)
-			a.update(func(now gypsumtide.Millis) { a.state.SyncAnswered(now, c, answer, err) })
+			a.update(func(now gypsumtide.Millis) {
+				a.state.SyncAnswered(now, c, answer, err)
+				a.dirty = true // Entries wait for the worker to be settled.
+			})
 		}
 	}
 }
--- /dev/null
+++ b/internal/runner/settled_test.go
@@ -0,0 +1,44 @@
+package runner
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+)
+
+// Guards against an entry that tries the runs of an agent's earlier incarnation
+// elsewhere while the worker still has them.
+func TestSettled(t *testing.T) {
+	Convey("Given a new agent whose worker runs what the agent before has started", t, func() {
+		s := NewState(testTiming, 10, silent{})
+		s.Attach("entry")
+		s.Heartbeat(1, testInfo(testLife))
+		So(s.Report(1).Settled, ShouldBeFalse)
+		sync := *s.Take().Sync
+		orphan := gypsumtide.RunRef{Task: gypsumtide.TaskName{Job: "old"}, Number: 1}
+		s.SyncAnswered(2, sync, gypsumtide.HoldAnswer{
+			Born: testLife.Born, Clock: 5000, Running: []gypsumtide.RunProgress{{Ref: orphan}},
+		}, nil)
+		So(s.Report(2).Open, ShouldBeTrue)
+		So(s.Report(2).Settled, ShouldBeFalse)
+
+		Convey("It is settled when the worker lists none of them", func() {
+			s.Tick(40)
+			sync = *s.Take().Sync
+			s.SyncAnswered(41, sync, gypsumtide.HoldAnswer{
+				Born: testLife.Born, Clock: 5040, Ended: []gypsumtide.RunEnd{{Number: 1, Ref: orphan, Kind: gypsumtide.EndStopped}},
+			}, nil)
+			So(s.Report(41).Settled, ShouldBeTrue)
+		})
+		Convey("A later look at a lost order does not unsettle it, a new life does", func() {
+			s.Tick(40)
+			s.SyncAnswered(41, *s.Take().Sync, gypsumtide.HoldAnswer{Born: testLife.Born, Clock: 5040}, nil)
+			s.beginSync(50)
+			So(s.Report(50).Settled, ShouldBeTrue)
+			s.Heartbeat(60, testInfo(gypsumtide.Life{ID: testLife.ID, Born: testLife.Born + 1}))
+			So(s.Report(60).Settled, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -110,8 +110,10 @@
 
 	acknowledged uint64
 	syncing      bool
-	syncPending  bool
-	syncDue      gypsumtide.Millis
+	// settled is set once a sync of the current life has left no orphans.
+	settled     bool
+	syncPending bool
+	syncDue     gypsumtide.Millis
 	// holdFailures counts the holds without an answer since the last one.
 	holdFailures int
 	clock        workerClock
@@ -213,7 +215,7 @@
 func (s *State) Report(now gypsumtide.Millis) wire.WorkerReport {
 	r := wire.WorkerReport{
 		Life: s.life, Service: s.info.Service, Zone: s.info.Zone, Labels: s.info.Labels,
-		Open: s.known && !s.draining && !s.info.Draining && !s.stuck(now),
+		Open: s.known && !s.draining && !s.info.Draining && !s.stuck(now), Settled: s.settled,
 	}
 	if s.known {
 		r.Capacity = s.info.Capacity
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -47,6 +47,7 @@
 func (s *State) setLife(life gypsumtide.Life) {
 	s.life = life
 	s.known = false
+	s.settled = false
 	s.info.Seq = 0
 	s.acknowledged = 0
 	s.clock = workerClock{}
@@ -124,6 +125,7 @@
 		return
 	}
 	s.syncing = false
+	s.settled = true
 	s.pump(now)
 }
 
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -58,12 +58,15 @@
 	Capacity gypsumtide.Size `cbor:"5,keyasint,omitempty"`
 	// Open is false while the worker takes no starts.
 	Open bool `cbor:"6,keyasint,omitempty"`
+	// Settled is set once nothing runs on the worker that an earlier incarnation of
+	// the agent has started.
+	Settled bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Same reports whether r and o say the same.
 func (r *WorkerReport) Same(o *WorkerReport) bool {
 	return r.Life == o.Life && r.Service == o.Service && r.Zone == o.Zone && r.Capacity == o.Capacity &&
-		r.Open == o.Open && slices.Equal(r.Labels, o.Labels)
+		r.Open == o.Open && r.Settled == o.Settled && slices.Equal(r.Labels, o.Labels)
 }
 
 // LoadReport is the load of an agent's worker. It is sent far more often than
