dispatch: compare a bounded number of workers for each task

Cause: each task compared all workers, and each job went over them three times (admission, log line, choice): 928 us for a job of 5 tasks at 3,000 workers, 2.4 cores of an entry at the size to design for (docs/CAPACITY.md).

A task now compares 64 that take it, from a different place in the list for each task and try; the scan goes on until one suits. Admission stops at the first worker with room. Up to 64 workers the choice is the same as before.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -47,11 +47,16 @@
 // worker takes its tasks.
 func (s *State) bestWait(j *job, step int) (float64, bool) {
 	best, usable := math.Inf(1), false
-	for _, w := range s.workers {
+	n := len(s.list)
+	for i := range n {
+		w := s.list[(int(j.hash%uint64(n))+i)%n]
 		if w.usable() && w.suits(j.route.Service, &j.steps[step]) {
 			usable = true
 			best = min(best, w.wait(j.steps[step].Size, j.route.Priority))
 		}
+		if best == 0 {
+			break
+		}
 	}
 	return best, usable
 }
@@ -59,7 +64,7 @@
 // viewAge returns the age of the oldest load report of a worker in use.
 func (s *State) viewAge(now gypsumtide.Millis) gypsumtide.Millis {
 	var age gypsumtide.Millis
-	for _, w := range s.workers {
+	for _, w := range s.list {
 		if w.usable() {
 			age = max(age, now-w.reported)
 		}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -44,7 +44,7 @@
 // freeWorkers returns the number of workers that seem to have room for a task.
 func (s *State) freeWorkers() int {
 	n := 0
-	for _, w := range s.workers {
+	for _, w := range s.list {
 		if w.usable() && w.load(math.MaxInt).Processors < w.report.Capacity.Processors-freeRoom {
 			n++
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 
@@ -76,7 +77,7 @@
 	step := &j.steps[t.step]
 	expected := float64(s.expected(j, t.step))
 	var c choice
-	for _, w := range s.workers {
+	for w := range s.sample(t) {
 		if !w.usable() || !w.suits(j.route.Service, step) || !s.apart(j, t.step, w) {
 			continue
 		}
@@ -93,6 +94,33 @@
 	return c
 }
 
+// maxCandidates bounds the workers that are compared for one task. Load pattern:
+// thousands of workers, of which many are about equally good; comparing all of
+// them for each task would take most of an entry's processor time.
+const maxCandidates = 64
+
+// sample returns the workers to compare for a task: all of them, or different
+// ones for each try of each task. A sample in which none suits is extended.
+func (s *State) sample(t *task) iter.Seq[*worker] {
+	n := len(s.list)
+	begin := 0
+	if n > maxCandidates {
+		begin = int((t.job.hash + uint64(t.name.Index)*maxCandidates + t.number*7919) % uint64(n))
+	}
+	return func(yield func(*worker) bool) {
+		found := 0
+		for i := 0; i < n && found < maxCandidates; i++ {
+			w := s.list[(begin+i)%n]
+			if w.usable() && w.suits(t.job.route.Service, &t.job.steps[t.step]) {
+				found++
+			}
+			if !yield(w) {
+				return
+			}
+		}
+	}
+}
+
 // scatterWidth is the cost difference below which workers count as equal.
 const scatterWidth = 4
 
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -42,7 +42,7 @@
 // far as the agents have reported it.
 func (s *State) waitingShare() float64 {
 	var waiting, capacity int64
-	for _, w := range s.workers {
+	for _, w := range s.list {
 		if !w.usable() {
 			continue
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -53,6 +53,7 @@
 	if !ok {
 		w = &worker{id: id, hash: xxhash.Sum64String(id.Agent), slowness: 1, tasks: make(map[gypsumtide.RunRef]*task)}
 		s.workers[id] = w
+		s.list = append(s.list, w)
 	}
 	return w
 }
@@ -98,6 +99,7 @@
 		s.Report(now, w.id, wire.RunReport{Ref: ref, End: gypsumtide.EndLost, Reason: reason})
 	}
 	delete(s.workers, w.id)
+	s.list = slices.DeleteFunc(s.list, func(x *worker) bool { return x == w })
 	s.log.Decision("agent-gone", "worker", w.id, "reason", reason)
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -47,10 +47,12 @@
 	timing       Timing
 	log          gypsumtide.Recorder
 	workers      map[WorkerID]*worker
-	jobs         map[string]*job
-	learner      *learner
-	effects      Effects
-	pressure     pressure
+	// list holds the same workers for choices.
+	list     []*worker
+	jobs     map[string]*job
+	learner  *learner
+	effects  Effects
+	pressure pressure
 	// moves is how many waiting orders may be recalled until the next tick.
 	moves int
 }
@@ -76,7 +78,7 @@
 // Workers returns the number of workers that take orders.
 func (s *State) Workers() int {
 	n := 0
-	for _, w := range s.workers {
+	for _, w := range s.list {
 		if w.usable() {
 			n++
 		}
@@ -101,7 +103,7 @@
 		return
 	}
 	s.log.Decision("job-admitted", "job", j.id, "request", j.request, "route", j.route.Name, "tasks", len(j.tasks), "expected-ms", run,
-		"objective-ms", j.objective-now, "deadline-ms", sub.Timeout, "workers", s.Workers())
+		"objective-ms", j.objective-now, "deadline-ms", sub.Timeout, "workers", len(s.list))
 	s.placeReady(now, j)
 }
 
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -94,6 +94,31 @@
 		}
 	})
 
+	// Load pattern: thousands of workers. Comparing all of them for each task took
+	// most of an entry's processor time.
+	Convey("Among many workers a choice compares a bounded number, and finds the only one that suits", t, func() {
+		const workers = 1000
+		s := newTestState(workers)
+		chosen := make(map[WorkerID]bool)
+		for i := range 100 {
+			s.Submit(0, submission(fmt.Sprintf("%016x", i), 1, 50, 0))
+			c := s.choose(s.jobs[fmt.Sprintf("%016x", i)].tasks[0])
+			So(c.candidates, ShouldEqual, maxCandidates)
+			for id := range ordered(s.Take()) {
+				chosen[id] = true
+			}
+		}
+		So(len(chosen), ShouldBeGreaterThan, 80)
+		only := workerID(workers / 2)
+		s.Observe(0, only, wire.WorkerReport{
+			Life: lifeOf(workers / 2), Service: "stock", Labels: []string{"rare"}, Capacity: gypsumtide.Size{Processors: testCapacity, Memory: 65536}, Open: true,
+		})
+		sub := submission("rare", 1, 50, 0)
+		sub.Job.Steps[0].Label = "rare"
+		s.Submit(0, sub)
+		So(ordered(s.Take())[only], ShouldHaveLength, 1)
+	})
+
 	// Load pattern: entries that see the same loads choose before the next report.
 	Convey("Two entries do not choose the same worker for different jobs", t, func() {
 		chosen := make(map[WorkerID]int)
