--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -106,10 +106,14 @@
 // minQueue is the shortest time for which a task may wait.
 const minQueue gypsumtide.Millis = 15
 
+// usefulEnd returns the latest end with which the answer is still useful.
+func (s *State) usefulEnd(j *job) gypsumtide.Millis {
+	return min(j.arrived+lateFactor*(j.objective-j.arrived), j.deadline) - orderMargin
+}
+
 // lastUseful returns the latest start with which an answer is still useful.
 func (s *State) lastUseful(j *job, step int) gypsumtide.Millis {
-	end := min(j.arrived+lateFactor*(j.objective-j.arrived), j.deadline)
-	return end - s.expected(j, step) - orderMargin
+	return s.usefulEnd(j) - s.expected(j, step)
 }
 
 // startBy returns the latest useful start of a task.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -66,9 +66,12 @@
 
 // choice is the worker with the least cost for a task.
 type choice struct {
-	worker     *worker
-	estimate   estimate
-	candidates int
+	worker   *worker
+	estimate estimate
+	// idle is the worker with the least cost of those that have room now.
+	idle         *worker
+	idleEstimate estimate
+	candidates   int
 }
 
 // choose returns the worker where the task ends first.
@@ -90,10 +93,18 @@
 		if c.worker == nil || e.cost < c.estimate.cost {
 			c.worker, c.estimate = w, e
 		}
+		if e.wait == 0 && (c.idle == nil || e.cost < c.idleEstimate.cost) {
+			c.idle, c.idleEstimate = w, e
+		}
 	}
 	return c
 }
 
+// withRoom returns the choice among the workers that have room now.
+func (c choice) withRoom() choice {
+	return choice{worker: c.idle, estimate: c.idleEstimate, candidates: c.candidates}
+}
+
 // maxCandidates bounds the workers that are compared for one task. Load pattern:
 // thousands of workers, of which many are about equally good; comparing all of
 // them for each task would take most of an entry's processor time.
@@ -189,7 +200,11 @@
 		if c.worker == nil && (!late || s.starting(now) && now < s.lastUseful(j, t.step)) {
 			continue
 		}
-		if c.worker == nil || late && (c.estimate.wait > 0 || now >= s.lastUseful(j, t.step)) {
+		if late {
+			// A late answer from a slow worker with room displaces nothing.
+			c = c.withRoom()
+		}
+		if c.worker == nil || late && now+gypsumtide.Millis(c.estimate.end) > s.usefulEnd(j) {
 			s.refuse(now, j, "not started in time")
 			return
 		}
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -330,6 +330,28 @@
 		So(orders[workerID(1)][0].Task.Job, ShouldEqual, "high")
 	})
 
+	// Load pattern: a crest beside slow workers that nobody chooses.
+	Convey("Before a refusal a worker with room is used, however slow, if the answer is still useful", t, func() {
+		for _, c := range []struct {
+			slowness float32
+			refused  bool
+		}{{2.5, false}, {9, true}} {
+			s := newTestState(2)
+			full := loadReport(testCapacity)
+			full.Waiting = []wire.WaitingLoad{{Size: wire.SizeRow{Processors: testCapacity}}}
+			idle := loadReport(0)
+			idle.Slowness = c.slowness
+			s.Submit(0, submission("a", 1, 300, 0))
+			orders := ordered(s.Take())
+			s.ObserveLoad(1, workerID(0), full)
+			s.ObserveLoad(1, workerID(1), idle)
+			reportAll(s, 350, orders, wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "expired"})
+			e := s.Take()
+			So(e.Answers["a"].Outcome == gypsumtide.OutcomeNotRun, ShouldEqual, c.refused)
+			So(len(ordered(e)[workerID(1)]) == 1, ShouldEqual, !c.refused)
+		}
+	})
+
 	Convey("A run that cannot end in time on any worker is given up at once", t, func() {
 		s := newTestState(2)
 		s.Submit(0, submission("a", 1, 500, 0))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -142,19 +142,21 @@
 // estimate is the expected course of a task on a worker, in milliseconds.
 type estimate struct {
 	wait float64
-	run  float64
+	// end is the time to the end, with the tries that fail.
+	end  float64
 	cost float64
 }
 
 // estimate returns the expected course of a task of the step on the worker.
 func (w *worker) estimate(zone string, step *gypsumtide.JobStep, priority int, expected, remoteFactor float64) estimate {
 	load := w.load(priority)
-	e := estimate{wait: w.waitBehind(load, step.Size), run: expected * w.slowness}
+	run := expected * w.slowness
 	if step.Rack != "" && !w.onRack(step.Rack) {
-		e.run *= remoteFactor
+		run *= remoteFactor
 	}
-	tries := 1 / (1 - min(maxFailureShare, w.failureShare))
-	e.cost = (e.wait+e.run)*tries + loadWeight*square(ratio(load.Processors, w.report.Capacity.Processors))
+	e := estimate{wait: w.waitBehind(load, step.Size)}
+	e.end = (e.wait + run) / (1 - min(maxFailureShare, w.failureShare))
+	e.cost = e.end + loadWeight*square(ratio(load.Processors, w.report.Capacity.Processors))
 	if w.report.Zone != zone {
 		e.cost += zoneCost
 	}
