--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -154,6 +154,9 @@
 	delete(h.agents, c.record.Incarnation)
 	if h.current[c.record.Name] == c {
 		delete(h.current, c.record.Name)
+		for _, p := range h.pools {
+			p.learner.Forget(c.record.Name)
+		}
 	}
 	for k := range c.open {
 		h.settleResult(c, &wire.Result{
