runner: start a waiting order only while its entry is known to hear the agent

Cause: orders were checked for their age on arrival only. An agent that was suspended with a queue started its orders when it woke, before it had noticed that its sessions were gone, while the entry had tried them elsewhere.

Ruled out: the time of the last frame, since frames that were buffered during the suspension arrive at once when the agent wakes.

Test: TestSuspendedAgent, which fails without the change.

--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -165,7 +165,7 @@
 func (r *replay) addAgent(i int, speed float64, capacity int64) {
 	a := &replayAgent{
 		r: r, id: workerID(i), speed: speed, capacity: capacity, running: make(map[gypsumtide.RunRef]*replayRun),
-		state: runner.NewState(runner.Timing{Lease: 1000, OwnerGrace: 400, StopRetry: 80, SyncRetry: 10}, 1, silent{}),
+		state: runner.NewState(runner.Timing{Lease: 1000, OwnerGrace: 400, Credit: 1 << 40, StopRetry: 80, SyncRetry: 10}, 1, silent{}),
 	}
 	r.agents = append(r.agents, a)
 	for k, e := range r.entries {
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -92,7 +92,7 @@
 
 // NewAgent returns an Agent. The first fencing token is above the wall clock.
 func NewAgent(cfg Config, clock gypsumtide.Clock, log gypsumtide.Recorder, set *metrics.Set) *Agent {
-	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, StopRetry: stopRetry, SyncRetry: syncRetry}
+	timing := Timing{Lease: cfg.Lease, OwnerGrace: ownerGrace, Credit: link.Credit, StopRetry: stopRetry, SyncRetry: syncRetry}
 	a := &Agent{
 		cfg: cfg, clock: clock, log: log,
 		state:     NewState(timing, uint64(max(1, clock.Wall())), log),
--- /dev/null
+++ b/internal/runner/frozen_test.go
@@ -0,0 +1,54 @@
+package runner
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+)
+
+// Guards against two runs of a task: an agent that was suspended for two seconds
+// started the orders in its queue when it woke, while their entry had long tried
+// them elsewhere.
+func TestSuspendedAgent(t *testing.T) {
+	Convey("Given a full worker and an order that waits for seconds", t, func() {
+		s := openState()
+		s.Heard("entry", 100)
+		for i := range 3 {
+			o := testOrder(i)
+			o.StartWithin = 5000
+			s.Submit(100, "entry", o)
+		}
+		starts := s.Take().Starts
+		So(starts, ShouldHaveLength, 2)
+		for _, c := range starts {
+			s.StartAnswered(101, c, 5101, nil)
+		}
+		end := func(now gypsumtide.Millis) {
+			call, ok := s.NextHold(now, 60)
+			So(ok, ShouldBeTrue)
+			s.HoldAnswered(now, now, call, gypsumtide.HoldAnswer{
+				Born: testLife.Born, Clock: 5000 + now, Running: []gypsumtide.RunProgress{{Ref: testOrder(1).Ref, Percent: 50}},
+				Ended: []gypsumtide.RunEnd{{Number: 1, Ref: testOrder(0).Ref, Kind: gypsumtide.EndDone}},
+			}, nil)
+		}
+
+		Convey("It starts when there is room and the entry has heard from the agent lately", func() {
+			end(200)
+			So(s.Take().Starts, ShouldHaveLength, 1)
+		})
+		Convey("After a gap it waits until the entry has heard from the agent again", func() {
+			end(2200)
+			So(s.Take().Starts, ShouldBeEmpty)
+			s.Heard("entry", 2190)
+			s.Tick(2220)
+			So(s.Take().Starts, ShouldHaveLength, 1)
+		})
+		Convey("What the entry had heard before the gap does not count", func() {
+			s.Heard("entry", 150)
+			end(2200)
+			So(s.Take().Starts, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -122,7 +122,7 @@
 		switch {
 		case now > r.expires:
 			s.finish(r, gypsumtide.EndNotStarted, 0, "expired")
-		case s.active[r.order.Ref.Task] > 1 || s.book.Len() >= maxRuns || !s.reserve(r):
+		case !s.trusts(now, r.owner) || s.active[r.order.Ref.Task] > 1 || s.book.Len() >= maxRuns || !s.reserve(r):
 			kept = append(kept, r)
 		default:
 			s.send(now, r)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -144,6 +144,9 @@
 		a.entries.Add(address)
 	}
 	a.mu.Lock()
+	if a.sessions[owner] == s {
+		a.state.Heard(owner, f.Echo)
+	}
 	if o, ok := a.outboxes[owner]; ok {
 		o.acknowledge(f.ReportsSeen)
 		if f.ReportEvery > 0 {
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -84,6 +84,8 @@
 	Lease gypsumtide.Millis
 	// OwnerGrace is how long the runs of an entry continue without a session to it.
 	OwnerGrace gypsumtide.Millis
+	// Credit is the age of what an owner has heard from which its orders are not started.
+	Credit gypsumtide.Millis
 	// StopRetry and SyncRetry are the pauses before a stop or a sync is sent again.
 	StopRetry gypsumtide.Millis
 	SyncRetry gypsumtide.Millis
@@ -132,6 +134,8 @@
 	lostAt   gypsumtide.Millis
 	// booked is the size of the owner's bookings.
 	booked gypsumtide.Size
+	// heard is the newest time of the agent that the owner is known to have heard.
+	heard gypsumtide.Millis
 }
 
 // NewState returns a State that knows no worker. The first fencing token is
@@ -162,6 +166,20 @@
 	return known
 }
 
+// Heard notes that an owner has heard from the agent at the given time of the
+// agent's clock.
+func (s *State) Heard(owner Owner, at gypsumtide.Millis) {
+	o := s.owner(owner)
+	o.heard = max(o.heard, at)
+}
+
+// trusts reports whether an owner still counts on the orders that wait here. An
+// agent that was suspended, or whose frames do not arrive, must not start them:
+// the owner tries them elsewhere after some time.
+func (s *State) trusts(now gypsumtide.Millis, owner Owner) bool {
+	return now-s.owner(owner).heard <= s.timing.Credit
+}
+
 // Detach notes that the session to an owner has ended.
 func (s *State) Detach(now gypsumtide.Millis, owner Owner) {
 	o := s.owner(owner)
--- a/internal/runner/state_test.go
+++ b/internal/runner/state_test.go
@@ -17,7 +17,7 @@
 func (silent) Decision(string, ...any) {}
 
 var (
-	testTiming = Timing{Lease: 1000, OwnerGrace: 400, StopRetry: 80, SyncRetry: 10}
+	testTiming = Timing{Lease: 1000, OwnerGrace: 400, Credit: 450, StopRetry: 80, SyncRetry: 10}
 	testLife   = gypsumtide.Life{ID: "w-1", Born: 1000}
 	errTimeout = errors.New("no answer")
 )
