--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -43,25 +43,24 @@
 // and in order: begun jobs, since a partly served job is worth nothing, then by
 // priority and objective.
 func (s *State) ranked() []*job {
-	list := make([]*job, 0, len(s.jobs))
-	first := 0
+	var waiting, others []*job
 	for _, j := range s.jobs {
-		list = append(list, j)
 		if j.ready() {
-			list[first], list[len(list)-1] = j, list[first]
-			first++
+			waiting = append(waiting, j)
+		} else {
+			others = append(others, j)
 		}
 	}
-	slices.SortFunc(list[:first], func(a, b *job) int {
+	slices.SortFunc(waiting, func(a, b *job) int {
 		switch {
-		case a.begun != b.begun && a.begun:
+		case a.begun && !b.begun:
 			return -1
-		case a.begun != b.begun:
+		case b.begun && !a.begun:
 			return 1
 		}
 		return cmp.Or(cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.objective, b.objective), cmp.Compare(a.id, b.id))
 	})
-	return list
+	return append(waiting, others...)
 }
 
 // choice is the worker with the least cost for a task.
@@ -110,13 +109,17 @@
 // them for each task would take most of an entry's processor time.
 const maxCandidates = 64
 
+// tryStep is how far apart in the list the samples of two tries begin: a prime,
+// so that the tries of a task meet all workers whatever their number.
+const tryStep = 7919
+
 // sample returns the workers to compare for a task: all of them, or different
 // ones for each try of each task. A sample in which none suits is extended.
 func (s *State) sample(t *task) iter.Seq[*worker] {
 	n := len(s.list)
 	begin := 0
 	if n > maxCandidates {
-		begin = int((t.job.hash + uint64(t.name.Index)*maxCandidates + t.number*7919) % uint64(n))
+		begin = int((t.job.hash + uint64(t.name.Index)*maxCandidates + t.number*tryStep) % uint64(n))
 	}
 	return func(yield func(*worker) bool) {
 		found := 0
