runner: start waiting orders of a new session only after the entry has compared the held runs

An agent that woke after 1.8 s opened a new session; the entry's first frame echoed a fresh time, so the agent trusted it and started an order that the entry had given up, before the entry had seen the list of held runs.

The entry now answers the list with Resumed, in or after the frame with the stops of the runs it gave up, and a session starts without trust until then. Ruled out: an echo that is not older than the list, since the reader of the session stores the peer's clock before the list is handled.

Test: a case of TestSuspendedAgent, which fails without the change.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -256,6 +256,10 @@
 			e.state.ObserveLoad(now, id, f.WorkerLoad)
 		}
 	})
+	if f.Resume != nil {
+		// The stops that Connected asked for are in this frame or an earlier one.
+		s.Update(func(f *wire.Frame) { f.Resumed = true })
+	}
 	return nil
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -170,6 +170,7 @@
 	r.agents = append(r.agents, a)
 	for k, e := range r.entries {
 		a.state.Attach(runner.Owner(fmt.Sprint(k)))
+		a.state.Resumed(0, runner.Owner(fmt.Sprint(k)))
 		e.Connected(0, a.id, wire.Resume{Complete: true})
 	}
 	a.step(func(now gypsumtide.Millis) {
--- a/internal/runner/frozen_test.go
+++ b/internal/runner/frozen_test.go
@@ -45,6 +45,17 @@
 			s.Tick(2220)
 			So(s.Take().Starts, ShouldHaveLength, 1)
 		})
+		// Guards against the fault of the hunted day suspended, seed 372653826478: the
+		// entry accepted a new session, and only then learnt which orders are held.
+		Convey("On a new session it waits until the entry has compared what the agent holds", func() {
+			s.Detach(2190, "entry")
+			s.Attach("entry")
+			s.Heard("entry", 2200)
+			end(2205)
+			So(s.Take().Starts, ShouldBeEmpty)
+			s.Resumed(2210, "entry")
+			So(s.Take().Starts, ShouldHaveLength, 1)
+		})
 		Convey("What the entry had heard before the gap does not count", func() {
 			s.Heard("entry", 150)
 			end(2200)
--- a/internal/runner/model_test.go
+++ b/internal/runner/model_test.go
@@ -95,6 +95,7 @@
 	m.worker.restart(testLife.Born)
 	m.state = NewState(testTiming, 10, silent{})
 	m.state.Attach("entry")
+	m.state.Resumed(0, "entry")
 	m.state.Heartbeat(m.now, testInfo(testLife))
 	m.collect()
 	return m
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -154,7 +154,7 @@
 		}
 	}
 	a.mu.Unlock()
-	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 {
+	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && !f.Resumed {
 		return nil
 	}
 	started := time.Now()
@@ -178,6 +178,9 @@
 		for _, ref := range f.RecallRuns {
 			a.state.Recall(ref)
 		}
+		if f.Resumed {
+			a.state.Resumed(now, owner)
+		}
 	})
 	a.metrics.frame.UpdateDuration(started)
 	return nil
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -134,6 +134,9 @@
 	lostAt   gypsumtide.Millis
 	// booked is the size of the owner's bookings.
 	booked gypsumtide.Size
+	// resumed is set once the owner has compared the runs held at the start of the
+	// session with its own, and has asked for the end of those that it gave up.
+	resumed bool
 	// heard is the newest time of the agent that the owner is known to have heard.
 	heard gypsumtide.Millis
 }
@@ -162,10 +165,18 @@
 // an owner that was away for long has been forgotten with its reports.
 func (s *State) Attach(owner Owner) bool {
 	known := s.hasOwner(owner)
-	s.owner(owner).attached = true
+	o := s.owner(owner)
+	o.attached = true
+	o.resumed = false
 	return known
 }
 
+// Resumed notes that an owner has compared the runs held here with its own.
+func (s *State) Resumed(now gypsumtide.Millis, owner Owner) {
+	s.owner(owner).resumed = true
+	s.pump(now)
+}
+
 // Heard notes that an owner has heard from the agent at the given time of the
 // agent's clock.
 func (s *State) Heard(owner Owner, at gypsumtide.Millis) {
@@ -177,7 +188,8 @@
 // agent that was suspended, or whose frames do not arrive, must not start them:
 // the owner tries them elsewhere after some time.
 func (s *State) trusts(now gypsumtide.Millis, owner Owner) bool {
-	return now-s.owner(owner).heard <= s.timing.Credit
+	o := s.owner(owner)
+	return o.resumed && now-o.heard <= s.timing.Credit
 }
 
 // Detach notes that the session to an owner has ended.
--- a/internal/runner/state_test.go
+++ b/internal/runner/state_test.go
@@ -39,6 +39,7 @@
 func openState() *State {
 	s := NewState(testTiming, 10, silent{})
 	s.Attach("entry")
+	s.Resumed(0, "entry")
 	s.Heartbeat(1, testInfo(testLife))
 	e := s.Take()
 	s.SyncAnswered(1, *e.Sync, gypsumtide.HoldAnswer{Born: testLife.Born, Clock: 5000}, nil)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -60,6 +60,8 @@
 	// Entries lists the addresses of the entries that the sender knows.
 	Entries []string `cbor:"44,keyasint,omitempty"`
 	Resume  *Resume  `cbor:"45,keyasint,omitempty"`
+	// Resumed answers Resume, after the stops of the runs that the sender gave up.
+	Resumed bool `cbor:"50,keyasint,omitempty"`
 	// ReportsSeen is the number of the last run report that the sender has processed.
 	ReportsSeen uint64 `cbor:"47,keyasint,omitempty"`
 	// ReportEvery is how often the sender wants unprompted worker reports.
