daemon: answer open requests before a graceful stop ends

Requests whose work had not ended 5.5 s after SIGTERM were cut without an answer, also those that only waited.

At the end of the grace the entry now gives up what is open: jobs of which nothing has started are refused, the others get 504, and 250 ms are left for these answers before the connections close.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,8 @@
 	noticeTime gypsumtide.Millis = 3000
 	// endMargin is left before the process is killed.
 	endMargin gypsumtide.Millis = 500
+	// answerTime is the part of endMargin in which the last answers leave.
+	answerTime gypsumtide.Millis = 250
 )
 
 // WorkTimeout bounds the wait for work in progress at the end of a process that
@@ -117,8 +119,9 @@
 )
 
 // Serve runs an HTTP server until ctx is done. It then closes idle connections
-// and waits for the requests in progress.
-func (p *Process) Serve(ctx context.Context, address string, h http.Handler) error {
+// and waits for the requests in progress. Those that are left at the end of the
+// grace are cut, but for the answers that giveUp causes.
+func (p *Process) Serve(ctx context.Context, address string, h http.Handler, giveUp func()) error {
 	srv, done, err := p.listen(ctx, address, h)
 	if err != nil {
 		return err
@@ -131,8 +134,8 @@
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.requestTimeout().Duration())
 	defer cancel()
 	if err := srv.Shutdown(sctx); err != nil {
-		p.log.Decision("requests-cut", "address", address, "error", err.Error())
-		_ = srv.Close()
+		giveUp()
+		p.finish(ctx, srv, address)
 	}
 	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
 		return gypsumtide.NewError("serve", address, err)
@@ -140,6 +143,19 @@
 	return ctx.Err()
 }
 
+// finish gives the last answers time to leave, and cuts what is open then.
+func (p *Process) finish(ctx context.Context, srv *http.Server, address string) {
+	actx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime.Duration())
+	defer cancel()
+	if err := srv.Shutdown(actx); err != nil {
+		p.log.Decision("requests-cut", "address", address, "error", err.Error())
+		_ = srv.Close()
+	}
+}
+
+// Nothing is the giveUp of servers whose requests end by themselves.
+func Nothing() {}
+
 // ServeSessions is like Serve for connections that do not end by themselves.
 func (p *Process) ServeSessions(ctx context.Context, address string, h http.Handler) error {
 	srv, done, err := p.listen(ctx, address, h)
@@ -172,7 +188,7 @@
 	written := group.Go(logs, p.log.Run)
 	p.log.Decision("start", "pid", os.Getpid(), "zone", p.cfg.Zone, "metrics", p.cfg.Metrics)
 	g := group.New(ctx)
-	g.Add("metrics", func(ctx context.Context) error { return p.Serve(ctx, p.cfg.Metrics, p.metricsHandler()) })
+	g.Add("metrics", func(ctx context.Context) error { return p.Serve(ctx, p.cfg.Metrics, p.metricsHandler(), Nothing) })
 	g.Add("reload", p.watchReload)
 	for name, member := range members {
 		g.Add(name, member)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -125,6 +125,12 @@
 	return found
 }
 
+// GiveUp ends all jobs in progress, since the process is about to end. Jobs of
+// which nothing has started are refused.
+func (e *Entry) GiveUp() {
+	e.update(func(now gypsumtide.Millis) { e.state.GiveUp(now) })
+}
+
 // Workers returns the number of workers that take orders.
 func (e *Entry) Workers() int {
 	e.mu.Lock()
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// GiveUp ends all jobs because the entry stops.
+func (s *State) GiveUp(now gypsumtide.Millis) {
+	for _, j := range s.jobs {
+		s.abandon(now, j, "entry-stops")
+	}
+}
+
 // abandon answers at once and stops what the job has open.
 func (s *State) abandon(now gypsumtide.Millis, j *job, reason string) {
 	outcome := gypsumtide.OutcomeUnknown
