entry: let the next home prove the outcome of a job whose deadline passed without the lease

The home now answers that the job has moved. The next home asks the agents for at least a round trip and starts nothing after the deadline.

Ruled out: answering not-run at the old home, since another home may have started the job; the same for cancelled jobs, whose callers' requests would start the job again at the next home.

Tests: three cases of TestClosing and two of TestRecovery, which failed before. The case "deadline without the lease" expected outcome-unknown from the home; the answer to the caller is still outcome-unknown if no home answers.

--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -35,11 +35,14 @@
 	if aj.Recovering() {
 		outcome = gypsumtide.OutcomeUnknown
 	}
-	if outcome == gypsumtide.OutcomeNotRun {
-		// Without the lease another home may have started the job.
-		if !h.holdsLease(aj) {
-			outcome = gypsumtide.OutcomeUnknown
+	if outcome == gypsumtide.OutcomeNotRun && !h.holdsLease(aj) {
+		// Another home may have started the job. After the deadline it is safe to
+		// ask that home, which learns the outcome from the agents and starts nothing.
+		if h.clock.Now() >= aj.Deadline() {
+			h.end(aj, wire.Answer{Submission: aj.Submission(), Moved: true})
+			return
 		}
+		outcome = gypsumtide.OutcomeUnknown
 	}
 	h.end(aj, wire.Answer{Submission: aj.Submission(), Outcome: outcome, Problem: aj.Closing()})
 }
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -169,6 +169,9 @@
 		}
 		return h.startRecovery(aj, now)
 	}
+	if budget <= 0 {
+		return answered(*refuse(id, deadlineProblem(aj)))
+	}
 	if refusal := h.admit(aj, now); refusal != nil {
 		return answered(*refusal)
 	}
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -25,7 +25,7 @@
 func (h *home) startRecovery(aj *activeJob, now gypsumtide.Millis) <-chan wire.Answer {
 	id := aj.Submission()
 	aj.SetRecovering(true)
-	aj.recovery = &recovery{asked: make(map[string]bool), pending: make(map[string]bool), until: min(aj.Deadline(), now+recoveryWait)}
+	aj.recovery = &recovery{asked: make(map[string]bool), pending: make(map[string]bool), until: recoveryEnd(aj, now)}
 	h.jobs[id] = aj
 	h.recovering[id] = aj
 	h.metrics.recoveries.Inc()
@@ -51,6 +51,13 @@
 	return ch
 }
 
+// recoveryEnd returns how long the agents' answers are awaited. A job whose
+// deadline passed on its way to this home still gets the time of a round trip,
+// so that its outcome is known.
+func recoveryEnd(aj *activeJob, now gypsumtide.Millis) gypsumtide.Millis {
+	return max(now+closeGrace, min(aj.Deadline(), now+recoveryWait))
+}
+
 // askAgents sends the recover request to the pending agents that are connected.
 func (h *home) askAgents(aj *activeJob, now gypsumtide.Millis) {
 	id := aj.Submission()
@@ -154,6 +161,10 @@
 
 // resume dispatches the tasks that no earlier home started.
 func (h *home) resume(aj *activeJob, now gypsumtide.Millis) {
+	if now >= aj.Deadline() {
+		h.expire(aj, now)
+		return
+	}
 	if !aj.Started() {
 		if refusal := h.admit(aj, now); refusal != nil {
 			if !h.holdsLease(aj) {
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -43,10 +43,14 @@
 		}
 		return
 	}
-	h.close(aj, &wire.Problem{
+	h.close(aj, deadlineProblem(aj), now)
+}
+
+func deadlineProblem(aj *activeJob) *wire.Problem {
+	return &wire.Problem{
 		Type: "deadline", Status: http.StatusGatewayTimeout, Step: "wait for results",
 		Detail: fmt.Sprintf("%d of %d tasks were open or waiting at the deadline", len(aj.Tasks())-aj.DoneTasks(), len(aj.Tasks())),
-	}, now)
+	}
 }
 
 func (h *home) requeueDue(now gypsumtide.Millis) {
