--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -118,7 +118,7 @@
 
 // startBy returns the latest useful start of a task.
 func (s *State) startBy(j *job, step int) gypsumtide.Millis {
-	if !j.begun {
+	if !j.begun && !j.stored {
 		return min(s.latestStart(j, step), j.deadline)
 	}
 	return j.deadline
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"gypsumtide"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/link"
+	"gypsumtide/internal/runner"
 	"gypsumtide/internal/wire"
 )
 
@@ -39,16 +39,21 @@
 	leaseMargin gypsumtide.Millis = 100
 )
 
-// ErrDuplicate means that the job is in progress at this entry.
-var ErrDuplicate = errors.New("job is in progress")
+// Recorder records the progress of stored jobs. It must not call the Entry
+// before it returns.
+type Recorder interface {
+	Record(p Progress)
+}
 
-// Entry serves ephemeral jobs.
+// Entry runs the tasks of jobs on the workers.
 type Entry struct {
 	cfg     Config
 	clock   gypsumtide.Clock
 	log     gypsumtide.Recorder
 	metrics *entryMetrics
 	entries *link.Addresses
+	// recorder is set before the first stored job.
+	recorder Recorder
 
 	mu       sync.Mutex
 	state    *State
@@ -61,7 +66,7 @@
 	e := &Entry{
 		cfg: cfg, clock: clock, log: log, entries: entries,
 		state: NewState(clock.Now(), cfg.Zone, cfg.RemoteFactor, Timing{
-			ResumeGrace: resumeGrace, LostRun: cfg.Lease + leaseMargin,
+			ResumeGrace: resumeGrace, LostRun: cfg.Lease + leaseMargin, LostStoredRun: runner.AbandonedAfter(cfg.Lease),
 		}, log),
 		sessions: make(map[WorkerID]*wire.Session),
 		waiters:  make(map[string][]chan Answer),
@@ -158,6 +163,8 @@
 				f.Orders = append(f.Orders, m.Orders...)
 				f.StopRuns = append(f.StopRuns, m.Stops...)
 				f.RecallRuns = append(f.RecallRuns, m.Recalls...)
+				f.Recorded = append(f.Recorded, m.Recorded...)
+				f.Disowned = append(f.Disowned, m.Disowned...)
 			})
 		}
 	}
@@ -167,6 +174,50 @@
 		}
 		delete(e.waiters, id)
 	}
+	if len(eff.Stored.Begun) > 0 || len(eff.Stored.Ends) > 0 {
+		e.recorder.Record(eff.Stored)
+	}
+}
+
+// SetRecorder sets what records the progress of stored jobs.
+func (e *Entry) SetRecorder(r Recorder) { e.recorder = r }
+
+// Adopt begins to run stored jobs.
+func (e *Entry) Adopt(jobs []StoredJob) {
+	e.update(func(now gypsumtide.Millis) {
+		for _, j := range jobs {
+			e.state.Adopt(now, j)
+		}
+	})
+}
+
+// Recorded takes that an end has been recorded, and whether the job has reached
+// a final state by it.
+func (e *Entry) Recorded(end TaskEnd, final bool) {
+	e.update(func(now gypsumtide.Millis) { e.state.Recorded(now, end, final) })
+}
+
+// Close ends a stored job that has reached a final state.
+func (e *Entry) Close(id, reason string) {
+	e.update(func(now gypsumtide.Millis) { e.state.Close(now, id, reason) })
+}
+
+// Release gives up stored jobs that belong to another owner now.
+func (e *Entry) Release(ids []string) {
+	e.update(func(now gypsumtide.Millis) { e.state.Release(now, ids) })
+}
+
+// Pause keeps stored jobs from starting further tasks, and returns how many of
+// their tasks have not ended.
+func (e *Entry) Pause(ids []string) int {
+	open := 0
+	e.update(func(gypsumtide.Millis) { open = e.state.Pause(ids) })
+	return open
+}
+
+// Reroute replaces the routes of stored jobs by those of a new table.
+func (e *Entry) Reroute(t *gypsumtide.RouteTable) {
+	e.update(func(gypsumtide.Millis) { e.state.Reroute(t) })
 }
 
 // Run ends jobs whose time is over, and tells agents the entries, until ctx is done.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,5 +1,5 @@
-// Package dispatch decides at an entry where the tasks of ephemeral jobs run,
-// when a job is refused, and when a run is tried elsewhere.
+// Package dispatch decides at an entry where the tasks of jobs run, when an
+// ephemeral job is refused, and when a run is tried elsewhere.
 package dispatch
 
 import (
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumtide"
+	"gypsumtide/internal/wire"
 )
 
 // WorkerID identifies an agent's incarnation. A new incarnation knows nothing of
@@ -33,6 +34,8 @@
 	// taskQueued has an order that waits at its agent.
 	taskQueued
 	taskRunning
+	// taskEnded has a run that has ended, and whose end is being recorded.
+	taskEnded
 	taskDone
 )
 
@@ -55,10 +58,14 @@
 	ran gypsumtide.Millis
 	// ends is the projected end of a run that takes longer than expected, or 0.
 	ends gypsumtide.Millis
+	// moves counts the runs that were stopped to be tried elsewhere.
+	moves int
 	// failures counts runs that ended failed.
 	failures int
 	// avoid is the worker of the last run that failed or stood still.
 	avoid WorkerID
+	// end is the end that is being recorded.
+	end wire.RunReport
 	// stopping is set while a run is being stopped to be tried elsewhere, or
 	// because the job has ended.
 	stopping bool
@@ -104,6 +111,12 @@
 	begun bool
 	// ending is the answer that is given once no task can start any more.
 	ending *Answer
+	// stored is set for a job that outlives its caller's connection. Nothing of it is
+	// started before notBefore.
+	stored    bool
+	notBefore gypsumtide.Millis
+	// closed is set once a stored job has a final state.
+	closed bool
 }
 
 func newJob(now gypsumtide.Millis, s Submission) *job {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -15,6 +15,9 @@
 	stillSlowness = 3.0
 	// minStill keeps short runs from being moved for a hiccup.
 	minStill gypsumtide.Millis = 100
+	// maxMoves bounds the moves of a task. One that seems to stand still everywhere
+	// has to end where it is.
+	maxMoves = 3
 )
 
 // standsStill reports whether a run should be tried elsewhere: it takes several
@@ -26,7 +29,7 @@
 		return false
 	}
 	expected := s.expected(t.job, t.step)
-	return w.reportedSlowness >= stillSlowness && now-max(t.ordered, t.started) > max(minStill, stillFactor*expected)
+	return t.moves < maxMoves && w.reportedSlowness >= stillSlowness && now-max(t.ordered, t.started) > max(minStill, stillFactor*expected)
 }
 
 // move has a run stopped, to be tried elsewhere.
@@ -34,6 +37,7 @@
 	s.log.Decision("run-moved", "run", t.ref(), "worker", t.worker, "reason", reason,
 		"ordered-ms", now-t.ordered, "ends-in-ms", max(0, t.ends-now))
 	t.avoid = t.worker
+	t.moves++
 	s.stop(t)
 }
 
@@ -81,7 +85,7 @@
 		return
 	}
 	elsewhere := s.leftElsewhere(now, t, still)
-	if elsewhere < float64(left)*(1-movePayment) {
+	if t.moves < maxMoves && elsewhere < float64(left)*(1-movePayment) {
 		reason := "faster-elsewhere"
 		if still {
 			reason = "stands-still"
@@ -89,7 +93,7 @@
 		s.move(now, t, reason)
 		return
 	}
-	if min(float64(left), elsewhere) > giveUpFactor*float64(j.deadline-now) {
+	if !j.stored && min(float64(left), elsewhere) > giveUpFactor*float64(j.deadline-now) {
 		s.abandon(now, j, "cannot-end-in-time")
 	}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -21,6 +21,9 @@
 
 // place orders a run of the task at the worker where it ends first.
 func (s *State) place(now gypsumtide.Millis, t *task) bool {
+	if now < t.job.notBefore {
+		return false
+	}
 	c := s.choose(t)
 	if !c.near() {
 		return false
@@ -187,7 +190,7 @@
 	return wire.Order{
 		Ref: t.ref(), Spec: j.spec, Size: j.steps[t.step].Size, Priority: j.route.Priority,
 		Begun: j.begun, StartWithin: max(1, s.startBy(j, t.step)-now),
-		Expected: s.expected(j, t.step), Life: t.life,
+		Expected: s.expected(j, t.step), Life: t.life, Stored: j.stored,
 	}
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -268,7 +268,7 @@
 	r.result.worth += j.worth
 	n := r.random.IntN(len(r.entries))
 	sub := Submission{
-		Job: gypsumtide.EphemeralJob{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
+		Job: gypsumtide.JobRequest{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
 			Tasks: width, Size: gypsumtide.Size{Processors: cpu, Memory: 64}, Estimate: gypsumtide.Millis(max(1, estimate)),
 		}}},
 		Route: kind.route, Timeout: 1500 + gypsumtide.Millis(3*1.6*base),
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,6 +34,9 @@
 			s.Report(now, id, missing)
 		}
 	}
+	for _, ref := range r.Unrecorded {
+		s.confirm(id, ref)
+	}
 	s.log.Decision("agent-connected", "worker", id, "held", len(r.Held), "complete", r.Complete, "open", len(w.tasks))
 }
 
@@ -95,14 +98,21 @@
 
 // drop removes a worker. Its runs have ended without a report.
 func (s *State) drop(now gypsumtide.Millis, w *worker, reason string) {
-	for _, ref := range slices.Collect(maps.Keys(w.tasks)) {
-		s.Report(now, w.id, wire.RunReport{Ref: ref, End: gypsumtide.EndLost, Reason: reason})
-	}
+	s.lose(now, w, reason, func(*task) bool { return true })
 	delete(s.workers, w.id)
 	s.list = slices.DeleteFunc(s.list, func(x *worker) bool { return x == w })
 	s.log.Decision("agent-gone", "worker", w.id, "reason", reason)
 }
 
+// lose takes that the chosen runs of a worker have ended without a report.
+func (s *State) lose(now gypsumtide.Millis, w *worker, reason string, chosen func(t *task) bool) {
+	for _, t := range slices.Collect(maps.Values(w.tasks)) {
+		if chosen(t) {
+			s.Report(now, w.id, wire.RunReport{Ref: t.ref(), End: gypsumtide.EndLost, Reason: reason})
+		}
+	}
+}
+
 // Disconnected notes the end of a session.
 func (s *State) Disconnected(now gypsumtide.Millis, id WorkerID, reason string) {
 	w, ok := s.workers[id]
@@ -120,11 +130,15 @@
 		if w.connected {
 			continue
 		}
-		if now-w.lostAt >= s.timing.LostRun {
-			s.drop(now, w, "agent-gone")
+		away := now - w.lostAt
+		if away >= s.timing.LostRun {
+			s.lose(now, w, "agent-gone", func(t *task) bool { return !t.job.stored })
+			if len(w.tasks) == 0 || away >= s.timing.LostStoredRun {
+				s.drop(now, w, "agent-gone")
+			}
 			continue
 		}
-		if now-w.lostAt >= s.timing.ResumeGrace {
+		if away >= s.timing.ResumeGrace {
 			s.abandonHopeless(now, w)
 		}
 	}
@@ -135,7 +149,7 @@
 func (s *State) abandonHopeless(now gypsumtide.Millis, w *worker) {
 	for _, t := range w.tasks {
 		j := t.job
-		if s.jobs[j.id] != j {
+		if s.jobs[j.id] != j || j.stored {
 			continue
 		}
 		if w.lostAt+s.timing.LostRun+s.expected(j, t.step) > j.deadline {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -10,7 +10,7 @@
 
 // Submission is a job with the route that it came on.
 type Submission struct {
-	Job   gypsumtide.EphemeralJob
+	Job   gypsumtide.JobRequest
 	Route gypsumtide.QueueRoute
 	// Timeout is how long the caller waits.
 	Timeout gypsumtide.Millis
@@ -21,12 +21,17 @@
 	Orders  []wire.Order
 	Stops   []gypsumtide.RunRef
 	Recalls []gypsumtide.RunRef
+	// Recorded and Disowned answer ends of stored jobs' runs.
+	Recorded []gypsumtide.RunRef
+	Disowned []gypsumtide.RunRef
 }
 
 // Effects are the messages and answers that a transition asks for.
 type Effects struct {
 	Messages map[WorkerID]*Messages
 	Answers  map[string]Answer
+	// Stored is the progress of stored jobs, to be recorded.
+	Stored Progress
 }
 
 // Timing holds the intervals of a State.
@@ -36,6 +41,9 @@
 	// LostRun is the time after the loss of a session at which the runs of a
 	// lost agent have ended: its lease has expired, or it has stopped them.
 	LostRun gypsumtide.Millis
+	// LostStoredRun is the same for the runs of stored jobs, whose ends count even if
+	// they have not been reported: the lease has expired after any of them.
+	LostStoredRun gypsumtide.Millis
 }
 
 // State decides about the jobs of one entry. It performs no I/O and is not safe
@@ -86,10 +94,10 @@
 	return n
 }
 
-// Has reports whether a job with the id is in progress.
+// Has reports whether an ephemeral job with the id is in progress.
 func (s *State) Has(id string) bool {
-	_, ok := s.jobs[id]
-	return ok
+	j, ok := s.jobs[id]
+	return ok && !j.stored
 }
 
 // Submit begins a job. The answer follows in Effects, at once for a refusal.
@@ -124,7 +132,7 @@
 
 // Cancel ends a job whose caller has gone or has cancelled it.
 func (s *State) Cancel(now gypsumtide.Millis, id, reason string) {
-	if j, ok := s.jobs[id]; ok {
+	if j, ok := s.jobs[id]; ok && !j.stored {
 		s.abandon(now, j, reason)
 	}
 }
@@ -132,7 +140,9 @@
 // GiveUp ends all jobs because the entry stops.
 func (s *State) GiveUp(now gypsumtide.Millis) {
 	for _, j := range s.jobs {
-		s.abandon(now, j, "entry-stops")
+		if !j.stored {
+			s.abandon(now, j, "entry-stops")
+		}
 	}
 }
 
@@ -178,6 +188,9 @@
 	}
 	t, ok := w.tasks[r.Ref]
 	if !ok {
+		if r.Unrecorded {
+			s.disown(id, r.Ref)
+		}
 		return
 	}
 	switch {
@@ -192,7 +205,11 @@
 		return
 	}
 	s.leave(w, t)
-	s.ended(now, w, t, r)
+	if t.job.stored && r.End.Conclusive() {
+		s.record(t, r)
+		return
+	}
+	s.ended(now, t, r)
 }
 
 // queued takes that an order waits at its agent.
@@ -231,6 +248,9 @@
 		return
 	}
 	j.begun = true
+	if j.stored {
+		s.effects.Stored.Begun = append(s.effects.Stored.Begun, j.id)
+	}
 	if j.ending != nil {
 		s.log.Decision("refusal-withdrawn", "job", j.id)
 		j.ending = nil
@@ -267,8 +287,8 @@
 	w.running = w.running.Minus(t.size())
 }
 
-// ended takes the end of a run.
-func (s *State) ended(now gypsumtide.Millis, w *worker, t *task, r wire.RunReport) {
+// ended takes the end of a run at the task's worker.
+func (s *State) ended(now gypsumtide.Millis, t *task, r wire.RunReport) {
 	j := t.job
 	t.phase = taskReady
 	t.stopping = false
@@ -279,19 +299,21 @@
 	case gypsumtide.EndDone:
 		t.phase = taskDone
 		t.ran = r.Ran
-		s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.slowness)
+		if w, ok := s.workers[t.worker]; ok {
+			s.learner.observe(j.route.Name, j.steps[t.step].Estimate, r.Ran, w.slowness)
+		}
 		if j.undone[t.step]--; j.undone[t.step] == 0 {
 			s.learnSpeeds(j, t.step)
 		}
 	case gypsumtide.EndFailed:
 		t.failures++
-		t.avoid = w.id
+		t.avoid = t.worker
 	case gypsumtide.EndNotStarted:
 		if r.Reason == runner.ReasonOldRun {
 			t.number += numberStep
 		}
 	default:
-		t.avoid = w.id
+		t.avoid = t.worker
 	}
 	if r.End != gypsumtide.EndNotStarted {
 		// A refusal would not be true any more.
@@ -310,6 +332,8 @@
 // advance decides what follows from the end of a run.
 func (s *State) advance(now gypsumtide.Millis, j *job, t *task, r wire.RunReport) {
 	switch {
+	case j.stored:
+		s.advanceStored(now, j, t, r)
 	case j.done():
 		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeComplete})
 	case j.ending != nil:
@@ -361,7 +385,7 @@
 	}
 	for _, t := range j.tasks {
 		switch {
-		case t.phase == taskReady && !j.begun:
+		case t.phase == taskReady && !j.begun && !j.stored:
 			s.replan(now, j)
 		case t.phase == taskReady:
 			s.place(now, t)
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -44,7 +44,7 @@
 
 func submission(id string, tasks int, estimate gypsumtide.Millis, priority int) Submission {
 	return Submission{
-		Job: gypsumtide.EphemeralJob{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
+		Job: gypsumtide.JobRequest{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
 			Tasks: tasks, Size: gypsumtide.Size{Processors: 1600, Memory: 64}, Estimate: estimate,
 		}}},
 		Route:   gypsumtide.QueueRoute{Name: "r", Service: "stock", Priority: priority, Attempts: 3, SlackFactor: 1.6, Allowance: 60},
--- /dev/null
+++ b/internal/dispatch/stored.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"math"
+
+	"gypsumtide"
+	"gypsumtide/internal/runner"
+	"gypsumtide/internal/wire"
+)
+
+// StoredJob is a stored job whose tasks this entry is to run.
+type StoredJob struct {
+	Job   gypsumtide.JobRequest
+	Route gypsumtide.QueueRoute
+	// NotBefore is the time at which the runs of an earlier owner have ended.
+	NotBefore gypsumtide.Millis
+	// FirstRun is above the run numbers of earlier owners.
+	FirstRun uint64
+	// Tasks tells what is recorded of the tasks, in order.
+	Tasks []TaskRecord
+}
+
+// TaskRecord is what is recorded of a task of a stored job.
+type TaskRecord struct {
+	Done     bool
+	Failures int
+}
+
+// TaskEnd is a conclusive end of a run of a stored job, to be recorded.
+type TaskEnd struct {
+	Ref    gypsumtide.RunRef
+	Kind   gypsumtide.EndKind
+	Worker WorkerID
+}
+
+// Progress is what has happened to stored jobs.
+type Progress struct {
+	// Begun lists jobs of which the first task has started.
+	Begun []string
+	Ends  []TaskEnd
+}
+
+// Adopt begins to run a stored job.
+func (s *State) Adopt(now gypsumtide.Millis, a StoredJob) {
+	j := newJob(now, Submission{Job: a.Job, Route: a.Route, Timeout: math.MaxInt32})
+	j.stored, j.notBefore = true, a.NotBefore
+	for i, t := range j.tasks {
+		t.number = a.FirstRun
+		if i >= len(a.Tasks) {
+			continue
+		}
+		t.failures = a.Tasks[i].Failures
+		if a.Tasks[i].Done {
+			t.phase = taskDone
+			j.undone[t.step]--
+		}
+		j.begun = j.begun || a.Tasks[i].Done || t.failures > 0
+	}
+	j.release()
+	j.objective = now + j.route.Objective(j.chain(func(step int) gypsumtide.Millis { return s.expected(j, step) }))
+	s.jobs[j.id] = j
+	s.log.Decision("job-adopted", "job", j.id, "request", j.request, "route", j.route.Name, "tasks", len(j.tasks), "begun", j.begun,
+		"first-run", a.FirstRun, "not-before-ms", max(0, a.NotBefore-now), "workers", len(s.list))
+	s.placeReady(now, j)
+}
+
+// Reroute replaces the routes of stored jobs by those of a new table. A job
+// whose route is gone keeps the last one.
+func (s *State) Reroute(t *gypsumtide.RouteTable) {
+	routes := make(map[string]gypsumtide.QueueRoute)
+	for _, r := range t.Routes() {
+		routes[r.Name] = r
+	}
+	for _, j := range s.jobs {
+		if r, ok := routes[j.route.Name]; ok && j.stored {
+			j.route = r
+		}
+	}
+}
+
+// record asks for the end of a stored job's run to be recorded. What follows from
+// it has to wait until then.
+func (s *State) record(t *task, r wire.RunReport) {
+	switch {
+	case t.job.closed:
+		// Nothing of the job starts any more, so the end need not be recorded.
+		s.recorded(t.worker, r.Ref)
+		return
+	case s.jobs[t.job.id] != t.job:
+		s.disown(t.worker, r.Ref)
+		return
+	}
+	t.phase = taskEnded
+	t.end = r
+	s.effects.Stored.Ends = append(s.effects.Stored.Ends, TaskEnd{Ref: r.Ref, Kind: r.End, Worker: t.worker})
+}
+
+// Recorded takes that an end has been recorded, and whether the job has reached
+// a final state by it.
+func (s *State) Recorded(now gypsumtide.Millis, e TaskEnd, final bool) {
+	s.recorded(e.Worker, e.Ref)
+	j, ok := s.jobs[e.Ref.Task.Job]
+	if !ok || !j.stored {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.phase == taskEnded && t.ref() == e.Ref {
+			s.ended(now, t, t.end)
+			break
+		}
+	}
+	if final {
+		s.Close(now, j.id, "final-state-recorded")
+	}
+}
+
+// advanceStored decides what follows from the end of a run of a stored job.
+func (s *State) advanceStored(now gypsumtide.Millis, j *job, t *task, r wire.RunReport) {
+	switch {
+	case t.phase == taskDone:
+		j.release()
+		s.placeReady(now, j)
+	case r.End == gypsumtide.EndNotStarted && r.Reason == runner.ReasonNotMarked:
+		// The next tick tries again.
+	default:
+		s.placeReady(now, j)
+	}
+}
+
+// Close ends a stored job that has reached a final state.
+func (s *State) Close(now gypsumtide.Millis, id, reason string) {
+	j, ok := s.jobs[id]
+	if !ok || !j.stored {
+		return
+	}
+	j.closed = true
+	s.forget(j)
+	s.log.Decision("job-closed", "job", id, "reason", reason, "took-ms", now-j.arrived)
+}
+
+// forget stops the runs of a stored job and removes it.
+func (s *State) forget(j *job) {
+	for _, t := range j.tasks {
+		s.stop(t)
+	}
+	delete(s.jobs, j.id)
+}
+
+// Release gives up stored jobs that belong to another owner now. Their runs are
+// stopped, and their ends are left to the next owner.
+func (s *State) Release(now gypsumtide.Millis, ids []string) {
+	for _, id := range ids {
+		j, ok := s.jobs[id]
+		if !ok || !j.stored {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.phase == taskEnded {
+				s.disown(t.worker, t.ref())
+			}
+		}
+		s.forget(j)
+		s.log.Decision("job-released", "job", id, "took-ms", now-j.arrived)
+	}
+}
+
+// Pause keeps stored jobs from starting further tasks. It returns how many of
+// their tasks have a run or an end that is being recorded.
+func (s *State) Pause(ids []string) int {
+	open := 0
+	for _, id := range ids {
+		j, ok := s.jobs[id]
+		if !ok || !j.stored {
+			continue
+		}
+		j.notBefore = math.MaxInt64
+		for _, t := range j.tasks {
+			if t.placed() || t.phase == taskEnded {
+				open++
+			}
+		}
+	}
+	return open
+}
+
+func (s *State) disown(id WorkerID, ref gypsumtide.RunRef) {
+	m := s.messages(id)
+	m.Disowned = append(m.Disowned, ref)
+}
+
+// confirm answers an end that an agent has reported on an earlier session and
+// still keeps.
+func (s *State) confirm(id WorkerID, ref gypsumtide.RunRef) {
+	j, ok := s.jobs[ref.Task.Job]
+	if !ok || !j.stored {
+		s.disown(id, ref)
+		return
+	}
+	for _, t := range j.tasks {
+		if t.name != ref.Task {
+			continue
+		}
+		if t.ref() == ref && (t.phase == taskEnded || t.placed()) {
+			return // The answer follows when the end has been recorded.
+		}
+	}
+	s.recorded(id, ref)
+}
+
+func (s *State) recorded(id WorkerID, ref gypsumtide.RunRef) {
+	m := s.messages(id)
+	m.Recorded = append(m.Recorded, ref)
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -16,7 +16,7 @@
 // together below the time after which callers submit a job again.
 const (
 	heartbeat gypsumtide.Millis = 150
-	silence   gypsumtide.Millis = 500
+	Silence   gypsumtide.Millis = 500
 	// Credit is the age at which an agent rejects the echo of an order.
 	Credit gypsumtide.Millis = 450
 	// dialTimeout bounds a connection attempt. An attempt at a host that is about
@@ -27,7 +27,7 @@
 // Path is the HTTP path of agent sessions.
 const Path = "/v1/agents"
 
-var timing = wire.Timing{Heartbeat: heartbeat, Silence: silence}
+var timing = wire.Timing{Heartbeat: heartbeat, Silence: Silence}
 
 var client = &http.Client{Transport: &http.Transport{
 	DialContext: (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext,
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -19,13 +19,19 @@
 	table *gypsumtide.RouteTable
 	raw   []byte
 	taken gypsumtide.Millis
+	// onTable is called with each table taken.
+	onTable func(t *gypsumtide.RouteTable)
 }
 
 // NewHolder returns a Holder without a table.
 func NewHolder(clock gypsumtide.Clock, log gypsumtide.Recorder) *Holder {
-	return &Holder{clock: clock, log: log}
+	return &Holder{clock: clock, log: log, onTable: func(*gypsumtide.RouteTable) {}}
 }
 
+// OnTable sets what is called with each table taken. It must be called before
+// the first Offer.
+func (h *Holder) OnTable(fn func(t *gypsumtide.RouteTable)) { h.onTable = fn }
+
 // Register adds the version of the table, and the time since it was taken, to set.
 func (h *Holder) Register(set *metrics.Set) {
 	set.NewGauge("gypsumtide_entry_table_version", func() float64 { return float64(h.Version()) })
@@ -60,6 +66,14 @@
 
 // Offer takes a table if it is newer than the one held.
 func (h *Holder) Offer(t *gypsumtide.RouteTable, raw []byte, source string) bool {
+	if !h.take(t, raw, source) {
+		return false
+	}
+	h.onTable(t)
+	return true
+}
+
+func (h *Holder) take(t *gypsumtide.RouteTable, raw []byte, source string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.table != nil && t.Version() <= h.table.Version() {
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -42,6 +42,10 @@
 	Address string   `cbor:"1,keyasint,omitempty"`
 	Version uint64   `cbor:"2,keyasint,omitempty"`
 	Entries []string `cbor:"3,keyasint,omitempty"`
+	// Stored is set once stored jobs are in use, and Queued counts by route those of
+	// the sender of which no task has started.
+	Stored bool           `cbor:"4,keyasint,omitempty"`
+	Queued map[string]int `cbor:"5,keyasint,omitempty"`
 }
 
 // Peers exchanges addresses and table versions with the other entries, so that
@@ -58,8 +62,14 @@
 	client    *http.Client
 	began     gypsumtide.Millis
 
+	// queued returns this entry's counts of stored jobs. It is set before Run.
+	queued func() map[string]int
+	usage  *storedUsage
+
 	mu   sync.Mutex
 	busy map[string]bool
+	// counts holds what the other entries told of their queues.
+	counts map[string]peerCounts
 }
 
 // NewPeers returns the exchange of the entry at the address self.
@@ -68,6 +78,7 @@
 	return &Peers{
 		self: self, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
 		clock: clock, log: log, began: clock.Now(), busy: make(map[string]bool),
+		queued: func() map[string]int { return nil }, usage: newStoredUsage(), counts: make(map[string]peerCounts),
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -125,20 +136,28 @@
 	return ctx.Err()
 }
 
+// useDirectory reads the directory before it writes this entry's record, since
+// the record of an earlier incarnation may tell that stored jobs are in use.
 func (p *Peers) useDirectory(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
-	record := gypsumtide.DirectoryRecord{Name: p.name, Address: p.self, Announced: p.clock.Wall()}
-	if err := p.directory.Announce(cctx, record); err != nil {
+	records, err := p.directory.Records(cctx)
+	if err != nil && len(records) == 0 {
 		return err
 	}
-	records, err := p.directory.Records(cctx)
 	p.entries.AddRecords(records)
-	return err
+	p.usage.take(records)
+	return errors.Join(err, p.announce(cctx))
+}
+
+func (p *Peers) announce(ctx context.Context) error {
+	active, _ := p.usage.Active()
+	return p.directory.Announce(ctx, gypsumtide.DirectoryRecord{Name: p.name, Address: p.self, Announced: p.clock.Wall(), Stored: active})
 }
 
 func (p *Peers) greeting() greeting {
-	return greeting{Address: p.self, Version: p.holder.Version(), Entries: p.entries.Vouched()}
+	active, _ := p.usage.Active()
+	return greeting{Address: p.self, Version: p.holder.Version(), Entries: p.entries.Vouched(), Stored: active, Queued: p.queued()}
 }
 
 // greet exchanges greetings with an entry and fetches its table if it is newer.
@@ -149,10 +168,7 @@
 	if err != nil {
 		return // The entry may be gone; its agents and callers notice first.
 	}
-	p.entries.Confirm(address)
-	for _, a := range g.Entries {
-		p.entries.Add(a)
-	}
+	p.take(address, &g)
 	if g.Version <= p.holder.Version() || !p.trusting() {
 		return
 	}
@@ -161,6 +177,24 @@
 	}
 }
 
+// take takes the greeting of the entry at the address.
+func (p *Peers) take(address string, g *greeting) {
+	p.entries.Confirm(address)
+	for _, a := range g.Entries {
+		p.entries.Add(a)
+	}
+	if g.Stored {
+		p.usage.set()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(g.Queued) == 0 {
+		delete(p.counts, address)
+		return
+	}
+	p.counts[address] = peerCounts{at: p.clock.Now(), queued: g.Queued}
+}
+
 // trusting reports whether a table from a peer may be the first one. A starting
 // entry asks the store first, since a peer may have lost it.
 func (p *Peers) trusting() bool {
@@ -229,10 +263,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	p.entries.Confirm(g.Address)
-	for _, a := range g.Entries {
-		p.entries.Add(a)
-	}
+	p.take(g.Address, &g)
 	reply, err := wire.Marshal(p.greeting())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- /dev/null
+++ b/internal/routing/usage_test.go
@@ -0,0 +1,90 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/link"
+)
+
+// memoryDirectory is a directory in memory.
+type memoryDirectory struct {
+	records map[string]gypsumtide.DirectoryRecord
+	fail    bool
+}
+
+func (d *memoryDirectory) Announce(_ context.Context, r gypsumtide.DirectoryRecord) error {
+	if d.fail {
+		return errors.New("store is down")
+	}
+	d.records[r.Name] = r
+	return nil
+}
+
+func (d *memoryDirectory) Records(context.Context) ([]gypsumtide.DirectoryRecord, error) {
+	if d.fail {
+		return nil, errors.New("store is down")
+	}
+	out := []gypsumtide.DirectoryRecord{}
+	for _, r := range d.records {
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// Guards against stored jobs that nobody continues after all entries have been
+// restarted, and against answers of an entry that cannot know whether there are any.
+func TestStoredUsage(t *testing.T) {
+	clock := gypsumtide.NewSystemClock()
+	newPeers := func(name string, d *memoryDirectory) *Peers {
+		return NewPeers(name, name+":1", link.NewAddresses(nil, clock), NewHolder(clock, silent{}), &testSource{}, d, clock, silent{})
+	}
+	usage := func(p *Peers) [2]bool {
+		active, known := p.Active()
+		return [2]bool{active, known}
+	}
+	ctx := context.Background()
+
+	Convey("An entry can tell once it has read the directory", t, func() {
+		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord), fail: true}
+		p := newPeers("a", d)
+		So(p.useDirectory(ctx), ShouldNotBeNil)
+		So(usage(p), ShouldResemble, [2]bool{false, false})
+		d.fail = false
+		So(p.useDirectory(ctx), ShouldBeNil)
+		So(usage(p), ShouldResemble, [2]bool{false, true})
+	})
+
+	Convey("The use is noted before the first job, and survives the restart of the entry", t, func() {
+		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord), fail: true}
+		p := newPeers("a", d)
+		So(p.Activate(ctx), ShouldNotBeNil)
+		So(usage(p)[0], ShouldBeFalse)
+		d.fail = false
+		So(p.Activate(ctx), ShouldBeNil)
+		<-p.InUse()
+		for _, name := range []string{"a", "b", "a"} {
+			again := newPeers(name, d)
+			So(again.useDirectory(ctx), ShouldBeNil)
+			So(usage(again), ShouldResemble, [2]bool{true, true})
+			So(d.records[name].Stored, ShouldBeTrue)
+		}
+	})
+
+	Convey("Entries tell each other, and add up their queues", t, func() {
+		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord)}
+		p := newPeers("a", d)
+		p.SetQueued(func() map[string]int { return map[string]int{"r": 2} })
+		p.take("b:1", &greeting{Stored: true, Queued: map[string]int{"r": 3, "s": 1}})
+		p.take("c:1", &greeting{Queued: map[string]int{"r": 4}})
+		So(usage(p)[0], ShouldBeTrue)
+		So(p.Queued("r"), ShouldEqual, 9)
+		p.take("b:1", &greeting{})
+		So(p.Queued("r"), ShouldEqual, 6)
+		So(p.Queued("s"), ShouldEqual, 0)
+	})
+}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -28,7 +28,8 @@
 	Connect func(address string) gypsumtide.Worker
 	// Directory is asked for entries while no session exists. It may be nil.
 	Directory gypsumtide.Directory
-	// Memory keeps what is known of the worker. It may be nil.
+	// Memory keeps what is known of the worker. It may be nil; then no tasks of
+	// stored jobs are started.
 	Memory gypsumtide.WorkerMemory
 }
 
@@ -62,7 +63,14 @@
 	callBacklog = 4096
 )
 
-// Agent runs the tasks of ephemeral jobs on the worker beside it.
+// AbandonedAfter returns the time after the loss of a session from which an entry
+// may try the runs of stored jobs elsewhere: the agent has noticed the loss, has
+// stopped them, and has let the lease expire over ends that nobody records.
+func AbandonedAfter(lease gypsumtide.Millis) gypsumtide.Millis {
+	return link.Silence + ownerGrace + lease + lease/20 + 4*leaseMargin + 2*tickInterval
+}
+
+// Agent runs the tasks of jobs on the worker beside it.
 type Agent struct {
 	cfg     Config
 	clock   gypsumtide.Clock
@@ -106,6 +114,9 @@
 		entries:   link.NewAddresses(cfg.Seeds, clock),
 		memorable: make(chan gypsumtide.WorkerInfo, 1),
 	}
+	if cfg.Memory == nil {
+		a.state.Remembered(gypsumtide.WorkerInfo{})
+	}
 	a.metrics = newAgentMetrics(set, a)
 	return a
 }
@@ -146,7 +157,7 @@
 	a.log.Decision("drain", "timeout-ms", a.cfg.DrainTimeout)
 	a.update(func(now gypsumtide.Millis) { a.state.Drain(now) })
 	start := a.clock.Now()
-	for a.clock.Now()-start < a.cfg.DrainTimeout && a.running() > 0 {
+	for a.clock.Now()-start < a.cfg.DrainTimeout && (a.running() > 0 || a.unsettled()) {
 		if !gypsumtide.Sleep(ctx, tickInterval) {
 			return
 		}
@@ -164,6 +175,12 @@
 	return a.state.Running()
 }
 
+func (a *Agent) unsettled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Unsettled()
+}
+
 // Heartbeat takes what a worker announces of itself.
 func (a *Agent) Heartbeat(info gypsumtide.WorkerInfo) {
 	a.update(func(now gypsumtide.Millis) {
@@ -171,7 +188,7 @@
 			return
 		}
 		if a.state.Heartbeat(now, info) {
-			a.offerMemory(info)
+			a.offerMemory(a.state.Memorable(info))
 		}
 	})
 }
@@ -222,6 +239,9 @@
 		}
 		a.syncs <- *e.Sync
 	}
+	if e.Mark != nil {
+		a.offerMemory(*e.Mark)
+	}
 	for owner, reports := range e.Reports {
 		for _, r := range reports {
 			a.metrics.report(r)
@@ -396,8 +416,12 @@
 		cancel()
 		a.metrics.workerCall("hold", err)
 		a.update(func(now gypsumtide.Millis) { a.state.HoldAnswered(now, sentAt, c, answer, err) })
-		if err != nil && !late {
+		switch {
+		case err != nil && !late:
 			gypsumtide.Sleep(ctx, tickInterval)
+		case a.unsettled():
+			// The worker answers at once while it has ends to list.
+			gypsumtide.Sleep(ctx, tickInterval/2)
 		}
 	}
 	return ctx.Err()
--- a/internal/runner/memory.go
+++ b/internal/runner/memory.go
@@ -35,11 +35,14 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case info := <-a.memorable:
-			if info.Life == remembered.Life && info.Draining == remembered.Draining {
+			if info.Life == remembered.Life && info.Draining == remembered.Draining && info.Stored == remembered.Stored {
 				continue
 			}
 			if a.remember(ctx, info) {
 				remembered = info
+				if info.Stored {
+					a.update(func(gypsumtide.Millis) { a.state.Marked(info.Life) })
+				}
 				continue
 			}
 			gypsumtide.Sleep(ctx, rememberRetry)
@@ -71,10 +74,11 @@
 			continue
 		}
 		if info == nil {
-			return gypsumtide.WorkerInfo{}
+			info = &gypsumtide.WorkerInfo{}
 		}
 		a.update(func(now gypsumtide.Millis) {
-			if a.state.Life() == (gypsumtide.Life{}) {
+			a.state.Remembered(*info)
+			if info.Life.ID != "" && a.state.Life() == (gypsumtide.Life{}) {
 				a.log.Decision("worker-recalled", "life", info.Life, "draining", info.Draining)
 				a.state.Recalled(now, *info)
 			}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -35,6 +35,9 @@
 		return
 	}
 	reason := s.rejection(o)
+	if reason == ReasonNotMarked {
+		s.mark()
+	}
 	if reason != "" {
 		s.report(owner, wire.RunReport{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: reason})
 		return
@@ -75,6 +78,8 @@
 		return "other-life"
 	case !o.Size.Within(s.info.Capacity):
 		return "too-large"
+	case o.Stored && s.marked != s.life:
+		return ReasonNotMarked
 	}
 	return ""
 }
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -113,10 +113,10 @@
 	complete := a.state.Attach(owner)
 	now := a.clock.Now()
 	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
-	held := a.state.Held(owner)
+	resume := a.state.resume(owner, complete)
 	a.tell(now, owner, s, func(f *wire.Frame) {
 		f.RunReports = append(f.RunReports, reports...)
-		f.Resume = &wire.Resume{Held: held, Complete: complete}
+		f.Resume = resume
 	})
 }
 
@@ -154,7 +154,7 @@
 		}
 	}
 	a.mu.Unlock()
-	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && !f.Resumed {
+	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && len(f.Recorded) == 0 && len(f.Disowned) == 0 && !f.Resumed {
 		return nil
 	}
 	started := time.Now()
@@ -178,6 +178,8 @@
 		for _, ref := range f.RecallRuns {
 			a.state.Recall(ref)
 		}
+		a.state.Recorded(f.Recorded)
+		a.state.Disowned(now, f.Disowned)
 		if f.Resumed {
 			a.state.Resumed(now, owner)
 		}
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -74,6 +74,8 @@
 	Stops  []StopCall
 	// Sync is a hold whose answer settles every order sent before it.
 	Sync *HoldCall
+	// Mark is a worker to remember at once.
+	Mark *gypsumtide.WorkerInfo
 	// Reports holds the reports for each owner, in order.
 	Reports map[Owner][]wire.RunReport
 }
@@ -110,8 +112,22 @@
 	orphans map[gypsumtide.RunRef]gypsumtide.Millis
 	owners  map[Owner]*ownerState
 
+	// processed is the number of the last end taken, acknowledged of the last one
+	// that the worker may forget.
+	processed    uint64
 	acknowledged uint64
-	syncing      bool
+	unrecorded   map[uint64]pendingEnd
+	// lapsing is set while no lease is renewed.
+	lapsing bool
+	// firstLife is the life that this incarnation of the agent met first, memory what
+	// the one before has left, once it is known.
+	firstLife gypsumtide.Life
+	memory    *gypsumtide.WorkerInfo
+	// marked is the life for which the memory tells of stored runs, marking the one
+	// for which it is being written.
+	marked  gypsumtide.Life
+	marking gypsumtide.Life
+	syncing bool
 	// settled is set once a sync of the current life has left no orphans.
 	settled     bool
 	syncPending bool
@@ -151,6 +167,8 @@
 		active:  make(map[gypsumtide.TaskName]int),
 		orphans: make(map[gypsumtide.RunRef]gypsumtide.Millis),
 		owners:  make(map[Owner]*ownerState),
+
+		unrecorded: make(map[uint64]pendingEnd),
 	}
 }
 
@@ -226,7 +244,7 @@
 
 // Open reports whether the worker takes starts.
 func (s *State) Open() bool {
-	return s.known && !s.syncing && !s.draining && !s.info.Draining
+	return s.known && !s.syncing && !s.lapsing && !s.draining && !s.info.Draining
 }
 
 // Life returns the current incarnation of the worker.
@@ -245,7 +263,7 @@
 func (s *State) Report(now gypsumtide.Millis) wire.WorkerReport {
 	r := wire.WorkerReport{
 		Life: s.life, Service: s.info.Service, Zone: s.info.Zone, Labels: s.info.Labels,
-		Open: s.known && !s.draining && !s.info.Draining && !s.stuck(now), Settled: s.settled,
+		Open: s.known && !s.lapsing && !s.draining && !s.info.Draining && !s.stuck(now), Settled: s.settled && !s.lapsing,
 	}
 	if s.known {
 		r.Capacity = s.info.Capacity
@@ -363,7 +381,7 @@
 	if s.active[ref.Task]--; s.active[ref.Task] <= 0 {
 		delete(s.active, ref.Task)
 	}
-	s.report(r.owner, wire.RunReport{Ref: ref, End: kind, Ran: ran, Reason: reason})
+	s.report(r.owner, wire.RunReport{Ref: ref, End: kind, Ran: ran, Reason: reason, Unrecorded: r.order.Stored && kind.Conclusive()})
 	s.log.Decision("run-ended", "run", ref, "owner", r.owner, "end", kind, "ran-ms", ran, "reason", reason)
 }
 
@@ -420,6 +438,7 @@
 	}
 	s.sampleProgress(now)
 	s.expireLease(now)
+	s.updateLapse(now)
 	if s.syncing && !s.syncPending && now >= s.syncDue {
 		s.sendSync(now)
 	}
@@ -430,7 +449,7 @@
 // the lease: whatever ran there has been killed. A sync does not renew the
 // lease, so it runs out while the worker is silent.
 func (s *State) expireLease(now gypsumtide.Millis) {
-	if !s.syncing || now-s.leased < s.timing.Lease+s.timing.Lease/20+leaseMargin {
+	if !s.syncing || !s.leaseOver(now) {
 		return
 	}
 	for _, r := range s.runs {
@@ -454,7 +473,7 @@
 				s.StopRun(now, ref)
 			}
 		}
-		if len(s.Held(name)) == 0 {
+		if len(s.Held(name)) == 0 && len(s.Unrecorded(name)) == 0 {
 			delete(s.owners, name)
 		}
 	}
--- /dev/null
+++ b/internal/runner/stored_test.go
@@ -0,0 +1,191 @@
+package runner
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/wire"
+)
+
+func storedOrder(index int) wire.Order {
+	o := testOrder(index)
+	o.Stored = true
+	return o
+}
+
+// storedState returns an open State with a run of a stored job in progress.
+func storedState() *State {
+	s := openState()
+	s.Marked(testLife)
+	s.Submit(2, "entry", storedOrder(0))
+	s.StartAnswered(3, s.Take().Starts[0], 5001, nil)
+	s.Take()
+	return s
+}
+
+// endRun lets the worker list the end of the run, in answer to a hold.
+func endRun(s *State, now gypsumtide.Millis, kind gypsumtide.EndKind) {
+	c, ok := s.NextHold(now, 60)
+	So(ok, ShouldBeTrue)
+	s.HoldAnswered(now, now, c, gypsumtide.HoldAnswer{
+		Born: testLife.Born, Clock: 5000 + now, Ended: []gypsumtide.RunEnd{{Number: 1, Ref: storedOrder(0).Ref, Kind: kind}},
+	}, nil)
+}
+
+// acknowledged returns what the next hold acknowledges, and whether it renews the lease.
+func acknowledged(s *State, now gypsumtide.Millis) (uint64, bool) {
+	c, ok := s.NextHold(now, 60)
+	So(ok, ShouldBeTrue)
+	return c.Request.Acknowledged, c.Request.LeaseUntil > 0
+}
+
+// Guards against a second run of a stored task: its end must stay in the worker's
+// list until the owner has recorded it.
+func TestUnrecordedEnds(t *testing.T) {
+	Convey("The end of a stored job's run is acknowledged once it is recorded", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndDone)
+		So(s.Take().Reports["entry"][0].Unrecorded, ShouldBeTrue)
+		n, renews := acknowledged(s, 61)
+		So(n, ShouldEqual, 0)
+		So(renews, ShouldBeTrue)
+		So(s.Unrecorded("entry"), ShouldHaveLength, 1)
+		s.Recorded([]gypsumtide.RunRef{storedOrder(0).Ref})
+		n, _ = acknowledged(s, 62)
+		So(n, ShouldEqual, 1)
+	})
+
+	Convey("An end that is listed again is reported once", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndDone)
+		s.Take()
+		endRun(s, 61, gypsumtide.EndDone)
+		So(s.Take().Reports, ShouldBeEmpty)
+	})
+
+	Convey("A stopped run and a run of an ephemeral job need no record", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndStopped)
+		n, _ := acknowledged(s, 61)
+		So(n, ShouldEqual, 1)
+	})
+
+	Convey("While the owner is away for less than the grace, the end is kept and the lease renewed", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndDone)
+		s.Detach(100, "entry")
+		s.Tick(400)
+		n, renews := acknowledged(s, 401)
+		So(n, ShouldEqual, 0)
+		So(renews, ShouldBeTrue)
+	})
+
+	// The owner will try the task elsewhere. That is permitted only if the lease
+	// has expired before the end is acknowledged.
+	Convey("When the owner stays away, the lease expires before the end is acknowledged", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndDone)
+		s.Detach(100, "entry")
+		s.Tick(500)
+		So(s.Report(500).Open, ShouldBeFalse)
+		n, renews := acknowledged(s, 501)
+		So(n, ShouldEqual, 0)
+		So(renews, ShouldBeFalse)
+		s.Tick(1100)
+		n, _ = acknowledged(s, 1101)
+		So(n, ShouldEqual, 0)
+		s.Tick(1200)
+		n, renews = acknowledged(s, 1201)
+		So(n, ShouldEqual, 1)
+		So(renews, ShouldBeTrue)
+		So(s.Report(1201).Open, ShouldBeTrue)
+	})
+
+	Convey("An owner that comes back in time may still record the end", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndDone)
+		s.Detach(100, "entry")
+		s.Tick(500)
+		So(s.Attach("entry"), ShouldBeTrue)
+		So(s.resume("entry", true).Unrecorded, ShouldHaveLength, 1)
+		s.Tick(520)
+		So(s.Report(520).Open, ShouldBeTrue)
+	})
+
+	Convey("An owner that disowns the end lets the lease expire", t, func() {
+		s := storedState()
+		endRun(s, 60, gypsumtide.EndFailed)
+		s.Disowned(70, []gypsumtide.RunRef{storedOrder(0).Ref})
+		_, renews := acknowledged(s, 71)
+		So(renews, ShouldBeFalse)
+		s.Tick(1200)
+		n, _ := acknowledged(s, 1201)
+		So(n, ShouldEqual, 1)
+	})
+}
+
+// Guards against ends of stored jobs that a restarted agent acknowledges before
+// anybody has recorded them.
+func TestEndsOfEarlierAgent(t *testing.T) {
+	// restarted returns the State of a new agent whose worker lists an end of a run
+	// that the agent before has started.
+	restarted := func(remember func(s *State)) *State {
+		s := NewState(testTiming, 10, silent{})
+		s.Attach("entry")
+		remember(s)
+		s.Heartbeat(1, testInfo(testLife))
+		s.SyncAnswered(2, *s.Take().Sync, gypsumtide.HoldAnswer{
+			Born: testLife.Born, Clock: 5000, Ended: []gypsumtide.RunEnd{{Number: 1, Ref: storedOrder(0).Ref, Kind: gypsumtide.EndDone}},
+		}, nil)
+		return s
+	}
+	info := testInfo(testLife)
+	for _, c := range []struct {
+		name     string
+		remember func(s *State)
+		lapses   bool
+	}{
+		{"no stored run in this life", func(s *State) { s.Remembered(info) }, false},
+		{"stored runs in this life", func(s *State) {
+			marked := info
+			marked.Stored = true
+			s.Remembered(marked)
+		}, true},
+		{"stored runs in an earlier life", func(s *State) {
+			marked := testInfo(gypsumtide.Life{ID: "w-1", Born: 1})
+			marked.Stored = true
+			s.Remembered(marked)
+		}, false},
+		{"the memory cannot be read", func(*State) {}, true},
+	} {
+		Convey("Memory: "+c.name, t, func() {
+			s := restarted(c.remember)
+			So(s.Report(3).Settled, ShouldEqual, !c.lapses)
+			n, renews := acknowledged(s, 3)
+			So(renews, ShouldEqual, !c.lapses)
+			So(n == 0, ShouldEqual, c.lapses)
+			s.Tick(1200)
+			So(s.Report(1200).Settled, ShouldBeTrue)
+			n, _ = acknowledged(s, 1201)
+			So(n, ShouldEqual, 1)
+		})
+	}
+
+	Convey("The first run of a stored job waits until the memory tells of it", t, func() {
+		s := openState()
+		s.Submit(2, "entry", storedOrder(0))
+		e := s.Take()
+		So(e.Starts, ShouldBeEmpty)
+		So(e.Reports["entry"][0].Reason, ShouldEqual, ReasonNotMarked)
+		So(e.Mark.Stored, ShouldBeTrue)
+		s.Submit(3, "entry", storedOrder(0))
+		So(s.Take().Mark, ShouldBeNil)
+		s.Marked(testLife)
+		s.Submit(4, "entry", storedOrder(0))
+		So(s.Take().Starts, ShouldHaveLength, 1)
+		So(s.Memorable(testInfo(testLife)).Stored, ShouldBeTrue)
+		So(s.Memorable(testInfo(gypsumtide.Life{ID: "w-1", Born: 2000})).Stored, ShouldBeFalse)
+	})
+}
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -32,6 +32,8 @@
 	s.log.Decision("worker-life", "life", info.Life, "before", s.life, "service", info.Service,
 		"capacity", info.Capacity, "seq", info.Seq)
 	s.setLife(info.Life)
+	// An earlier incarnation of the agent may have renewed the lease just now.
+	s.leased = now
 	s.accept(now, info)
 	s.beginSync(now)
 	return true
@@ -46,10 +48,15 @@
 
 func (s *State) setLife(life gypsumtide.Life) {
 	s.life = life
+	if s.firstLife.ID == "" {
+		s.firstLife = life
+	}
 	s.known = false
 	s.settled = false
 	s.info.Seq = 0
-	s.acknowledged = 0
+	s.processed, s.acknowledged = 0, 0
+	clear(s.unrecorded)
+	s.lapsing = false
 	s.clock = workerClock{}
 	s.health = health{}
 }
@@ -95,10 +102,12 @@
 	if s.life.ID == "" || s.syncing {
 		return HoldCall{}, false
 	}
-	s.leased = now
-	return HoldCall{Life: s.life, Request: gypsumtide.HoldRequest{
-		Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease), Acknowledged: s.acknowledged, Wait: wait,
-	}}, true
+	request := gypsumtide.HoldRequest{Fence: s.fence, Acknowledged: s.acknowledged, Wait: wait}
+	if !s.lapsing {
+		s.leased = now
+		request.LeaseUntil = s.clock.after(now, s.timing.Lease)
+	}
+	return HoldCall{Life: s.life, Request: request}, true
 }
 
 // SyncAnswered takes the answer of the hold that Effects.Sync asked for.
@@ -235,19 +244,23 @@
 // takeEnds processes ends in the order of their numbers, each one once.
 func (s *State) takeEnds(now gypsumtide.Millis, ends []gypsumtide.RunEnd) {
 	for _, e := range ends {
-		if e.Number <= s.acknowledged {
+		if e.Number <= s.processed {
 			continue
 		}
-		s.acknowledged = e.Number
+		s.processed = e.Number
 		delete(s.orphans, e.Ref)
 		r, ok := s.runs[e.Ref]
 		if !ok || r.phase == phaseWaiting {
+			s.keepEnd(e, nil)
 			s.log.Decision("end-of-unknown-run", "run", e.Ref, "end", e.Kind, "number", e.Number)
 			continue
 		}
+		s.keepEnd(e, r)
 		s.health.ended(now, r, e.Kind)
 		s.finish(r, e.Kind, now-r.started, "")
 	}
+	s.acknowledge()
+	s.updateLapse(now)
 }
 
 // takeProgress notes how far runs are, and looks closer if the list differs
--- /dev/null
+++ b/internal/stored/book_test.go
@@ -0,0 +1,188 @@
+package stored
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+	"gypsumtide/internal/dispatch"
+	"gypsumtide/internal/wire"
+)
+
+func testJob(id string, tasks int) *job {
+	return newJob(gypsumtide.JobRequest{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{Tasks: tasks}, {Tasks: 1, After: []int{0}}}},
+		gypsumtide.QueueRoute{Name: "r", Attempts: 2}, 100)
+}
+
+func taskEnd(id string, step, index int, kind gypsumtide.EndKind) dispatch.TaskEnd {
+	return dispatch.TaskEnd{Ref: gypsumtide.RunRef{Task: gypsumtide.TaskName{Job: id, Step: step, Index: index}, Number: 1}, Kind: kind}
+}
+
+// apply adds records to the values of a partition.
+func apply(values map[string][]byte, records []gypsumtide.KeyedRecord) {
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(values, r.Key)
+			continue
+		}
+		values[r.Key] = r.Value
+	}
+}
+
+func TestBook(t *testing.T) {
+	Convey("Given an accepted job", t, func() {
+		b, values := newBook(), make(map[string][]byte)
+		j := testJob("a", 2)
+		records, err := b.accept(j)
+		So(err, ShouldBeNil)
+		apply(values, records)
+		end := func(step, index int, kind gypsumtide.EndKind) gypsumtide.JobState {
+			records, state, err := b.end(200, taskEnd("a", step, index, kind))
+			So(err, ShouldBeNil)
+			apply(values, records)
+			return state
+		}
+
+		Convey("It is complete with the end of its last task", func() {
+			So(end(0, 0, gypsumtide.EndDone), ShouldBeEmpty)
+			So(end(0, 0, gypsumtide.EndDone), ShouldBeEmpty)
+			So(end(1, 0, gypsumtide.EndDone), ShouldBeEmpty)
+			So(j.final(), ShouldBeFalse)
+			So(end(0, 1, gypsumtide.EndDone), ShouldEqual, gypsumtide.JobComplete)
+			Convey("and shown as complete only when that is recorded", func() {
+				So(j.final(), ShouldBeFalse)
+				j.show(gypsumtide.JobComplete, 200)
+				So(j.final(), ShouldBeTrue)
+				So(values, ShouldHaveLength, 1)
+				apply(values, b.expire(200))
+				So(values, ShouldHaveLength, 1)
+				apply(values, b.expire(201))
+				So(values, ShouldBeEmpty)
+			})
+		})
+
+		Convey("It fails when a task has used its attempts, counted over all owners", func() {
+			So(end(0, 1, gypsumtide.EndFailed), ShouldBeEmpty)
+			So(end(0, 0, gypsumtide.EndFailed), ShouldBeEmpty)
+			next, records, faults := recoverBook(values)
+			So(faults, ShouldBeEmpty)
+			apply(values, records)
+			b = next
+			So(end(0, 1, gypsumtide.EndFailed), ShouldEqual, gypsumtide.JobFailed)
+			So(end(0, 0, gypsumtide.EndFailed), ShouldBeEmpty)
+		})
+
+		Convey("The next owner knows what is recorded, and uses higher run numbers", func() {
+			end(0, 1, gypsumtide.EndDone)
+			end(0, 0, gypsumtide.EndFailed)
+			next, records, faults := recoverBook(values)
+			So(faults, ShouldBeEmpty)
+			apply(values, records)
+			a := next.jobs["a"].adoption(7)
+			So(a.Tasks, ShouldResemble, []dispatch.TaskRecord{{Failures: 1}, {Done: true}, {}})
+			So(a.NotBefore, ShouldEqual, 7)
+			So(a.FirstRun, ShouldEqual, runsPerTenure)
+			So(a.Job.Steps[1].After, ShouldResemble, []int{0})
+			So(next.jobs["a"].state, ShouldEqual, gypsumtide.JobRunning)
+			third, _, _ := recoverBook(values)
+			So(third.jobs["a"].adoption(0).FirstRun, ShouldEqual, 2*runsPerTenure)
+		})
+
+		Convey("A final state stays, whoever owns the job", func() {
+			records, state, err := b.close(300, j, gypsumtide.JobCancelled)
+			So(err, ShouldBeNil)
+			So(state, ShouldEqual, gypsumtide.JobCancelled)
+			apply(values, records)
+			So(end(0, 0, gypsumtide.EndDone), ShouldBeEmpty)
+			next, records, _ := recoverBook(values)
+			So(records, ShouldBeEmpty)
+			So(next.jobs["a"].state, ShouldEqual, gypsumtide.JobCancelled)
+			So(next.open(), ShouldBeEmpty)
+		})
+
+		Convey("Ends of tasks that the job does not have change nothing", func() {
+			for _, e := range []dispatch.TaskEnd{
+				taskEnd("a", 2, 0, gypsumtide.EndDone), taskEnd("a", 0, 2, gypsumtide.EndDone), taskEnd("a", -1, 0, gypsumtide.EndDone),
+				taskEnd("a", 0, -1, gypsumtide.EndDone), taskEnd("b", 0, 0, gypsumtide.EndDone),
+			} {
+				records, state, err := b.end(1, e)
+				So(records, ShouldBeEmpty)
+				So(state, ShouldBeEmpty)
+				So(err, ShouldBeNil)
+			}
+		})
+
+		// Guards against one record of another version that keeps a whole partition
+		// from being served.
+		Convey("A record that cannot be read leaves the other jobs alone", func() {
+			values["b"] = []byte("junk")
+			newer := j.record()
+			newer.Version++
+			r, err := encode("c", newer)
+			So(err, ShouldBeNil)
+			apply(values, []gypsumtide.KeyedRecord{r})
+			next, records, faults := recoverBook(values)
+			So(faults, ShouldHaveLength, 2)
+			So(next.jobs, ShouldHaveLength, 1)
+			So(records, ShouldHaveLength, 1)
+		})
+	})
+
+	Convey("A record with fields of a later version is read", t, func() {
+		data, err := wire.Marshal(map[int]any{1: recordVersion, 3: "s", 99: "later"})
+		So(err, ShouldBeNil)
+		r, err := decodeJob(data)
+		So(err, ShouldBeNil)
+		So(r.Spec, ShouldEqual, "s")
+	})
+}
+
+func FuzzRecords(f *testing.F) {
+	j := testJob("a", 3)
+	for _, v := range []any{j.record(), j.progress(), j.finalRecord(gypsumtide.JobFailed, 5)} {
+		r, err := encode("a", v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(r.Value, r.Value)
+	}
+	f.Fuzz(func(t *testing.T, record, progress []byte) {
+		b, _, _ := recoverBook(map[string][]byte{"a": record, progressKey("a"): progress, ownerKey: progress})
+		for _, j := range b.open() {
+			if j.undone < 0 || j.undone > len(j.done) {
+				t.Fatalf("%d of %d tasks are undone", j.undone, len(j.done))
+			}
+		}
+	})
+}
+
+func TestMembership(t *testing.T) {
+	Convey("A confirmation counts from the time when it was asked for", t, func() {
+		m := membership{ttl: 1000}
+		So(m.valid(0), ShouldBeFalse)
+		m.joined(100, gypsumtide.Assignment{Generation: 4, Partitions: []int{1, 3}})
+		So(m.valid(999), ShouldBeTrue)
+		So(m.valid(1000), ShouldBeFalse)
+		So(m.holds(3), ShouldBeTrue)
+		So(m.holds(2), ShouldBeFalse)
+	})
+
+	Convey("An answer that was overtaken changes nothing", t, func() {
+		m := membership{ttl: 1000}
+		m.joined(100, gypsumtide.Assignment{Generation: 4, Partitions: []int{1}})
+		m.joined(600, gypsumtide.Assignment{Generation: 3, Partitions: []int{2}})
+		So(m.holds(2), ShouldBeFalse)
+		So(m.valid(1100), ShouldBeFalse)
+	})
+
+	// Guards against a former owner whose later openings outrank the next owner.
+	Convey("Epochs rise with the generation, whatever the openings", t, func() {
+		older, newer := membership{generation: 4}, membership{generation: 5}
+		So(newer.epoch(1), ShouldBeGreaterThan, older.epoch(1<<epochShift-1))
+		So(older.epoch(2), ShouldBeGreaterThan, older.epoch(1))
+	})
+}
+
+var errTest = errors.New("test")
--- /dev/null
+++ b/internal/stored/keeper.go
@@ -0,0 +1,603 @@
+package stored
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gypsumtide"
+	"gypsumtide/internal/dispatch"
+	"gypsumtide/internal/group"
+)
+
+// Config holds the parameters of a Keeper.
+type Config struct {
+	// Member identifies this incarnation of the entry, and tells its address.
+	Member string
+	// MinTTL is the shortest time to live that the log accepts.
+	MinTTL gypsumtide.Millis
+	// RunsEnd is the time after the loss of an owner at which its runs have ended.
+	RunsEnd gypsumtide.Millis
+}
+
+// Intervals and limits of a Keeper.
+const (
+	// membershipTTL is how long the log keeps the partitions of a silent entry. It
+	// delays the jobs of an entry that is gone, and a store that is away for longer
+	// than it stops all stored jobs.
+	membershipTTL gypsumtide.Millis = 2500
+	joinInterval  gypsumtide.Millis = 700
+	joinTimeout   gypsumtide.Millis = 600
+	// handoverInterval is the pause between two looks at partitions that are handed over.
+	handoverInterval gypsumtide.Millis = 40
+	// handoverTime bounds the wait for the runs of a partition that is handed over.
+	handoverTime   gypsumtide.Millis = 1000
+	expireInterval gypsumtide.Millis = 5000
+	// retention is how long the state of an ended job can be read.
+	retention gypsumtide.Millis = 300_000
+	// maxJobs bounds the jobs in progress of one entry.
+	maxJobs = 20_000
+	// leaveTimeout bounds the last call of a process that ends.
+	leaveTimeout gypsumtide.Millis = 500
+)
+
+// Executor runs the tasks of stored jobs.
+type Executor interface {
+	Adopt(jobs []dispatch.StoredJob)
+	Recorded(end dispatch.TaskEnd, final bool)
+	Close(id, reason string)
+	Release(ids []string)
+	Pause(ids []string) int
+}
+
+// Keeper owns some of the partitions and keeps their jobs. It never calls the
+// Executor while it holds its lock, since the Executor calls Record under its own.
+type Keeper struct {
+	cfg      Config
+	log      gypsumtide.JobLog
+	executor Executor
+	clock    gypsumtide.Clock
+	lines    gypsumtide.Recorder
+	metrics  *keeperMetrics
+
+	mu         sync.Mutex
+	membership membership
+	owned      map[int]*ownership
+	openings   uint64
+}
+
+// ownership is a partition that this entry holds.
+type ownership struct {
+	partition int
+	epoch     uint64
+	book      *book
+	// ready is set once the partition has been read, and until it is released.
+	ready    bool
+	released bool
+	// pausedAt is the time since which the partition is being handed over.
+	pausedAt gypsumtide.Millis
+	queue    []change
+	wake     chan struct{}
+	stop     context.CancelFunc
+}
+
+// change is a set of records with what follows from their fate.
+type change struct {
+	records []gypsumtide.KeyedRecord
+	// committed runs once the records are in the log.
+	committed func()
+	// failed runs if they are not, or if nobody can tell. It may be nil.
+	failed func(err error)
+	// optional changes are given up when the log refuses them.
+	optional bool
+}
+
+// New returns a Keeper without partitions.
+func New(cfg Config, log gypsumtide.JobLog, executor Executor, clock gypsumtide.Clock, lines gypsumtide.Recorder, set *metrics.Set) *Keeper {
+	k := &Keeper{
+		cfg: cfg, log: log, executor: executor, clock: clock, lines: lines,
+		membership: membership{ttl: max(membershipTTL, cfg.MinTTL)}, owned: make(map[int]*ownership),
+	}
+	k.metrics = newKeeperMetrics(set, k)
+	return k
+}
+
+// Run takes part in the distribution of the partitions from the time on that
+// stored jobs are in use, until ctx is done. It then gives its partitions away.
+func (k *Keeper) Run(ctx context.Context, inUse <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-inUse:
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g := group.New(work)
+	g.Add("membership", func(work context.Context) error {
+		k.join(ctx, g)
+		k.leave(work)
+		stop()
+		return nil
+	})
+	g.Add("watch", k.watch)
+	g.Add("expiry", k.expireLoop)
+	return g.Wait()
+}
+
+// join keeps the membership until ctx is done.
+func (k *Keeper) join(ctx context.Context, g *group.Group) {
+	reachable := true
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		acknowledged := k.membership.acknowledged
+		k.mu.Unlock()
+		sentAt := k.clock.Now()
+		cctx, cancel := context.WithTimeout(ctx, joinTimeout.Duration())
+		a, err := k.log.Join(cctx, k.cfg.Member, acknowledged, k.membership.ttl)
+		cancel()
+		if ok := err == nil; ok != reachable {
+			reachable = ok
+			k.lines.Decision("job-log", "reachable", ok, "error", errorText(err), "generation", a.Generation)
+		}
+		k.joined(sentAt, a, err, g)
+		next := sentAt + joinInterval
+		for handing := true; handing && ctx.Err() == nil && k.clock.Now() < next; {
+			handing = k.handOver()
+			gypsumtide.Sleep(ctx, handoverInterval)
+		}
+		gypsumtide.Sleep(ctx, max(0, next-k.clock.Now()))
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// joined takes the result of a join: it opens what was gained and begins to hand
+// over what was lost.
+func (k *Keeper) joined(sentAt gypsumtide.Millis, a gypsumtide.Assignment, err error, g *group.Group) {
+	now := k.clock.Now()
+	k.mu.Lock()
+	if err == nil {
+		k.membership.joined(sentAt, a)
+	}
+	for _, o := range k.owned {
+		if !k.membership.holds(o.partition) && o.pausedAt == 0 {
+			o.pausedAt = now
+		}
+	}
+	if err == nil && k.membership.valid(now) {
+		k.openAssigned(g)
+	}
+	k.mu.Unlock()
+	k.acknowledge()
+}
+
+// watch releases everything when the membership is over.
+func (k *Keeper) watch(ctx context.Context) error {
+	for gypsumtide.Sleep(ctx, handoverInterval) {
+		k.mu.Lock()
+		var over []*ownership
+		if !k.membership.valid(k.clock.Now()) {
+			over = slices.Collect(maps.Values(k.owned))
+		}
+		k.mu.Unlock()
+		for _, o := range over {
+			k.release(o, "membership-over")
+		}
+	}
+	return ctx.Err()
+}
+
+// openAssigned opens the partitions that are new here. The caller holds the lock.
+func (k *Keeper) openAssigned(g *group.Group) {
+	for _, p := range k.membership.assigned {
+		if _, ok := k.owned[p]; ok {
+			continue
+		}
+		k.openings++
+		ctx, stop := context.WithCancel(g.Context())
+		o := &ownership{partition: p, epoch: k.membership.epoch(k.openings), wake: make(chan struct{}, 1), stop: stop}
+		k.owned[p] = o
+		k.lines.Decision("partition-assigned", "partition", p, "epoch", o.epoch, "generation", k.membership.generation)
+		g.Add("partition", func(context.Context) error {
+			k.serve(ctx, o)
+			return nil
+		})
+	}
+}
+
+// handOver releases partitions that were given to others once their runs have
+// ended. It reports whether some are left.
+func (k *Keeper) handOver() bool {
+	now := k.clock.Now()
+	k.mu.Lock()
+	var handing []*ownership
+	for _, o := range k.owned {
+		if o.pausedAt > 0 {
+			handing = append(handing, o)
+		}
+	}
+	k.mu.Unlock()
+	left := false
+	for _, o := range handing {
+		if k.executor.Pause(k.idsOf(o)) > 0 && now-o.pausedAt < handoverTime {
+			left = true
+			continue
+		}
+		k.release(o, "handed-over")
+	}
+	k.acknowledge()
+	return left
+}
+
+// acknowledge notes that the losses of the newest distribution are carried out.
+func (k *Keeper) acknowledge() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.owned {
+		if !k.membership.holds(p) {
+			return
+		}
+	}
+	k.membership.acknowledged = k.membership.generation
+}
+
+func (k *Keeper) idsOf(o *ownership) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o.book == nil {
+		return nil
+	}
+	var ids []string
+	for _, j := range o.book.open() {
+		ids = append(ids, j.request.ID)
+	}
+	return ids
+}
+
+// release gives up a partition. Its jobs are left to the next owner. It stays in
+// the list until serve has ended, so that it is not opened again before.
+func (k *Keeper) release(o *ownership, reason string) {
+	k.mu.Lock()
+	first := !o.released
+	o.released, o.ready = true, false
+	k.mu.Unlock()
+	if !first {
+		return
+	}
+	o.stop()
+	ids := k.idsOf(o)
+	k.executor.Release(ids)
+	k.lines.Decision("partition-released", "partition", o.partition, "epoch", o.epoch, "reason", reason, "jobs", len(ids))
+}
+
+// leave hands everything over at the end of the process.
+func (k *Keeper) leave(ctx context.Context) {
+	k.mu.Lock()
+	now := k.clock.Now()
+	for _, o := range k.owned {
+		o.pausedAt = now
+	}
+	k.mu.Unlock()
+	for k.handOver() {
+		gypsumtide.Sleep(ctx, handoverInterval)
+	}
+	cctx, cancel := context.WithTimeout(ctx, leaveTimeout.Duration())
+	defer cancel()
+	if err := k.log.Leave(cctx, k.cfg.Member); err != nil {
+		k.lines.Decision("leave-failed", "error", err.Error())
+	}
+}
+
+func (k *Keeper) expireLoop(ctx context.Context) error {
+	for gypsumtide.Sleep(ctx, expireInterval) {
+		k.mu.Lock()
+		before := k.clock.Wall() - retention
+		for _, o := range k.owned {
+			if !o.ready {
+				continue
+			}
+			if records := o.book.expire(before); len(records) > 0 {
+				o.add(change{records: records, committed: func() {}})
+			}
+		}
+		k.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+// add queues a change. The caller holds the Keeper's lock.
+func (o *ownership) add(c change) {
+	o.queue = append(o.queue, c)
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Record implements dispatch.Recorder. Progress of jobs that are no longer owned
+// is dropped: their ends are disowned when they are released.
+func (k *Keeper) Record(p dispatch.Progress) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range p.Begun {
+		if _, j := k.find(id); j != nil && j.state == gypsumtide.JobPending {
+			j.state = gypsumtide.JobRunning
+		}
+	}
+	for _, e := range p.Ends {
+		k.recordEnd(e)
+	}
+}
+
+func (k *Keeper) recordEnd(e dispatch.TaskEnd) {
+	o, j := k.find(e.Ref.Task.Job)
+	if j == nil {
+		return
+	}
+	wall := k.clock.Wall()
+	records, final, err := o.book.end(wall, e)
+	if err != nil {
+		// Values of the program's own types can be encoded, so this is a fault of it.
+		k.lines.Decision("record-failed", "run", e.Ref, "error", err.Error())
+		return
+	}
+	o.add(change{records: records, committed: func() {
+		if final != "" {
+			k.mu.Lock()
+			j.show(final, wall)
+			k.mu.Unlock()
+			k.metrics.ended(final)
+			k.lines.Decision("job-ended", "job", j.request.ID, "request", j.request.Request, "state", final, "took-ms", wall-j.accepted)
+		}
+		k.executor.Recorded(e, final != "")
+	}})
+}
+
+// find returns a job of an owned partition, or nil. The caller holds the lock.
+func (k *Keeper) find(id string) (*ownership, *job) {
+	o := k.owned[partitionOf(id, k.log.Partitions())]
+	if o == nil || !o.ready {
+		return nil, nil
+	}
+	return o, o.book.jobs[id]
+}
+
+// Errors of requests to a Keeper.
+var (
+	// ErrNotOwner means that another entry owns the job's partition, or none.
+	ErrNotOwner = errors.New("partition is not owned here")
+	// ErrFull means that the entry holds too many jobs.
+	ErrFull = errors.New("too many stored jobs")
+	// ErrOwnershipLost means that it is not known whether a record was written.
+	ErrOwnershipLost = errors.New("ownership of the partition was lost")
+)
+
+// Submit accepts a job. An error other than ErrOwnershipLost or one of the context
+// proves that the job was not accepted.
+func (k *Keeper) Submit(ctx context.Context, request gypsumtide.JobRequest, route gypsumtide.QueueRoute) error {
+	done := make(chan error, 1)
+	k.mu.Lock()
+	o, j := k.find(request.ID)
+	var err error
+	switch {
+	case o == nil || !k.serving(o):
+		err = ErrNotOwner
+	case j != nil && j.recorded:
+		k.lines.Decision("job-repeated", "job", request.ID, "request", request.Request, "state", j.state)
+		k.mu.Unlock()
+		return nil
+	case j != nil:
+		o.afterAcceptance(k, j, done)
+	case k.jobs() >= maxJobs:
+		err = ErrFull
+	default:
+		err = k.accept(o, newJob(request, route, k.clock.Wall()), done)
+	}
+	k.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// afterAcceptance reports the fate of an acceptance that is being recorded, since
+// changes end in order. The caller holds the lock.
+func (o *ownership) afterAcceptance(k *Keeper, j *job, done chan<- error) {
+	o.add(change{optional: true, failed: func(err error) { done <- err }, committed: func() {
+		k.mu.Lock()
+		recorded := j.recorded
+		k.mu.Unlock()
+		if !recorded {
+			done <- gypsumtide.ErrNotAppended
+			return
+		}
+		done <- nil
+	}})
+}
+
+// accept queues the acceptance of a job. The caller holds the lock.
+func (k *Keeper) accept(o *ownership, j *job, done chan<- error) error {
+	records, err := o.book.accept(j)
+	if err != nil {
+		return err
+	}
+	o.add(change{records: records, optional: true, committed: func() {
+		k.mu.Lock()
+		j.recorded = true
+		adoption := j.adoption(0)
+		k.mu.Unlock()
+		k.metrics.accepted.Inc()
+		k.lines.Decision("job-accepted", "job", j.request.ID, "request", j.request.Request, "route", j.route.Name,
+			"partition", o.partition, "epoch", o.epoch, "took-ms", k.clock.Wall()-j.accepted)
+		k.executor.Adopt([]dispatch.StoredJob{adoption})
+		done <- nil
+	}, failed: func(err error) {
+		k.mu.Lock()
+		if o.book.jobs[j.request.ID] == j {
+			delete(o.book.jobs, j.request.ID)
+		}
+		k.mu.Unlock()
+		done <- err
+	}})
+	return nil
+}
+
+// jobs returns the number of jobs in memory. The caller holds the lock.
+func (k *Keeper) jobs() int {
+	n := 0
+	for _, o := range k.owned {
+		if o.ready {
+			n += len(o.book.jobs)
+		}
+	}
+	return n
+}
+
+// serving reports whether the entry may act as owner. The caller holds the lock.
+func (k *Keeper) serving(o *ownership) bool {
+	return o.ready && o.pausedAt == 0 && k.membership.valid(k.clock.Now())
+}
+
+// Owns reports whether this entry serves the partition.
+func (k *Keeper) Owns(partition int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.owned[partition]
+	return o != nil && k.serving(o)
+}
+
+// State returns the state of a job, or "" if there is none.
+func (k *Keeper) State(id string) (gypsumtide.JobState, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o, j := k.find(id)
+	switch {
+	case o == nil || !k.serving(o):
+		return "", ErrNotOwner
+	case j == nil || !j.recorded:
+		return "", nil
+	}
+	return j.state, nil
+}
+
+// Cancel ends a job. It returns the state that the job has then, or "" if there is none.
+func (k *Keeper) Cancel(ctx context.Context, id string) (gypsumtide.JobState, error) {
+	done := make(chan error, 1)
+	k.mu.Lock()
+	o, j := k.find(id)
+	switch {
+	case o == nil || !k.serving(o):
+		k.mu.Unlock()
+		return "", ErrNotOwner
+	case j == nil:
+		k.mu.Unlock()
+		return "", nil
+	case j.final():
+		defer k.mu.Unlock()
+		return j.state, nil
+	case !j.recorded:
+		o.afterAcceptance(k, j, done)
+		k.mu.Unlock()
+		return k.cancelAfter(ctx, id, done)
+	case j.closing:
+		// Another final state is being recorded.
+		o.add(change{committed: func() { done <- nil }, failed: func(err error) { done <- err }})
+	default:
+		if err := k.cancel(o, j, done); err != nil {
+			k.mu.Unlock()
+			return "", err
+		}
+	}
+	k.mu.Unlock()
+	select {
+	case err := <-done:
+		if err != nil {
+			return "", err
+		}
+		return k.State(id)
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// cancelAfter cancels a job once its acceptance is recorded.
+func (k *Keeper) cancelAfter(ctx context.Context, id string, accepted <-chan error) (gypsumtide.JobState, error) {
+	select {
+	case err := <-accepted:
+		if errors.Is(err, gypsumtide.ErrNotAppended) {
+			return "", nil
+		}
+		if err != nil {
+			return "", err
+		}
+		return k.Cancel(ctx, id)
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// cancel queues the end of a job. The caller holds the lock.
+func (k *Keeper) cancel(o *ownership, j *job, done chan<- error) error {
+	wall := k.clock.Wall()
+	records, state, err := o.book.close(wall, j, gypsumtide.JobCancelled)
+	if err != nil {
+		return err
+	}
+	id := j.request.ID
+	o.add(change{records: records, committed: func() {
+		k.mu.Lock()
+		j.show(state, wall)
+		k.mu.Unlock()
+		k.metrics.ended(state)
+		k.lines.Decision("job-ended", "job", id, "request", j.request.Request, "state", state, "took-ms", wall-j.accepted)
+		k.executor.Close(id, string(state))
+		done <- nil
+	}, failed: func(err error) { done <- err }})
+	return nil
+}
+
+// Queued returns the number of owned jobs by route of which no task has started.
+func (k *Keeper) Queued() map[string]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	queued := make(map[string]int)
+	for _, o := range k.owned {
+		if !o.ready {
+			continue
+		}
+		for _, j := range o.book.jobs {
+			if j.state == gypsumtide.JobPending && j.recorded {
+				queued[j.route.Name]++
+			}
+		}
+	}
+	return queued
+}
+
+// Partitions returns the partitions that this entry serves, in order.
+func (k *Keeper) Partitions() []int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var served []int
+	for p, o := range k.owned {
+		if k.serving(o) {
+			served = append(served, p)
+		}
+	}
+	slices.Sort(served)
+	return served
+}
--- /dev/null
+++ b/internal/stored/memory_test.go
@@ -0,0 +1,219 @@
+package stored
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+
+	"gypsumtide"
+	"gypsumtide/internal/dispatch"
+)
+
+// memoryLog is a JobLog in memory whose partitions the test assigns.
+type memoryLog struct {
+	mu         sync.Mutex
+	generation uint64
+	holders    map[int]string
+	parts      map[int]*memoryPartition
+	// fail is asked before each append; carriedOut tells whether one that fails is
+	// written all the same.
+	fail func() (err error, carriedOut bool)
+	// joinErr fails joins and the list of owners.
+	joinErr error
+	left    []string
+}
+
+type memoryPartition struct {
+	epoch, sequence uint64
+	values          map[string][]byte
+	appends         int
+}
+
+const testPartitions = 2
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{holders: make(map[int]string), parts: make(map[int]*memoryPartition), fail: func() (error, bool) { return nil, true }}
+}
+
+// assign gives all partitions to a member at once.
+func (l *memoryLog) assign(member string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.generation++
+	for p := range testPartitions {
+		l.holders[p] = member
+	}
+}
+
+func (l *memoryLog) setFail(fail func() (error, bool)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fail = fail
+}
+
+func (l *memoryLog) setJoinError(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.joinErr = err
+}
+
+func (l *memoryLog) partition(p int) *memoryPartition {
+	if l.parts[p] == nil {
+		l.parts[p] = &memoryPartition{values: make(map[string][]byte)}
+	}
+	return l.parts[p]
+}
+
+func (l *memoryLog) Partitions() int { return testPartitions }
+
+func (l *memoryLog) Join(_ context.Context, member string, _ uint64, _ gypsumtide.Millis) (gypsumtide.Assignment, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := gypsumtide.Assignment{Generation: l.generation}
+	for p, holder := range l.holders {
+		if holder == member {
+			a.Partitions = append(a.Partitions, p)
+		}
+	}
+	return a, l.joinErr
+}
+
+func (l *memoryLog) Leave(_ context.Context, member string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left = append(l.left, member)
+	return nil
+}
+
+func (l *memoryLog) Owners(context.Context) (map[int]string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.holders), l.joinErr
+}
+
+func (l *memoryLog) Load(_ context.Context, p int) (map[string][]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.partition(p).values), nil
+}
+
+func (l *memoryLog) Append(_ context.Context, p int, epoch, sequence uint64, records []gypsumtide.KeyedRecord) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	err, carriedOut := l.fail()
+	if !carriedOut {
+		return err
+	}
+	part := l.partition(p)
+	part.appends++
+	switch {
+	case epoch < part.epoch:
+		return gypsumtide.ErrEpochOver
+	case epoch == part.epoch && sequence == part.sequence:
+		return err
+	case epoch == part.epoch && sequence != part.sequence+1:
+		return &gypsumtide.SequenceError{Expected: part.sequence + 1}
+	}
+	part.epoch, part.sequence = epoch, sequence
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(part.values, r.Key)
+			continue
+		}
+		part.values[r.Key] = slices.Clone(r.Value)
+	}
+	return err
+}
+
+// value returns the newest value of a key.
+func (l *memoryLog) value(key string) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.parts {
+		if v, ok := p.values[key]; ok {
+			return v
+		}
+	}
+	return nil
+}
+
+// appends returns the number of appends that reached the log.
+func (l *memoryLog) appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, p := range l.parts {
+		n += p.appends
+	}
+	return n
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeExecutor notes what it is asked for.
+type fakeExecutor struct {
+	mu       sync.Mutex
+	adopted  map[string]dispatch.StoredJob
+	recorded []dispatch.TaskEnd
+	closed   []string
+	released []string
+	// open is the number of tasks that Pause reports.
+	open int
+}
+
+func newFakeExecutor() *fakeExecutor {
+	return &fakeExecutor{adopted: make(map[string]dispatch.StoredJob)}
+}
+
+func (e *fakeExecutor) Adopt(jobs []dispatch.StoredJob) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, j := range jobs {
+		e.adopted[j.Job.ID] = j
+	}
+}
+
+func (e *fakeExecutor) Recorded(end dispatch.TaskEnd, _ bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recorded = append(e.recorded, end)
+}
+
+func (e *fakeExecutor) Close(id, _ string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = append(e.closed, id)
+}
+
+func (e *fakeExecutor) Release(ids []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.released = append(e.released, ids...)
+}
+
+func (e *fakeExecutor) Pause([]string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open
+}
+
+// has reports whether a job was adopted, and how.
+func (e *fakeExecutor) has(id string) (dispatch.StoredJob, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j, ok := e.adopted[id]
+	return j, ok
+}
+
+func (e *fakeExecutor) counts() (recorded, closed, released int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.recorded), len(e.closed), len(e.released)
+}
+
+// silent drops decision lines.
+type silent struct{}
+
+func (silent) Decision(string, ...any) {}
--- /dev/null
+++ b/internal/stored/router_test.go
@@ -0,0 +1,107 @@
+package stored
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumtide"
+)
+
+// fakeActivator tells whether stored jobs are in use.
+type fakeActivator struct {
+	active, known bool
+	err           error
+}
+
+func (a *fakeActivator) Active() (active, known bool) { return a.active, a.known }
+
+func (a *fakeActivator) Activate(context.Context) error {
+	a.active = a.err == nil
+	return a.err
+}
+
+// routed returns a Router of an entry without partitions, and the owner of all of
+// them behind an HTTP server.
+func routed(t *testing.T, activator *fakeActivator) (*Router, *bench, *memoryLog) {
+	log := newMemoryLog()
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	owner := owning(t, log, Member(strings.TrimPrefix(server.URL, "http://"), "i"))
+	NewRouter(owner.Keeper, log, activator, owner.clock, silent{}).Handle(mux)
+	other := start(t, log, Member("127.0.0.1:1", "j"))
+	return NewRouter(other.Keeper, log, activator, other.clock, silent{}), owner, log
+}
+
+func within(ms gypsumtide.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), ms.Duration())
+}
+
+func TestRouter(t *testing.T) {
+	submit := func(r *Router, id string) error {
+		ctx, cancel := within(2500)
+		defer cancel()
+		j := testJob(id, 1)
+		return r.Submit(ctx, j.request, j.route)
+	}
+	var refused *RefusedError
+
+	Convey("Requests reach the owner of the partition", t, func() {
+		r, owner, _ := routed(t, &fakeActivator{})
+		So(submit(r, "a"), ShouldBeNil)
+		_, ok := owner.executor.has("a")
+		So(ok, ShouldBeTrue)
+		state, err := r.State(context.Background(), "a")
+		So(state, ShouldEqual, gypsumtide.JobPending)
+		So(err, ShouldBeNil)
+		state, _ = r.State(context.Background(), "b")
+		So(state, ShouldBeEmpty)
+		state, _ = r.Cancel(context.Background(), "a")
+		So(state, ShouldEqual, gypsumtide.JobCancelled)
+	})
+
+	Convey("What the log refuses is refused at once", t, func() {
+		r, _, log := routed(t, &fakeActivator{active: true})
+		log.setFail(func() (error, bool) { return gypsumtide.ErrNotAppended, false })
+		begin := time.Now()
+		So(errors.As(submit(r, "a"), &refused), ShouldBeTrue)
+		So(time.Since(begin), ShouldBeLessThan, 500*time.Millisecond)
+	})
+
+	Convey("Without an owner a job is refused before its caller's time is over", t, func() {
+		r, _, log := routed(t, &fakeActivator{active: true})
+		log.assign("127.0.0.1:1|gone")
+		begin := time.Now()
+		So(errors.As(submit(r, "a"), &refused), ShouldBeTrue)
+		So(time.Since(begin), ShouldBeLessThan, 2*time.Second)
+	})
+
+	// Guards against a refusal of a job that the owner may be about to accept.
+	Convey("An owner that does not answer leaves the outcome open", t, func() {
+		r, _, log := routed(t, &fakeActivator{active: true})
+		log.setFail(func() (error, bool) { return errNoAnswer, true })
+		So(submit(r, "a"), ShouldEqual, ErrUncertain)
+	})
+
+	Convey("Before the first stored job", t, func() {
+		log := newMemoryLog()
+		k := New(Config{}, log, newFakeExecutor(), gypsumtide.NewSystemClock(), silent{}, metrics.NewSet())
+		for _, c := range []struct {
+			name  string
+			known bool
+			err   bool
+		}{{"there is none", true, false}, {"an entry that cannot tell refuses to say so", false, true}} {
+			_, err := NewRouter(k, log, &fakeActivator{known: c.known}, k.clock, silent{}).State(context.Background(), "a")
+			So(errors.As(err, &refused), ShouldEqual, c.err)
+		}
+		So(errors.As(submit(NewRouter(k, log, &fakeActivator{err: errTest}, k.clock, silent{}), "a"), &refused), ShouldBeTrue)
+	})
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -51,7 +51,7 @@
 	Departures []Recovered `cbor:"30,keyasint,omitempty"`
 	Departed   bool        `cbor:"31,keyasint,omitempty"`
 
-	// Orders, StopRuns and RunReports carry the runs of ephemeral jobs.
+	// Orders, StopRuns and RunReports carry the runs of tasks.
 	Orders     []Order             `cbor:"40,keyasint,omitempty"`
 	StopRuns   []gypsumtide.RunRef `cbor:"41,keyasint,omitempty"`
 	RunReports []RunReport         `cbor:"42,keyasint,omitempty"`
@@ -68,6 +68,10 @@
 	ReportEvery gypsumtide.Millis `cbor:"48,keyasint,omitempty"`
 	// RecallRuns asks for orders back that still wait; others are not affected.
 	RecallRuns []gypsumtide.RunRef `cbor:"46,keyasint,omitempty"`
+	// Recorded lists ends of stored jobs' runs that the sender has recorded,
+	// Disowned those that it will not record.
+	Recorded []gypsumtide.RunRef `cbor:"51,keyasint,omitempty"`
+	Disowned []gypsumtide.RunRef `cbor:"52,keyasint,omitempty"`
 }
 
 // Hello opens a session. Kind is "agent" or "entry".
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -24,6 +24,9 @@
 	// Update changes Begun and StartWithin of an order that still waits. It
 	// never creates one, since the agent may have returned the order meanwhile.
 	Update bool `cbor:"9,keyasint,omitempty"`
+	// Stored marks a task of a stored job. The worker keeps the end of its run until
+	// the entry has recorded it.
+	Stored bool `cbor:"10,keyasint,omitempty"`
 }
 
 // RunReport tells an entry what became of an order.
@@ -47,6 +50,8 @@
 	// Number rises with each report to an entry. A report is sent again on the
 	// next session until the entry has acknowledged it.
 	Number uint64 `cbor:"7,keyasint,omitempty"`
+	// Unrecorded is set in an end that waits for the entry to record it.
+	Unrecorded bool `cbor:"10,keyasint,omitempty"`
 }
 
 // WorkerReport describes an agent's worker. Each one replaces the one before.
@@ -120,4 +125,6 @@
 	// not acknowledged. Then an order that is neither held nor reported did not
 	// arrive and never will; otherwise it may have run, and has ended.
 	Complete bool `cbor:"2,keyasint,omitempty"`
+	// Unrecorded lists the ends that the receiver has not confirmed as recorded.
+	Unrecorded []gypsumtide.RunRef `cbor:"3,keyasint,omitempty"`
 }
--- a/route.go
+++ b/route.go
@@ -7,21 +7,21 @@
 
 // QueueRoute maps requests to a service and says how its jobs are treated.
 type QueueRoute struct {
-	Name   string
-	Host   string
-	Prefix string
+	Name   string `cbor:"1,keyasint,omitempty"`
+	Host   string `cbor:"2,keyasint,omitempty"`
+	Prefix string `cbor:"3,keyasint,omitempty"`
 	// Service names the workers that run the tasks.
-	Service string
+	Service string `cbor:"4,keyasint,omitempty"`
 	// Priority 0 goes first.
-	Priority int
+	Priority int `cbor:"5,keyasint,omitempty"`
 	// Attempts is the number of failed runs after which a task has failed.
-	Attempts int
+	Attempts int `cbor:"6,keyasint,omitempty"`
 	// Timeout bounds the time of a request.
-	Timeout Millis
+	Timeout Millis `cbor:"7,keyasint,omitempty"`
 	// SlackFactor and Allowance give the latency objective: the run time of the
 	// job times SlackFactor, plus Allowance.
-	SlackFactor float64
-	Allowance   Millis
+	SlackFactor float64 `cbor:"8,keyasint,omitempty"`
+	Allowance   Millis  `cbor:"9,keyasint,omitempty"`
 }
 
 // Objective returns the latency objective of a job with the given run time.
@@ -105,4 +105,6 @@
 	Address string `cbor:"2,keyasint,omitempty"`
 	// Announced is the wall clock of the entry when it wrote the record.
 	Announced Millis `cbor:"3,keyasint,omitempty"`
+	// Stored is set once stored jobs are in use.
+	Stored bool `cbor:"4,keyasint,omitempty"`
 }
--- a/run.go
+++ b/run.go
@@ -7,7 +7,7 @@
 	"log/slog"
 )
 
-// TaskName identifies a task of an ephemeral job.
+// TaskName identifies a task of a job.
 type TaskName struct {
 	Job   string `cbor:"1,keyasint"`
 	Step  int    `cbor:"2,keyasint,omitempty"`
@@ -51,6 +51,9 @@
 	// Seq rises with each heartbeat of one life.
 	Seq      uint64 `cbor:"7,keyasint,omitempty"`
 	Draining bool   `cbor:"8,keyasint,omitempty"`
+	// Stored is set by the agent in what it remembers, before it starts the first
+	// run of a stored job in this life of the worker.
+	Stored bool `cbor:"9,keyasint,omitempty"`
 }
 
 // RunOrder asks a worker to start a run.
@@ -98,6 +101,10 @@
 	EndNotStarted EndKind = "not-started"
 )
 
+// Conclusive reports whether an end of the kind counts for the task: it is done,
+// or has used one of its attempts.
+func (k EndKind) Conclusive() bool { return k == EndDone || k == EndFailed }
+
 // RunEnd is an end listed by a worker. Numbers rise from 1 in each life.
 type RunEnd struct {
 	Number uint64
