dispatch: take the reports of an agent that has forgotten the earlier ones

Cause: an agent that was without a session for longer than its grace forgets an entry and numbers its reports from 1 again. The entry, which remembers the agent for 1.1 s, took them for repeats and dropped them, so jobs hung until their deadline and a stored job for ever.

Ruled out: keeping the reports for longer, since the agent may have been away for any time.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -15,9 +15,11 @@
 func (s *State) Connected(now gypsumtide.Millis, id WorkerID, r wire.Resume) {
 	w := s.worker(id)
 	w.connected = true
-	missing := wire.RunReport{End: gypsumtide.EndLost, Reason: "reports-forgotten"}
-	if r.Complete {
-		missing = wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "order-lost"}
+	missing := wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "order-lost"}
+	if !r.Complete {
+		missing = wire.RunReport{End: gypsumtide.EndLost, Reason: "reports-forgotten"}
+		// The agent numbers its reports from 1 again.
+		w.reportsSeen = 0
 	}
 	present := make(map[gypsumtide.RunRef]bool, len(r.Held))
 	for _, ref := range r.Held {
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -397,6 +397,14 @@
 			s.Connected(30, workerID(0), wire.Resume{Complete: true})
 			So(len(ordered(s.Take())[workerID(0)]), ShouldEqual, 1)
 		})
+		// Guards against reports that are taken for repeats: a job whose ends were
+		// dropped waited until its deadline, and a stored job for ever (soak seed 24).
+		Convey("reports of an agent that has forgotten the earlier ones count", func() {
+			So(s.New(workerID(0), 7), ShouldBeTrue)
+			s.Connected(600, workerID(0), wire.Resume{})
+			So(s.New(workerID(0), 1), ShouldBeTrue)
+			So(s.New(workerID(0), 1), ShouldBeFalse)
+		})
 		// Guards against a refusal of a job that had run: an entry was paused for a
 		// second, and the agent had forgotten it with its reports (soak seed 7).
 		Convey("an order that the agent has forgotten may have run", func() {
