entry: pass the ledger of a departed agent on to all entries

Cause: an agent that leaves in order hands its ledger to the entries that it has a session to. Each entry now passes the parts on; without all parts before it the last one does not make the ledger complete.

Ruled out: an empty mark in the log for agents that started nothing, which does not help agents that did.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,6 +106,7 @@
 	h, err := newHome(homeOptions{
 		name: e.incarnation, zone: cfg.Zone, clock: clock, log: log, decisions: newDecisionLog(log, cfg.Log.DecisionSample),
 		owner: e.owner, rules: rules, table: table, router: e.router, metrics: e.metrics, present: e.presentAgents, handedOver: e.handedOver,
+		passOn: e.passOn,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -122,6 +122,8 @@
 	// handedOver reports whether the shard came from a home that is about to
 	// send its accepted ids.
 	handedOver func(s gypsumtide.ShardID) bool
+	// passOn sends a part of a departed agent's ledger to the other entries.
+	passOn func(l wire.DepartedLedger)
 }
 
 func newHome(o homeOptions) (*home, error) {
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -524,6 +524,28 @@
 			depart(w, true, req)
 			return w.answer(w.submit(req, 5_000))
 		}, complete, "", false},
+		// Guards against a home that took its shard over before the agent left, without
+		// a session to it (seed 6 of TestSeeds).
+		{"a departed agent whose ledger another entry passes on", func(w *world) wire.Answer {
+			other, req := newWorld(w.t), w.job(1)
+			depart(other, true, req)
+			w.owner.set(doubt(shard.RecoveryCandidate{Incarnation: "a1"}))
+			other.mu.Lock()
+			passed := other.passedOn
+			other.mu.Unlock()
+			So(passed, ShouldNotBeEmpty)
+			for i := range passed {
+				w.receiveLedger("other", &passed[i])
+			}
+			return w.answer(w.submit(req, 5_000))
+		}, complete, "", false},
+		// Guards against a second start: a part that was lost with its session may name
+		// the job.
+		{"a departed agent of whose ledger only the last part was passed on", func(w *world) wire.Answer {
+			w.owner.set(doubt(shard.RecoveryCandidate{Incarnation: "a1"}))
+			w.receiveLedger("other", &wire.DepartedLedger{Agent: wire.DepartedAgent{Name: "a1", Incarnation: "a1"}, Part: 1, Complete: true})
+			return w.answer(w.submit(w.job(1), 5_000))
+		}, unknown, "outcome-unknown", false},
 		{"a departed agent with a part of its ledger", func(w *world) wire.Answer {
 			req := w.job(1)
 			depart(w, false, req)
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -224,13 +224,16 @@
 	// covers holds the shards whose part of the ledger is complete here.
 	covers [gypsumtide.ShardCount]bool
 	at     gypsumtide.Millis
+	// passed counts the parts passed on, received those that came from each entry.
+	passed   uint32
+	received map[string]uint32
 }
 
 // departedFrom returns the ledger of a departed agent, empty if it is new.
 func (h *home) departedFrom(name, incarnation string, now gypsumtide.Millis) *departedLedger {
 	d := h.departed[incarnation]
 	if d == nil {
-		d = &departedLedger{name: name, started: make(map[gypsumtide.SubmissionID][]wire.Result)}
+		d = &departedLedger{name: name, started: make(map[gypsumtide.SubmissionID][]wire.Result), received: make(map[string]uint32)}
 		h.departed[incarnation] = d
 	}
 	d.at = now
@@ -243,11 +246,34 @@
 	if len(f.Departures) == 0 && !f.Departed {
 		return
 	}
-	d := h.departedFrom(c.record.Name, c.record.Incarnation, now)
-	d.add(f.Departures)
+	agent := wire.DepartedAgent{Name: c.record.Name, Incarnation: c.record.Incarnation, Started: f.Departures}
+	d := h.keepLedger(&agent, f.Departed, now)
+	// An entry that is about to become a home may have no session to the agent any
+	// more, and the home that hands over to it gets the ledger too late.
+	h.passOn(wire.DepartedLedger{Agent: agent, Part: d.passed, Complete: f.Departed})
+	d.passed++
+}
+
+// receiveLedger keeps a part of a ledger that another entry passed on. Without
+// all parts before it, the last one does not make the ledger complete.
+func (h *home) receiveLedger(from string, l *wire.DepartedLedger) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := h.departedFrom(l.Agent.Name, l.Agent.Incarnation, h.clock.Now())
+	inOrder := l.Part == d.received[from]
+	if inOrder {
+		d.received[from]++
+	}
+	h.keepLedger(&l.Agent, l.Complete && inOrder, h.clock.Now())
+}
+
+func (h *home) keepLedger(a *wire.DepartedAgent, complete bool, now gypsumtide.Millis) *departedLedger {
+	d := h.departedFrom(a.Name, a.Incarnation, now)
+	d.add(a.Started)
 	for s := range d.covers {
-		d.covers[s] = d.covers[s] || f.Departed
+		d.covers[s] = d.covers[s] || complete
 	}
+	return d
 }
 
 func (d *departedLedger) add(started []wire.Recovered) {
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -93,6 +93,9 @@
 	for i := range f.Transfers {
 		e.home.receive(&f.Transfers[i])
 	}
+	for i := range f.DepartedLedgers {
+		e.home.receiveLedger(from, &f.DepartedLedgers[i])
+	}
 	if f.Drain {
 		e.drain()
 	}
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// passOn sends a part of a departed agent's ledger to the other entries.
+func (e *Entry) passOn(l wire.DepartedLedger) {
+	for _, k := range e.links.all() {
+		k.session.Update(func(f *wire.Frame) { f.DepartedLedgers = append(f.DepartedLedgers, l) })
+	}
+}
+
 // ownedShard is a shard as of the last look of handOver.
 type ownedShard struct {
 	epoch uint64
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -83,6 +83,8 @@
 	owner *fakeOwner
 	url   string
 	ctx   context.Context
+	// passedOn has what the home passed on to other entries; the home's lock guards it.
+	passedOn []wire.DepartedLedger
 }
 
 func newWorld(t *testing.T) *world {
@@ -92,6 +94,7 @@
 		owner: w.owner, rules: submission.NewRules(100, 600_000), table: submission.NewTable(60_000, 1<<20), router: newRouter(), metrics: newMeters(),
 		present:    func() int { w.owner.mu.Lock(); defer w.owner.mu.Unlock(); return len(w.owner.agents) },
 		handedOver: func(gypsumtide.ShardID) bool { return false },
+		passOn:     func(l wire.DepartedLedger) { w.passedOn = append(w.passedOn, l) },
 	})
 	So(err, ShouldBeNil)
 	w.home = h
--- a/internal/stored/book_test.go
+++ b/internal/stored/book_test.go
@@ -185,4 +185,22 @@
 	})
 }
 
+// Load pattern: many partitions with changes all the time. Their appends must not
+// exceed the rate that the log grants to all entries.
+func TestAppendInterval(t *testing.T) {
+	Convey("All partitions together stay below the rate of the log", t, func() {
+		for _, c := range []struct {
+			partitions int
+			perSecond  float64
+		}{{32, 800}, {32, 1500}, {4, 800}, {32, 0}} {
+			interval := appendInterval(c.partitions, c.perSecond)
+			rate := c.perSecond
+			if rate == 0 {
+				rate = defaultAppends
+			}
+			So(float64(c.partitions)*1000/float64(max(1, interval)), ShouldBeLessThan, rate)
+		}
+	})
+}
+
 var errTest = errors.New("test")
--- a/internal/stored/keeper_test.go
+++ b/internal/stored/keeper_test.go
@@ -23,7 +23,7 @@
 }
 
 // start runs a Keeper until the test ends.
-func start(t *testing.T, log *memoryLog, member string) *bench {
+func start(t testing.TB, log *memoryLog, member string) *bench {
 	e := newFakeExecutor()
 	k := New(Config{Member: member, RunsEnd: 1000}, log, e, gypsumtide.NewSystemClock(), silent{}, metrics.NewSet())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -45,10 +45,10 @@
 }
 
 // owning runs a Keeper that owns all partitions.
-func owning(t *testing.T, log *memoryLog, member string) *bench {
+func owning(t testing.TB, log *memoryLog, member string) *bench {
 	log.assign(member)
 	k := start(t, log, member)
-	k.await("partitions", func() bool { return len(k.Partitions()) == testPartitions })
+	k.await("partitions", func() bool { return len(k.Partitions()) == log.partitions })
 	return k
 }
 
@@ -56,7 +56,7 @@
 	deadline := time.Now().Add(6 * time.Second)
 	for !cond() {
 		if time.Now().After(deadline) {
-			So("waited in vain for "+what, ShouldBeEmpty)
+			panic("waited in vain for " + what)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/stored/memory_test.go
+++ b/internal/stored/memory_test.go
@@ -23,6 +23,9 @@
 	// joinErr fails joins and the list of owners.
 	joinErr error
 	left    []string
+	// partitions is the number of partitions, delay the time of an append.
+	partitions int
+	delay      gypsumtide.Millis
 }
 
 type memoryPartition struct {
@@ -34,7 +37,7 @@
 const testPartitions = 2
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{holders: make(map[int]string), parts: make(map[int]*memoryPartition), fail: func() (error, bool) { return nil, true }}
+	return &memoryLog{holders: make(map[int]string), parts: make(map[int]*memoryPartition), fail: func() (error, bool) { return nil, true }, partitions: testPartitions}
 }
 
 // assign gives all partitions to a member at once.
@@ -42,7 +45,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.generation++
-	for p := range testPartitions {
+	for p := range l.partitions {
 		l.holders[p] = member
 	}
 }
@@ -66,7 +69,7 @@
 	return l.parts[p]
 }
 
-func (l *memoryLog) Partitions() int { return testPartitions }
+func (l *memoryLog) Partitions() int { return l.partitions }
 
 func (l *memoryLog) Join(_ context.Context, member string, _ uint64, _ gypsumtide.Millis) (gypsumtide.Assignment, error) {
 	l.mu.Lock()
@@ -99,7 +102,8 @@
 	return maps.Clone(l.partition(p).values), nil
 }
 
-func (l *memoryLog) Append(_ context.Context, p int, epoch, sequence uint64, records []gypsumtide.KeyedRecord) error {
+func (l *memoryLog) Append(ctx context.Context, p int, epoch, sequence uint64, records []gypsumtide.KeyedRecord) error {
+	gypsumtide.Sleep(ctx, l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	err, carriedOut := l.fail()
--- a/internal/stored/writer.go
+++ b/internal/stored/writer.go
@@ -12,17 +12,29 @@
 
 // Intervals and limits of the appends to a partition.
 const (
-	// appendInterval is the shortest time between two appends to a partition, so
-	// that many partitions stay below the rate of the log. What comes meanwhile goes
-	// with the next append.
-	appendInterval gypsumtide.Millis = 25
-	appendTimeout  gypsumtide.Millis = 800
-	appendRetry    gypsumtide.Millis = 60
-	loadTimeout    gypsumtide.Millis = 2000
+	appendTimeout gypsumtide.Millis = 800
+	appendRetry   gypsumtide.Millis = 60
+	loadTimeout   gypsumtide.Millis = 2000
 	// maxBatchBytes bounds an append. A single record may be larger.
 	maxBatchBytes = 1 << 20
 )
 
+// appendShare is the part of the log's rate that the appends of all partitions
+// together may use.
+const appendShare = 0.7
+
+// appendInterval returns the shortest time between two appends to a partition.
+// What comes meanwhile goes with the next one.
+func appendInterval(partitions int, perSecond float64) gypsumtide.Millis {
+	if perSecond <= 0 {
+		perSecond = defaultAppends
+	}
+	return gypsumtide.Millis(1000 * float64(partitions) / (appendShare * perSecond))
+}
+
+// defaultAppends is the rate of a log that does not state it.
+const defaultAppends = 800
+
 // partitionOf returns the partition of a job.
 func partitionOf(id string, partitions int) int {
 	return int(xxhash.Sum64String(id) % uint64(max(1, partitions)))
@@ -225,7 +237,7 @@
 	for _, c := range batch {
 		c.committed()
 	}
-	gypsumtide.Sleep(ctx, max(0, begin+appendInterval-k.clock.Now()))
+	gypsumtide.Sleep(ctx, max(0, begin+k.interval-k.clock.Now()))
 	return nil
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -72,6 +72,9 @@
 	// Disowned those that it will not record.
 	Recorded []gypsumtide.RunRef `cbor:"51,keyasint,omitempty"`
 	Disowned []gypsumtide.RunRef `cbor:"52,keyasint,omitempty"`
+
+	// DepartedLedgers pass the ledgers of departed agents on to the other entries.
+	DepartedLedgers []DepartedLedger `cbor:"53,keyasint,omitempty"`
 }
 
 // Hello opens a session. Kind is "agent" or "entry".
@@ -384,3 +387,11 @@
 	Incarnation string      `cbor:"2,keyasint"`
 	Started     []Recovered `cbor:"3,keyasint,omitempty"`
 }
+
+// DepartedLedger is a part of the ledger that a departed agent handed over.
+type DepartedLedger struct {
+	Agent DepartedAgent `cbor:"1,keyasint"`
+	// Part counts the parts from 0, and Complete marks the last one.
+	Part     uint32 `cbor:"3,keyasint,omitempty"`
+	Complete bool   `cbor:"2,keyasint,omitempty"`
+}
