--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,27 +120,19 @@
 
 // Serve runs an HTTP server until ctx is done. It then closes idle connections
 // and waits for the requests in progress. Those that are left at the end of the
-// grace are cut, but for the answers that giveUp causes.
+// grace are cut, but for the answers that giveUp causes. It may be nil.
 func (p *Process) Serve(ctx context.Context, address string, h http.Handler, giveUp func()) error {
-	srv, done, err := p.listen(ctx, address, h)
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-done:
-		return gypsumtide.NewError("serve", address, err)
-	case <-ctx.Done():
-	}
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.requestTimeout().Duration())
-	defer cancel()
-	if err := srv.Shutdown(sctx); err != nil {
-		giveUp()
+	return p.serve(ctx, address, h, func(srv *http.Server) {
+		sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.requestTimeout().Duration())
+		defer cancel()
+		if err := srv.Shutdown(sctx); err == nil {
+			return
+		}
+		if giveUp != nil {
+			giveUp()
+		}
 		p.finish(ctx, srv, address)
-	}
-	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
-		return gypsumtide.NewError("serve", address, err)
-	}
-	return ctx.Err()
+	})
 }
 
 // finish gives the last answers time to leave, and cuts what is open then.
@@ -153,32 +145,29 @@
 	}
 }
 
-// Nothing is the giveUp of servers whose requests end by themselves.
-func Nothing() {}
-
 // ServeSessions is like Serve for connections that do not end by themselves.
 func (p *Process) ServeSessions(ctx context.Context, address string, h http.Handler) error {
-	srv, done, err := p.listen(ctx, address, h)
+	return p.serve(ctx, address, h, func(srv *http.Server) { _ = srv.Close() })
+}
+
+// serve runs an HTTP server until ctx is done, and ends it by stop.
+func (p *Process) serve(ctx context.Context, address string, h http.Handler, stop func(srv *http.Server)) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return gypsumtide.NewError("listen", address, err)
 	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	done := group.Go(ctx, func(context.Context) error { return srv.Serve(l) })
 	select {
 	case err := <-done:
 		return gypsumtide.NewError("serve", address, err)
 	case <-ctx.Done():
 	}
-	_ = srv.Close()
-	<-done
-	return ctx.Err()
-}
-
-func (p *Process) listen(ctx context.Context, address string, h http.Handler) (*http.Server, <-chan error, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, nil, gypsumtide.NewError("listen", address, err)
+	stop(srv)
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return gypsumtide.NewError("serve", address, err)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	return srv, group.Go(ctx, func(context.Context) error { return srv.Serve(l) }), nil
+	return ctx.Err()
 }
 
 // Run runs the members together with what every process has, until ctx is done
@@ -188,7 +177,7 @@
 	written := group.Go(logs, p.log.Run)
 	p.log.Decision("start", "pid", os.Getpid(), "zone", p.cfg.Zone, "metrics", p.cfg.Metrics)
 	g := group.New(ctx)
-	g.Add("metrics", func(ctx context.Context) error { return p.Serve(ctx, p.cfg.Metrics, p.metricsHandler(), Nothing) })
+	g.Add("metrics", func(ctx context.Context) error { return p.Serve(ctx, p.cfg.Metrics, p.metricsHandler(), nil) })
 	g.Add("reload", p.watchReload)
 	for name, member := range members {
 		g.Add(name, member)
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -25,7 +25,7 @@
 func (s *State) admit(now gypsumtide.Millis, j *job) (Answer, bool) {
 	for i := range j.steps {
 		if float64(s.expected(j, i)) > hopelessFactor*float64(j.deadline-now) {
-			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: retryAfter}, false
+			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: j.retryAfter()}, false
 		}
 		if len(j.steps[i].After) > 0 {
 			continue
@@ -37,7 +37,7 @@
 		if allowed := s.latestStart(j, i) - now; best > float64(allowed) {
 			s.log.Decision("admission-refused", "job", j.id, "request", j.request, "expected-ms", s.expected(j, i), "best-wait-ms", math.Round(best),
 				"allowed-ms", allowed, "patience", math.Round(100*s.pressure.patience())/100, "workers", s.Workers(), "view-age-ms", s.viewAge(now))
-			return s.refusal(usable), false
+			return s.refusal(j, usable), false
 		}
 	}
 	return Answer{}, true
@@ -80,21 +80,29 @@
 func (s *State) starting(now gypsumtide.Millis) bool { return now-s.began < startingTime }
 
 // refusal describes why no worker is free, and when callers may return.
-func (s *State) refusal(usable bool) Answer {
-	a := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "no worker is free in time", RetryAfter: retryAfter}
+func (s *State) refusal(j *job, usable bool) Answer {
+	a := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "no worker is free in time", RetryAfter: j.retryAfter()}
 	if !usable {
 		a.Reason = "no worker takes such tasks"
-		a.RetryAfter = retryWithoutWorkers
+		a.RetryAfter += retryAfter
 	}
 	return a
 }
 
 // Times after which refused callers may return.
 const (
-	retryAfter          gypsumtide.Millis = 1000
-	retryWithoutWorkers gypsumtide.Millis = 2000
+	retryAfter gypsumtide.Millis = 1000
+	// retrySpread is the time over which they return. Load pattern: a crest or a
+	// moment without workers, at which hundreds are refused at once. If they returned
+	// at once as well, they would be the next crest.
+	retrySpread gypsumtide.Millis = 2000
 )
 
+// retryAfter returns when the caller of a refused job may return.
+func (j *job) retryAfter() gypsumtide.Millis {
+	return retryAfter + gypsumtide.Millis(j.hash%uint64(retrySpread))
+}
+
 // latestStart returns the latest start of a step's task for a job that has not
 // begun. It leaves the job time to meet its objective, the more the longer the
 // workers have been full.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -222,7 +222,7 @@
 
 // refuse recalls the job's orders. The answer follows when none can start.
 func (s *State) refuse(now gypsumtide.Millis, j *job, reason string) {
-	answer := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}
+	answer := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: reason, RetryAfter: j.retryAfter()}
 	j.ending = &answer
 	for _, t := range j.tasks {
 		s.stop(t)
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -381,6 +381,28 @@
 	})
 }
 
+// Load pattern: hundreds of callers are refused in the same moment. They must not
+// all return in the same moment.
+func TestRetryAfter(t *testing.T) {
+	Convey("Refused callers are told different times to return", t, func() {
+		s := newTestState(1)
+		s.ObserveLoad(0, workerID(0), loadReport(20*testCapacity))
+		seconds := make(map[gypsumtide.Millis]int)
+		for i := range 300 {
+			s.Submit(0, submission(fmt.Sprintf("%016x", i), 1, 50, 0))
+		}
+		for _, a := range s.Take().Answers {
+			So(a.Outcome, ShouldEqual, gypsumtide.OutcomeNotRun)
+			So(a.RetryAfter, ShouldBeBetweenOrEqual, retryAfter, retryAfter+retrySpread)
+			seconds[(a.RetryAfter-retryAfter)*4/retrySpread]++
+		}
+		So(seconds, ShouldHaveLength, 4)
+		for _, n := range seconds {
+			So(n, ShouldBeGreaterThan, 45)
+		}
+	})
+}
+
 func TestLostAgent(t *testing.T) {
 	Convey("Given a job on an agent whose session breaks", t, func() {
 		s := newTestState(1)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -59,6 +60,8 @@
 	// startCallers and stopCallers bound the concurrent calls to the worker.
 	startCallers = 24
 	stopCallers  = 6
+	// maxLeft is the number of lives of the worker whose late heartbeats are ignored.
+	maxLeft = 8
 	// callBacklog bounds the calls that wait for a caller.
 	callBacklog = 4096
 )
@@ -83,11 +86,11 @@
 	address  string
 	sessions map[Owner]*wire.Session
 	outboxes map[Owner]*outbox
-	reported map[Owner]gypsumtide.Millis
 	dirty    bool
 	// broadcastAt is the time of the last broadcast.
 	broadcastAt gypsumtide.Millis
-	left        map[gypsumtide.Life]bool
+	// left has the lives that have deregistered, the newest last.
+	left []gypsumtide.Life
 
 	starts  chan StartCall
 	stops   chan StopCall
@@ -106,8 +109,6 @@
 		state:     NewState(timing, uint64(max(1, clock.Wall())), log),
 		sessions:  make(map[Owner]*wire.Session),
 		outboxes:  make(map[Owner]*outbox),
-		reported:  make(map[Owner]gypsumtide.Millis),
-		left:      make(map[gypsumtide.Life]bool),
 		starts:    make(chan StartCall, callBacklog),
 		stops:     make(chan StopCall, callBacklog),
 		syncs:     make(chan HoldCall, 1),
@@ -127,12 +128,12 @@
 	defer stop()
 	g := group.New(work)
 	for range startCallers {
-		g.Add("start runs", a.callStarts)
+		g.Add("start runs", func(ctx context.Context) error { return answerCalls(ctx, a.starts, a.callStart) })
 	}
 	for range stopCallers {
-		g.Add("stop runs", a.callStops)
+		g.Add("stop runs", func(ctx context.Context) error { return answerCalls(ctx, a.stops, a.callStop) })
 	}
-	g.Add("sync", a.callSyncs)
+	g.Add("sync", func(ctx context.Context) error { return answerCalls(ctx, a.syncs, a.callSync) })
 	g.Add("hold", a.holdLoop)
 	g.Add("tick", a.tickLoop)
 	g.Add("entries", a.dialEntries)
@@ -184,7 +185,7 @@
 // Heartbeat takes what a worker announces of itself.
 func (a *Agent) Heartbeat(info gypsumtide.WorkerInfo) {
 	a.update(func(now gypsumtide.Millis) {
-		if a.left[info.Life] {
+		if slices.Contains(a.left, info.Life) {
 			return
 		}
 		if a.state.Heartbeat(now, info) {
@@ -198,7 +199,8 @@
 	a.update(func(now gypsumtide.Millis) {
 		if life := a.state.Life(); life.ID == id {
 			a.log.Decision("worker-left", "life", life)
-			a.left[life] = true
+			a.left = append(a.left, life)
+			a.left = a.left[max(0, len(a.left)-maxLeft):]
 			a.state.loseLife(now)
 		}
 	})
@@ -283,7 +285,7 @@
 			f.Worker = &worker
 		}
 	})
-	a.reported[owner] = now
+	o.reported = now
 }
 
 func (a *Agent) outbox(owner Owner) *outbox {
@@ -300,7 +302,7 @@
 	a.dirty = false
 	a.broadcastAt = now
 	for owner, s := range a.sessions {
-		if now-a.reported[owner] < a.outbox(owner).every {
+		if o := a.outbox(owner); now-o.reported < o.every {
 			a.dirty = true
 			continue
 		}
@@ -330,7 +332,7 @@
 
 func (a *Agent) reportDue(now gypsumtide.Millis) bool {
 	for owner := range a.sessions {
-		if now-a.reported[owner] >= reportInterval {
+		if now-a.outbox(owner).reported >= reportInterval {
 			return true
 		}
 	}
@@ -343,63 +345,45 @@
 			delete(a.outboxes, owner)
 		}
 	}
-	for owner := range a.reported {
-		if !a.state.hasOwner(owner) {
-			delete(a.reported, owner)
-		}
-	}
 }
 
-func (a *Agent) callStarts(ctx context.Context) error {
+// answerCalls makes the calls that arrive until ctx is done, each within startTimeout.
+func answerCalls[C any](ctx context.Context, calls <-chan C, call func(ctx context.Context, c C)) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case c := <-a.starts:
+		case c := <-calls:
 			cctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
-			clock, err := a.client().Start(cctx, c.Life, c.Order)
+			call(cctx, c)
 			cancel()
-			a.metrics.workerCall("start", err)
-			a.update(func(now gypsumtide.Millis) { a.state.StartAnswered(now, c, clock, err) })
 		}
 	}
 }
 
-func (a *Agent) callStops(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case c := <-a.stops:
-			cctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
-			err := a.client().Stop(cctx, c.Life, c.Ref, c.Fence)
-			cancel()
-			a.metrics.workerCall("stop", err)
-			if err != nil {
-				a.log.Decision("stop-failed", "run", c.Ref, "error", err.Error())
-			}
-		}
-	}
+func (a *Agent) callStart(ctx context.Context, c StartCall) {
+	clock, err := a.client().Start(ctx, c.Life, c.Order)
+	a.metrics.workerCall("start", err)
+	a.update(func(now gypsumtide.Millis) { a.state.StartAnswered(now, c, clock, err) })
 }
 
-func (a *Agent) callSyncs(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case c := <-a.syncs:
-			cctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
-			answer, err := a.client().Hold(cctx, c.Life, c.Request)
-			cancel()
-			a.metrics.workerCall("sync", err)
-			a.update(func(now gypsumtide.Millis) {
-				a.state.SyncAnswered(now, c, answer, err)
-				a.dirty = true // Entries wait for the worker to be settled.
-			})
-		}
+func (a *Agent) callStop(ctx context.Context, c StopCall) {
+	err := a.client().Stop(ctx, c.Life, c.Ref, c.Fence)
+	a.metrics.workerCall("stop", err)
+	if err != nil {
+		a.log.Decision("stop-failed", "run", c.Ref, "error", err.Error())
 	}
 }
 
+func (a *Agent) callSync(ctx context.Context, c HoldCall) {
+	answer, err := a.client().Hold(ctx, c.Life, c.Request)
+	a.metrics.workerCall("sync", err)
+	a.update(func(now gypsumtide.Millis) {
+		a.state.SyncAnswered(now, c, answer, err)
+		a.dirty = true // Entries wait for the worker to be settled.
+	})
+}
+
 func (a *Agent) holdLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
 		a.mu.Lock()
--- a/internal/runner/outbox.go
+++ b/internal/runner/outbox.go
@@ -13,6 +13,8 @@
 	pending []wire.RunReport
 	// every is how often the entry wants unprompted worker reports.
 	every gypsumtide.Millis
+	// reported is the time of the last frame with a worker report.
+	reported gypsumtide.Millis
 	// worker is what session has been told of the worker.
 	worker  wire.WorkerReport
 	session *wire.Session
