--- a/internal/stored/simulation_link_test.go
+++ b/internal/stored/simulation_link_test.go
@@ -15,7 +15,6 @@
 }
 
 type simSession struct {
-	open bool
 	// entryOpen and agentOpen are what the two sides believe.
 	entryOpen, agentOpen bool
 	entry                *simEntry
