stored: say what the wait for lost stored runs is for

The wait stays: an agent that dies just before it would have stopped its runs leaves a lease that lasts from then, and the simulation's cuts do not produce that.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -41,8 +41,8 @@
 	// LostRun is the time after the loss of a session at which the runs of a
 	// lost agent have ended: its lease has expired, or it has stopped them.
 	LostRun gypsumtide.Millis
-	// LostStoredRun is the same for the runs of stored jobs, whose ends count even if
-	// they have not been reported: the lease has expired after any of them.
+	// LostStoredRun is the same for the runs of stored jobs. It also covers an agent
+	// that dies just before it would have stopped them, whose lease lasts from then.
 	LostStoredRun gypsumtide.Millis
 }
 
