stored: leave jobs to the next owner that are accepted during a release

Found by reading: an acceptance that is written while its partition is being released was adopted afterwards, so that this entry ran the job and the next owner too. The adoption is taken back if the partition is released before or meanwhile (a case of TestKeeper that failed first; the simulation ends its callbacks with the ownership and cannot show it).

Also: the bound of 20,000 jobs counts those in progress, not the ended ones of the last 300 s, which allowed 66 jobs a second.

--- a/internal/stored/book.go
+++ b/internal/stored/book.go
@@ -107,6 +107,8 @@
 // the records that have to be appended before their effect is shown.
 type book struct {
 	jobs map[string]*job
+	// inProgress is the number of jobs without a final state.
+	inProgress int
 }
 
 func newBook() *book { return &book{jobs: make(map[string]*job)} }
@@ -118,9 +120,18 @@
 		return nil, err
 	}
 	b.jobs[j.request.ID] = j
+	b.inProgress++
 	return []gypsumtide.KeyedRecord{r}, nil
 }
 
+// reject removes a job whose acceptance was not recorded.
+func (b *book) reject(j *job) {
+	if b.jobs[j.request.ID] == j {
+		delete(b.jobs, j.request.ID)
+		b.inProgress--
+	}
+}
+
 // end takes the conclusive end of a run. It returns the final state that the job
 // reaches by it, if any. An end that changes nothing needs no record.
 func (b *book) end(wall gypsumtide.Millis, e dispatch.TaskEnd) ([]gypsumtide.KeyedRecord, gypsumtide.JobState, error) {
@@ -156,7 +167,12 @@
 }
 
 // show makes a recorded final state visible.
-func (j *job) show(state gypsumtide.JobState, wall gypsumtide.Millis) {
+func (b *book) show(j *job, state gypsumtide.JobState, wall gypsumtide.Millis) {
+	b.inProgress--
+	j.end(state, wall)
+}
+
+func (j *job) end(state gypsumtide.JobState, wall gypsumtide.Millis) {
 	j.state, j.ended = state, wall
 	j.done, j.failures = nil, nil
 	j.request.Spec, j.request.Steps = "", nil
@@ -191,7 +207,7 @@
 		j := newJob(gypsumtide.JobRequest{ID: key, Request: r.Request, Spec: r.Spec, Steps: r.Steps}, r.Route, r.Accepted)
 		j.tenure, j.recorded = r.Tenure, true
 		if r.State != "" {
-			j.show(r.State, r.Ended)
+			j.end(r.State, r.Ended)
 			b.jobs[key] = j
 			continue
 		}
@@ -211,6 +227,7 @@
 		}
 		records = append(records, next)
 		b.jobs[key] = j
+		b.inProgress++
 	}
 	return b, records, faults
 }
--- a/internal/stored/book_test.go
+++ b/internal/stored/book_test.go
@@ -53,8 +53,9 @@
 			So(end(0, 1, gypsumtide.EndDone), ShouldEqual, gypsumtide.JobComplete)
 			Convey("and shown as complete only when that is recorded", func() {
 				So(j.final(), ShouldBeFalse)
-				j.show(gypsumtide.JobComplete, 200)
+				b.show(j, gypsumtide.JobComplete, 200)
 				So(j.final(), ShouldBeTrue)
+				So(b.inProgress, ShouldEqual, 0)
 				So(values, ShouldHaveLength, 1)
 				apply(values, b.expire(200))
 				So(values, ShouldHaveLength, 1)
@@ -86,6 +87,7 @@
 			So(a.FirstRun, ShouldEqual, runsPerTenure)
 			So(a.Job.Steps[1].After, ShouldResemble, []int{0})
 			So(next.jobs["a"].state, ShouldEqual, gypsumtide.JobRunning)
+			So(next.inProgress, ShouldEqual, 1)
 			third, _, _ := recoverBook(values)
 			So(third.jobs["a"].adoption(0).FirstRun, ShouldEqual, 2*runsPerTenure)
 		})
--- a/internal/stored/keeper.go
+++ b/internal/stored/keeper.go
@@ -357,7 +357,7 @@
 	o.add(change{records: records, committed: func() {
 		if final != "" {
 			k.mu.Lock()
-			j.show(final, wall)
+			o.book.show(j, final, wall)
 			k.mu.Unlock()
 			k.metrics.ended(final)
 			k.lines.Decision("job-ended", "job", j.request.ID, "request", j.request.Request, "state", final, "took-ms", wall-j.accepted)
--- a/internal/stored/keeper_test.go
+++ b/internal/stored/keeper_test.go
@@ -181,6 +181,38 @@
 		So(state, ShouldEqual, gypsumtide.JobRunning)
 	})
 
+	// Guards against a job that two owners run: its acceptance is written while the
+	// partition is being released.
+	Convey("A job that was accepted during the release of its partition is left to the next owner", t, func() {
+		log := newMemoryLog()
+		k := owning(t, log, "one")
+		log.setFail(func() (error, bool) {
+			k.mu.Lock()
+			o := k.owned[partitionOf("a", testPartitions)]
+			k.mu.Unlock()
+			k.release(o, "test")
+			return nil, true
+		})
+		So(k.submit("a"), ShouldBeNil)
+		log.setFail(func() (error, bool) { return nil, true })
+		So(log.value("a"), ShouldNotBeNil)
+		k.executor.mu.Lock()
+		defer k.executor.mu.Unlock()
+		So(k.executor.running, ShouldBeEmpty)
+	})
+
+	// Load pattern: more jobs within the retention than an entry may have in progress.
+	Convey("Jobs that have ended do not count against the bound of those in progress", t, func() {
+		log := newMemoryLog()
+		k := owning(t, log, "one")
+		So(k.submit("a"), ShouldBeNil)
+		_, err := k.Cancel(context.Background(), "a")
+		So(err, ShouldBeNil)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		So(k.jobs(), ShouldEqual, 0)
+	})
+
 	Convey("A partition is handed over when its runs have ended", t, func() {
 		log := newMemoryLog()
 		k := owning(t, log, "one")
--- a/internal/stored/memory_test.go
+++ b/internal/stored/memory_test.go
@@ -166,12 +166,14 @@
 	recorded []dispatch.TaskEnd
 	closed   []string
 	released []string
+	// running has the jobs that were adopted and neither closed nor released since.
+	running map[string]bool
 	// open is the number of tasks that Pause reports.
 	open int
 }
 
 func newFakeExecutor() *fakeExecutor {
-	return &fakeExecutor{adopted: make(map[string]dispatch.StoredJob)}
+	return &fakeExecutor{adopted: make(map[string]dispatch.StoredJob), running: make(map[string]bool)}
 }
 
 func (e *fakeExecutor) Adopt(jobs []dispatch.StoredJob) {
@@ -179,6 +181,7 @@
 	defer e.mu.Unlock()
 	for _, j := range jobs {
 		e.adopted[j.Job.ID] = j
+		e.running[j.Job.ID] = true
 	}
 }
 
@@ -192,12 +195,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.closed = append(e.closed, id)
+	delete(e.running, id)
 }
 
 func (e *fakeExecutor) Release(ids []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.released = append(e.released, ids...)
+	for _, id := range ids {
+		delete(e.running, id)
+	}
 }
 
 func (e *fakeExecutor) Pause([]string) int {
--- a/internal/stored/request.go
+++ b/internal/stored/request.go
@@ -80,25 +80,41 @@
 		k.metrics.accepted.Inc()
 		k.lines.Decision("job-accepted", "job", j.request.ID, "request", j.request.Request, "route", j.route.Name,
 			"partition", o.partition, "epoch", o.epoch, "took-ms", k.clock.Wall()-j.accepted)
-		k.executor.Adopt([]dispatch.StoredJob{adoption})
+		k.run(o, adoption)
 		done <- nil
 	}, failed: func(err error) {
 		k.mu.Lock()
-		if o.book.jobs[j.request.ID] == j {
-			delete(o.book.jobs, j.request.ID)
-		}
+		o.book.reject(j)
 		k.mu.Unlock()
 		done <- err
 	}})
 	return nil
 }
 
-// jobs returns the number of jobs in memory. The caller holds the lock.
+// run has a job run that was accepted, unless its partition is released, before
+// or meanwhile: then the next owner runs it.
+func (k *Keeper) run(o *ownership, job dispatch.StoredJob) {
+	if k.isReleased(o) {
+		return
+	}
+	k.executor.Adopt([]dispatch.StoredJob{job})
+	if k.isReleased(o) {
+		k.executor.Release([]string{job.Job.ID})
+	}
+}
+
+func (k *Keeper) isReleased(o *ownership) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return o.released
+}
+
+// jobs returns the number of jobs in progress. The caller holds the lock.
 func (k *Keeper) jobs() int {
 	n := 0
 	for _, o := range k.owned {
 		if o.ready {
-			n += len(o.book.jobs)
+			n += o.book.inProgress
 		}
 	}
 	return n
@@ -197,7 +213,7 @@
 	id := j.request.ID
 	o.add(change{records: records, committed: func() {
 		k.mu.Lock()
-		j.show(state, wall)
+		o.book.show(j, state, wall)
 		k.mu.Unlock()
 		k.metrics.ended(state)
 		k.lines.Decision("job-ended", "job", id, "request", j.request.Request, "state", state, "took-ms", wall-j.accepted)
--- a/internal/stored/simulation_entry_test.go
+++ b/internal/stored/simulation_entry_test.go
@@ -298,7 +298,7 @@
 	}
 	e.add(change{records: records, committed: func() {
 		if final != "" {
-			b.jobs[end.Ref.Task.Job].show(final, e.s.now)
+			b.show(b.jobs[end.Ref.Task.Job], final, e.s.now)
 		}
 		e.state.Recorded(e.s.now, end, final != "")
 	}})
@@ -328,12 +328,13 @@
 	if !ok || !known.recorded || known.closing || known.final() {
 		return
 	}
-	records, state, err := e.book.close(e.s.now, known, gypsumtide.JobCancelled)
+	b := e.book
+	records, state, err := b.close(e.s.now, known, gypsumtide.JobCancelled)
 	if err != nil {
 		e.s.violate("%v", err)
 	}
 	e.add(change{records: records, committed: func() {
-		known.show(state, e.s.now)
+		b.show(known, state, e.s.now)
 		e.state.Close(e.s.now, j.request.ID, string(state))
 		j.cancelled = e.s.now
 	}})
