--- a/route.go
+++ b/route.go
@@ -22,6 +22,9 @@
 	// job times SlackFactor, plus Allowance.
 	SlackFactor float64 `cbor:"8,keyasint,omitempty"`
 	Allowance   Millis  `cbor:"9,keyasint,omitempty"`
+	// Advised means that tasks may run only on workers that a policy names, with a
+	// ticket for each. Such routes are not served yet.
+	Advised bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Objective returns the latency objective of a job with the given run time.
