runner: acknowledge unknown ends once the memory tells of no stored jobs

Cause: a restarted agent that hears its worker before it has read its memory keeps unknown ends and withholds the lease for a second, also where there are no stored jobs; with a slow store (240 ms an answer) a heartbeat comes first in about one of six restarts (worked out).

Ruled out: waiting for the memory before the first sync, which would delay every restart by the store.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -124,7 +124,7 @@
 		marks:     make(chan struct{}, 1),
 	}
 	if cfg.Memory == nil {
-		a.state.Remembered(false)
+		a.state.Remembered(clock.Now(), false)
 	}
 	a.metrics = newAgentMetrics(set, a)
 	return a
--- a/internal/runner/memory.go
+++ b/internal/runner/memory.go
@@ -88,7 +88,7 @@
 			info = &gypsumtide.WorkerInfo{}
 		}
 		a.update(func(now gypsumtide.Millis) {
-			a.state.Remembered(marked)
+			a.state.Remembered(now, marked)
 			if info.Life.ID != "" && a.state.Life() == (gypsumtide.Life{}) {
 				a.log.Decision("worker-recalled", "life", info.Life, "draining", info.Draining)
 				a.state.Recalled(now, *info)
--- a/internal/runner/stored.go
+++ b/internal/runner/stored.go
@@ -30,10 +30,17 @@
 // worker carried out late.
 func (s *State) mayBeStored() bool { return !s.settled && (!s.remembered || s.marked) }
 
-// Remembered takes whether the memory tells of stored jobs.
-func (s *State) Remembered(marked bool) {
+// Remembered takes whether the memory tells of stored jobs. If it does not, ends
+// that were kept in case it would are acknowledged.
+func (s *State) Remembered(now gypsumtide.Millis, marked bool) {
 	s.remembered = true
 	s.marked = s.marked || marked
+	if s.marked {
+		return
+	}
+	clear(s.unrecorded)
+	s.acknowledge()
+	s.updateLapse(now)
 }
 
 // Marked notes that the memory tells the next incarnation of stored jobs.
--- a/internal/runner/stored_test.go
+++ b/internal/runner/stored_test.go
@@ -146,8 +146,8 @@
 		remember func(s *State)
 		lapses   bool
 	}{
-		{"no stored jobs", func(s *State) { s.Remembered(false) }, false},
-		{"stored jobs", func(s *State) { s.Remembered(true) }, true},
+		{"no stored jobs", func(s *State) { s.Remembered(0, false) }, false},
+		{"stored jobs", func(s *State) { s.Remembered(0, true) }, true},
 		{"the memory cannot be read", func(*State) {}, true},
 	} {
 		Convey("Memory: "+c.name, t, func() {
@@ -163,6 +163,18 @@
 		})
 	}
 
+	// Guards against a worker that is closed for a second after each restart of its
+	// agent while the store is slow, although there are no stored jobs.
+	Convey("Ends that were kept until the memory was read are acknowledged if it tells of no stored jobs", t, func() {
+		s := restarted(func(*State) {})
+		So(s.Report(3).Open, ShouldBeFalse)
+		s.Remembered(4, false)
+		So(s.Report(4).Open, ShouldBeTrue)
+		n, renews := acknowledged(s, 5)
+		So(n, ShouldEqual, 1)
+		So(renews, ShouldBeTrue)
+	})
+
 	Convey("The first run of a stored job waits until the memory tells of it", t, func() {
 		s := openState()
 		s.Submit(2, "entry", storedOrder(0))
@@ -179,7 +191,7 @@
 	// once: an order for the life before was carried out late (seed 26 of TestSimulation).
 	Convey("An unknown end in a new life may be one of a stored job", t, func() {
 		s := openState()
-		s.Remembered(false)
+		s.Remembered(0, false)
 		s.Marked()
 		s.Heartbeat(5, testInfo(gypsumtide.Life{ID: "w-1", Born: 2000}))
 		s.SyncAnswered(6, *s.Take().Sync, gypsumtide.HoldAnswer{
--- a/internal/stored/simulation_agent_test.go
+++ b/internal/stored/simulation_agent_test.go
@@ -36,7 +36,7 @@
 		if !a.alive() {
 			return
 		}
-		a.state.Remembered(s.marks[slot])
+		a.state.Remembered(s.now, s.marks[slot])
 		if m := s.memory[slot]; m != nil && a.state.Life().ID == "" {
 			a.state.Recalled(s.now, *m)
 		}
