dispatch: keep the ids of stored and ephemeral jobs apart

Found by reading: an ephemeral job with the id of a stored one in progress took its place in the entry's list, so the stored one would not have ended before the next change of owner. It is refused; an ephemeral one in progress is given up when a stored one with its id is adopted. Test: a case of TestStoredJob that failed first.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -103,6 +103,11 @@
 // Submit begins a job. The answer follows in Effects, at once for a refusal.
 func (s *State) Submit(now gypsumtide.Millis, sub Submission) {
 	j := newJob(now, sub)
+	if other, ok := s.jobs[j.id]; ok && other.stored {
+		// The tasks of two jobs with one id could not be told apart.
+		s.refuseID(now, j)
+		return
+	}
 	run := j.chain(func(step int) gypsumtide.Millis { return s.expected(j, step) })
 	j.objective = now + j.route.Objective(run)
 	s.jobs[j.id] = j
@@ -115,6 +120,13 @@
 	s.placeReady(now, j)
 }
 
+// refuseID answers a job whose id a stored job in progress has.
+func (s *State) refuseID(now gypsumtide.Millis, j *job) {
+	stored := s.jobs[j.id]
+	s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
+	s.jobs[j.id] = stored
+}
+
 func (s *State) expected(j *job, step int) gypsumtide.Millis {
 	return s.learner.expected(j.route.Name, j.steps[step].Estimate)
 }
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -42,6 +42,9 @@
 
 // Adopt begins to run a stored job.
 func (s *State) Adopt(now gypsumtide.Millis, a StoredJob) {
+	if other, ok := s.jobs[a.Job.ID]; ok && !other.stored {
+		s.abandon(now, other, "a stored job has this id")
+	}
 	j := newJob(now, Submission{Job: a.Job, Route: a.Route, Timeout: math.MaxInt32})
 	j.stored, j.notBefore = true, a.NotBefore
 	for i, t := range j.tasks {
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -173,6 +173,22 @@
 		one(s.Take())
 	})
 
+	// Guards against a stored job that is lost from the entry's list when a caller
+	// uses its id for an ephemeral one, and against callers that wait in vain.
+	Convey("An ephemeral job with the id of a stored one is refused or given up", t, func() {
+		s := newTestState(1)
+		s.Adopt(0, storedJob("a", 1))
+		s.Submit(1, submission("a", 1, 50, 0))
+		So(s.Take().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeNotRun)
+		So(s.Jobs(), ShouldEqual, 1)
+		So(s.Has("a"), ShouldBeFalse)
+		s.Submit(2, submission("b", 1, 50, 0))
+		s.Take()
+		s.Adopt(3, storedJob("b", 1))
+		So(s.Take().Answers["b"].Outcome, ShouldEqual, gypsumtide.OutcomeUnknown)
+		So(s.Jobs(), ShouldEqual, 2)
+	})
+
 	Convey("A paused job starts nothing", t, func() {
 		s := newTestState(1)
 		s.Adopt(0, storedJob("a", 1))
