Share what the change had written twice

An end of a stored job was found by a search over all tasks of the job, although the name gives the index; with 1,200 tasks that is 1.4 million comparisons for a job. refuseID removed a stored job and put it back; receiveLedger looked up its ledger twice.

Behaviour is the same but for the step in the text of an error between entries ("call entry", before "forward" for stored jobs).

Ruled out: one mixing function for shard and scatter, since other constants would change every choice; one type for the records of stored jobs, since their versions may differ later.

--- a/error.go
+++ b/error.go
@@ -1,6 +1,10 @@
 package gypsumtide
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"net"
+)
 
 // Error carries the step and the peer at which a failure arose.
 type Error struct {
@@ -31,3 +35,18 @@
 
 // Peer returns the process or host that the failed action involved.
 func (e *Error) Peer() string { return e.peer }
+
+// ErrorText returns the text of an error for a log line, empty if there is none.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// NotSent reports whether a request cannot have reached its peer, because no
+// connection was made.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -183,11 +183,7 @@
 		g.Add(name, member)
 	}
 	err := g.Wait()
-	reason := ""
-	if err != nil {
-		reason = err.Error()
-	}
-	p.log.Decision("stop", "error", reason)
+	p.log.Decision("stop", "error", gypsumtide.ErrorText(err))
 	stopLogs()
 	<-written
 	return err
@@ -213,11 +209,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-signals:
-			reason := ""
-			if err := p.cfg.Reload(); err != nil {
-				reason = err.Error()
-			}
-			p.log.Decision("reload", "error", reason)
+			p.log.Decision("reload", "error", gypsumtide.ErrorText(p.cfg.Reload()))
 		}
 	}
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -139,6 +139,15 @@
 	return j
 }
 
+// task returns the task with the name, or nil if the job has none.
+func (j *job) task(name gypsumtide.TaskName) *task {
+	i, ok := gypsumtide.TaskIndex(j.steps, name)
+	if !ok {
+		return nil
+	}
+	return j.tasks[i]
+}
+
 // chain returns the longest expected run time of steps that depend on each other.
 func (j *job) chain(expected func(step int) gypsumtide.Millis) gypsumtide.Millis {
 	ends := make([]gypsumtide.Millis, len(j.steps))
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -105,7 +105,7 @@
 	j := newJob(now, sub)
 	if other, ok := s.jobs[j.id]; ok && other.stored {
 		// The tasks of two jobs with one id could not be told apart.
-		s.refuseID(now, j)
+		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
 		return
 	}
 	run := j.chain(func(step int) gypsumtide.Millis { return s.expected(j, step) })
@@ -120,13 +120,6 @@
 	s.placeReady(now, j)
 }
 
-// refuseID answers a job whose id a stored job in progress has.
-func (s *State) refuseID(now gypsumtide.Millis, j *job) {
-	stored := s.jobs[j.id]
-	s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
-	s.jobs[j.id] = stored
-}
-
 func (s *State) expected(j *job, step int) gypsumtide.Millis {
 	return s.learner.expected(j.route.Name, j.steps[step].Estimate)
 }
@@ -137,7 +130,9 @@
 		s.effects.Answers = make(map[string]Answer)
 	}
 	s.effects.Answers[j.id] = a
-	delete(s.jobs, j.id)
+	if s.jobs[j.id] == j {
+		delete(s.jobs, j.id)
+	}
 	s.log.Decision("job-answered", "job", j.id, "request", j.request, "route", j.route.Name, "outcome", a.Outcome, "reason", a.Reason,
 		"took-ms", now-j.arrived, "objective-ms", j.objective-j.arrived, "retry-after-ms", a.RetryAfter, "tasks", len(j.tasks))
 }
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -106,12 +106,9 @@
 	if !ok || !j.stored {
 		return
 	}
-	for _, t := range j.tasks {
-		if t.phase == taskEnded && t.ref() == e.Ref {
-			t.recorded = append(t.recorded, t.number)
-			s.ended(now, t, t.end)
-			break
-		}
+	if t := j.task(e.Ref.Task); t != nil && t.phase == taskEnded && t.ref() == e.Ref {
+		t.recorded = append(t.recorded, t.number)
+		s.ended(now, t, t.end)
 	}
 	if final {
 		s.Close(now, j.id, "final-state-recorded")
@@ -201,13 +198,13 @@
 		s.disown(id, ref)
 		return
 	}
-	i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.name == ref.Task })
+	t := j.task(ref.Task)
 	switch {
-	case i < 0:
+	case t == nil:
 		s.disown(id, ref)
-	case j.tasks[i].ref() == ref && (j.tasks[i].phase == taskEnded || j.tasks[i].placed()):
+	case t.ref() == ref && (t.phase == taskEnded || t.placed()):
 		// The answer follows when the end has been recorded.
-	case slices.Contains(j.tasks[i].recorded, ref.Number):
+	case slices.Contains(t.recorded, ref.Number):
 		s.recorded(id, ref)
 	default:
 		s.disown(id, ref)
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -346,7 +346,7 @@
 	}
 	if e.home.agentDown(c, s) {
 		e.owner.AgentDown(rec.Incarnation)
-		e.log.Info("agent session ended", "agent", rec.Name, "incarnation", rec.Incarnation, "error", errorText(err))
+		e.log.Info("agent session ended", "agent", rec.Name, "incarnation", rec.Incarnation, "error", gypsumtide.ErrorText(err))
 	}
 	return err
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -49,10 +49,3 @@
 		Detail: "the job ended as " + string(rec.Outcome()) + " and its answer is no longer kept",
 	}}
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -101,7 +101,7 @@
 	for ctx.Err() == nil {
 		start := time.Now()
 		err := l.connect(ctx, url)
-		l.entry.log.V(1).Info("link ended", "peer", url, "error", errorText(err))
+		l.entry.log.V(1).Info("link ended", "peer", url, "error", gypsumtide.ErrorText(err))
 		if time.Since(start) > redialMax {
 			pause = redialMin
 		}
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -247,7 +247,8 @@
 		return
 	}
 	agent := wire.DepartedAgent{Name: c.record.Name, Incarnation: c.record.Incarnation, Started: f.Departures}
-	d := h.keepLedger(&agent, f.Departed, now)
+	d := h.departedFrom(agent.Name, agent.Incarnation, now)
+	d.keep(&agent, f.Departed)
 	// An entry that is about to become a home may have no session to the agent any
 	// more, and the home that hands over to it gets the ledger too late.
 	h.passOn(wire.DepartedLedger{Agent: agent, Part: d.passed, Complete: f.Departed})
@@ -264,16 +265,15 @@
 	if inOrder {
 		d.received[from]++
 	}
-	h.keepLedger(&l.Agent, l.Complete && inOrder, h.clock.Now())
+	d.keep(&l.Agent, l.Complete && inOrder)
 }
 
-func (h *home) keepLedger(a *wire.DepartedAgent, complete bool, now gypsumtide.Millis) *departedLedger {
-	d := h.departedFrom(a.Name, a.Incarnation, now)
+// keep adds a part of the ledger, and notes whether it is the last of a complete one.
+func (d *departedLedger) keep(a *wire.DepartedAgent, complete bool) {
 	d.add(a.Started)
 	for s := range d.covers {
 		d.covers[s] = d.covers[s] || complete
 	}
-	return d
 }
 
 func (d *departedLedger) add(started []wire.Recovered) {
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -27,7 +27,7 @@
 	}
 	defer s.Close()
 	err = e.serveSession(e.sessionCtx, s)
-	e.log.V(1).Info("session ended", "peer", r.RemoteAddr, "error", errorText(err))
+	e.log.V(1).Info("session ended", "peer", r.RemoteAddr, "error", gypsumtide.ErrorText(err))
 }
 
 // withKey refuses requests without the shared key of the system's own
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -59,7 +58,7 @@
 	req.Header.Set("Content-Type", "application/octet-stream")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		if notSent(err) {
+		if gypsumtide.NotSent(err) {
 			return 0, c.fail("append", err)
 		}
 		return 0, c.fail("append", unsettled(err))
@@ -139,13 +138,6 @@
 	return gypsumtide.NewError("journal: "+step, c.base, err)
 }
 
-// notSent reports whether the request cannot have reached the log, because no
-// connection was made.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func unsettled(err error) error {
 	return fmt.Errorf("%w: %w", gypsumtide.ErrAppendUnsettled, err)
 }
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"gypsumtide"
 )
@@ -177,12 +176,8 @@
 
 // pause waits for d or until ctx is done.
 func pause(ctx context.Context, d gypsumtide.Millis) error {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !gypsumtide.Sleep(ctx, d) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -1,12 +1,8 @@
 package routing
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,7 +10,6 @@
 	"gypsumtide"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/link"
-	"gypsumtide/internal/wire"
 )
 
 // Paths of the interface between entries.
@@ -33,6 +28,8 @@
 	// announceInterval is the time between two entries in the directory.
 	announceInterval gypsumtide.Millis = 30_000
 	announceRetry    gypsumtide.Millis = 1000
+	// peerConnections is the number of connections kept to a peer.
+	peerConnections = 2
 	// maxTableBytes bounds a table from a peer.
 	maxTableBytes = 8 << 20
 )
@@ -59,7 +56,7 @@
 	directory gypsumtide.Directory
 	clock     gypsumtide.Clock
 	log       gypsumtide.Recorder
-	client    *http.Client
+	caller    *link.Caller
 	began     gypsumtide.Millis
 
 	// queued returns this entry's counts of stored jobs. It is set before Run.
@@ -74,12 +71,11 @@
 
 // NewPeers returns the exchange of the entry at the address self.
 func NewPeers(name, self string, entries *link.Addresses, holder *Holder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log gypsumtide.Recorder) *Peers {
-	dialer := &net.Dialer{Timeout: exchangeTimeout.Duration()}
 	return &Peers{
 		self: self, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
 		clock: clock, log: log, began: clock.Now(), busy: make(map[string]bool),
 		queued: func() map[string]int { return nil }, usage: newStoredUsage(), counts: make(map[string]peerCounts),
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2}},
+		caller: link.NewCaller(exchangeTimeout, peerConnections, maxTableBytes),
 	}
 }
 
@@ -147,12 +143,13 @@
 	}
 	p.entries.AddRecords(records)
 	p.usage.take(records)
-	return errors.Join(err, p.announce(cctx))
+	active, _ := p.usage.Active()
+	return errors.Join(err, p.announce(cctx, active))
 }
 
-func (p *Peers) announce(ctx context.Context) error {
-	active, _ := p.usage.Active()
-	return p.directory.Announce(ctx, gypsumtide.DirectoryRecord{Name: p.name, Address: p.self, Announced: p.clock.Wall(), Stored: active})
+// announce writes this entry's record, and in it whether stored jobs are in use.
+func (p *Peers) announce(ctx context.Context, stored bool) error {
+	return p.directory.Announce(ctx, gypsumtide.DirectoryRecord{Name: p.name, Address: p.self, Announced: p.clock.Wall(), Stored: stored})
 }
 
 func (p *Peers) greeting() greeting {
@@ -203,19 +200,12 @@
 
 func (p *Peers) exchange(ctx context.Context, address string) (greeting, error) {
 	var g greeting
-	body, err := wire.Marshal(p.greeting())
-	if err != nil {
-		return g, err
-	}
-	data, err := p.call(ctx, http.MethodPost, "http://"+address+PeerPath, body)
-	if err != nil {
-		return g, err
-	}
-	return g, wire.Unmarshal(data, &g)
+	err := p.caller.Exchange(ctx, address, PeerPath, p.greeting(), &g)
+	return g, err
 }
 
 func (p *Peers) fetch(ctx context.Context, address string) error {
-	raw, err := p.call(ctx, http.MethodGet, "http://"+address+TablePath, nil)
+	raw, err := p.caller.Call(ctx, http.MethodGet, address, TablePath, nil)
 	if err != nil {
 		return err
 	}
@@ -227,26 +217,6 @@
 	return nil
 }
 
-func (p *Peers) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, gypsumtide.NewError("call entry", url, err)
-	}
-	resp, err := p.client.Do(r)
-	if err != nil {
-		return nil, gypsumtide.NewError("call entry", url, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxTableBytes))
-	if err != nil {
-		return nil, gypsumtide.NewError("call entry", url, err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, gypsumtide.NewError("call entry", url, fmt.Errorf("status %d", resp.StatusCode))
-	}
-	return data, nil
-}
-
 // Handle registers the interface between entries.
 func (p *Peers) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+PeerPath, p.receive)
@@ -254,22 +224,14 @@
 }
 
 func (p *Peers) receive(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTableBytes))
 	var g greeting
-	if err == nil {
-		err = wire.Unmarshal(data, &g)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	p.take(g.Address, &g)
-	reply, err := wire.Marshal(p.greeting())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+	reply, ok := p.caller.Answer(w, r, &g, func() any {
+		p.take(g.Address, &g)
+		return p.greeting()
+	})
+	if ok {
+		p.write(w, reply)
 	}
-	p.write(w, reply)
 }
 
 func (p *Peers) serveTable(w http.ResponseWriter, _ *http.Request) {
--- a/internal/routing/usage.go
+++ b/internal/routing/usage.go
@@ -59,8 +59,7 @@
 func (p *Peers) Activate(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
-	r := gypsumtide.DirectoryRecord{Name: p.name, Address: p.self, Announced: p.clock.Wall(), Stored: true}
-	if err := p.directory.Announce(cctx, r); err != nil {
+	if err := p.announce(cctx, true); err != nil {
 		return fmt.Errorf("announce stored jobs: %w", err)
 	}
 	p.usage.set()
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -128,14 +128,7 @@
 	}
 	delete(a.sessions, owner)
 	a.state.Detach(a.clock.Now(), owner)
-	a.log.Decision("entry-lost", "entry", owner, "error", errorText(err), "runs", len(a.state.Held(owner)))
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+	a.log.Decision("entry-lost", "entry", owner, "error", gypsumtide.ErrorText(err), "runs", len(a.state.Held(owner)))
 }
 
 // receive handles a frame of an entry.
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -166,11 +165,10 @@
 }
 
 func failedStep(err error) string {
-	var op *net.OpError
 	switch {
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return history.StepTimeout
-	case errors.As(err, &op) && op.Op == "dial":
+	case gypsumtide.NotSent(err):
 		return history.StepConnect
 	}
 	return history.StepAnswer
--- a/internal/stored/book.go
+++ b/internal/stored/book.go
@@ -20,8 +20,6 @@
 	closing bool
 	// recorded is set once the acceptance is in the log.
 	recorded bool
-	// first holds the index of the first task of each step.
-	first    []int
 	done     []bool
 	failures []uint8
 	undone   int
@@ -31,7 +29,6 @@
 	j := &job{request: request, route: route, accepted: accepted, state: gypsumtide.JobPending}
 	n := 0
 	for _, step := range request.Steps {
-		j.first = append(j.first, n)
 		n += step.Tasks
 	}
 	j.done, j.failures, j.undone = make([]bool, n), make([]uint8, n), n
@@ -45,10 +42,7 @@
 // index returns the index of a task over all steps, or false for a name that is
 // not one of the job's.
 func (j *job) index(n gypsumtide.TaskName) (int, bool) {
-	if n.Step < 0 || n.Step >= len(j.first) || n.Index < 0 || n.Index >= j.request.Steps[n.Step].Tasks {
-		return 0, false
-	}
-	return j.first[n.Step] + n.Index, true
+	return gypsumtide.TaskIndex(j.request.Steps, n)
 }
 
 func (j *job) record() jobRecord {
--- a/internal/stored/keeper.go
+++ b/internal/stored/keeper.go
@@ -145,7 +145,7 @@
 		cancel()
 		if ok := err == nil; ok != reachable {
 			reachable = ok
-			k.lines.Decision("job-log", "reachable", ok, "error", errorText(err), "generation", a.Generation)
+			k.lines.Decision("job-log", "reachable", ok, "error", gypsumtide.ErrorText(err), "generation", a.Generation)
 		}
 		k.joined(sentAt, a, err, g)
 		next := sentAt + joinInterval
@@ -157,13 +157,6 @@
 	}
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // joined takes the result of a join: it opens what was gained and begins to hand
 // over what was lost.
 func (k *Keeper) joined(sentAt gypsumtide.Millis, a gypsumtide.Assignment, err error, g *group.Group) {
@@ -356,16 +349,21 @@
 	}
 	o.add(change{records: records, committed: func() {
 		if final != "" {
-			k.mu.Lock()
-			o.book.show(j, final, wall)
-			k.mu.Unlock()
-			k.metrics.ended(final)
-			k.lines.Decision("job-ended", "job", j.request.ID, "request", j.request.Request, "state", final, "took-ms", wall-j.accepted)
+			k.finish(o, j, final, wall)
 		}
 		k.executor.Recorded(e, final != "")
 	}})
 }
 
+// finish shows the final state of a job once it is recorded.
+func (k *Keeper) finish(o *ownership, j *job, state gypsumtide.JobState, wall gypsumtide.Millis) {
+	k.mu.Lock()
+	o.book.show(j, state, wall)
+	k.mu.Unlock()
+	k.metrics.ended(state)
+	k.lines.Decision("job-ended", "job", j.request.ID, "request", j.request.Request, "state", state, "took-ms", wall-j.accepted)
+}
+
 // find returns a job of an owned partition, or nil. The caller holds the lock.
 func (k *Keeper) find(id string) (*ownership, *job) {
 	o := k.owned[partitionOf(id, k.log.Partitions())]
--- a/internal/stored/record.go
+++ b/internal/stored/record.go
@@ -47,24 +47,25 @@
 
 func decodeJob(data []byte) (jobRecord, error) {
 	var r jobRecord
-	if err := wire.Unmarshal(data, &r); err != nil {
-		return r, err
-	}
-	if r.Version != recordVersion {
-		return r, fmt.Errorf("job record of version %d", r.Version)
-	}
-	return r, nil
+	err := decode(data, "job", &r, &r.Version)
+	return r, err
 }
 
 func decodeProgress(data []byte) (progressRecord, error) {
 	var r progressRecord
-	if err := wire.Unmarshal(data, &r); err != nil {
-		return r, err
+	err := decode(data, "progress", &r, &r.Version)
+	return r, err
+}
+
+// decode fills record, of which version is a field, from data.
+func decode(data []byte, kind string, record any, version *uint8) error {
+	if err := wire.Unmarshal(data, record); err != nil {
+		return err
 	}
-	if r.Version != recordVersion {
-		return r, fmt.Errorf("progress record of version %d", r.Version)
+	if *version != recordVersion {
+		return fmt.Errorf("%s record of version %d", kind, *version)
 	}
-	return r, nil
+	return nil
 }
 
 // encode returns the record of a value that the program has built itself.
--- a/internal/stored/request.go
+++ b/internal/stored/request.go
@@ -33,7 +33,7 @@
 		k.mu.Unlock()
 		return nil
 	case j != nil:
-		o.afterAcceptance(k, j, done)
+		k.afterAcceptance(o, j, done)
 	case k.jobs() >= maxJobs:
 		err = ErrFull
 	default:
@@ -43,6 +43,11 @@
 	if err != nil {
 		return err
 	}
+	return await(ctx, done)
+}
+
+// await returns the fate of a change, or the error of ctx if that ends first.
+func await(ctx context.Context, done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
@@ -53,7 +58,7 @@
 
 // afterAcceptance reports the fate of an acceptance that is being recorded, since
 // changes end in order. The caller holds the lock.
-func (o *ownership) afterAcceptance(k *Keeper, j *job, done chan<- error) {
+func (k *Keeper) afterAcceptance(o *ownership, j *job, done chan<- error) {
 	o.add(change{optional: true, failed: func(err error) { done <- err }, committed: func() {
 		k.mu.Lock()
 		recorded := j.recorded
@@ -163,7 +168,7 @@
 		defer k.mu.Unlock()
 		return j.state, nil
 	case !j.recorded:
-		o.afterAcceptance(k, j, done)
+		k.afterAcceptance(o, j, done)
 		k.mu.Unlock()
 		return k.cancelAfter(ctx, id, done)
 	case j.closing:
@@ -176,31 +181,22 @@
 		}
 	}
 	k.mu.Unlock()
-	select {
-	case err := <-done:
-		if err != nil {
-			return "", err
-		}
-		return k.State(id)
-	case <-ctx.Done():
-		return "", ctx.Err()
+	if err := await(ctx, done); err != nil {
+		return "", err
 	}
+	return k.State(id)
 }
 
 // cancelAfter cancels a job once its acceptance is recorded.
 func (k *Keeper) cancelAfter(ctx context.Context, id string, accepted <-chan error) (gypsumtide.JobState, error) {
-	select {
-	case err := <-accepted:
-		if errors.Is(err, gypsumtide.ErrNotAppended) {
-			return "", nil
-		}
-		if err != nil {
-			return "", err
-		}
-		return k.Cancel(ctx, id)
-	case <-ctx.Done():
-		return "", ctx.Err()
+	err := await(ctx, accepted)
+	switch {
+	case errors.Is(err, gypsumtide.ErrNotAppended):
+		return "", nil
+	case err != nil:
+		return "", err
 	}
+	return k.Cancel(ctx, id)
 }
 
 // cancel queues the end of a job. The caller holds the lock.
@@ -212,11 +208,7 @@
 	}
 	id := j.request.ID
 	o.add(change{records: records, committed: func() {
-		k.mu.Lock()
-		o.book.show(j, state, wall)
-		k.mu.Unlock()
-		k.metrics.ended(state)
-		k.lines.Decision("job-ended", "job", id, "request", j.request.Request, "state", state, "took-ms", wall-j.accepted)
+		k.finish(o, j, state, wall)
 		k.executor.Close(id, string(state))
 		done <- nil
 	}, failed: func(err error) { done <- err }})
--- a/internal/stored/router.go
+++ b/internal/stored/router.go
@@ -1,18 +1,15 @@
 package stored
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 
 	"gypsumtide"
-	"gypsumtide/internal/wire"
+	"gypsumtide/internal/link"
 )
 
 // Path is the HTTP path of requests that an entry forwards to the owner.
@@ -101,7 +98,7 @@
 	activator Activator
 	clock     gypsumtide.Clock
 	lines     gypsumtide.Recorder
-	client    *http.Client
+	caller    *link.Caller
 
 	mu       sync.Mutex
 	owners   map[int]string
@@ -110,10 +107,9 @@
 
 // NewRouter returns a Router for the partitions of log.
 func NewRouter(keeper *Keeper, log gypsumtide.JobLog, activator Activator, clock gypsumtide.Clock, lines gypsumtide.Recorder) *Router {
-	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
 	return &Router{
 		keeper: keeper, log: log, activator: activator, clock: clock, lines: lines,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: forwardConnections}},
+		caller: link.NewCaller(dialTimeout, forwardConnections, maxForwardBytes),
 	}
 }
 
@@ -170,7 +166,7 @@
 			return a.State, nil
 		case err == nil && a.Verdict == refused && !doubt:
 			return "", &RefusedError{Reason: a.Reason}
-		case err == nil && a.Verdict == uncertain, err != nil && !errors.Is(err, errNotSent):
+		case err == nil && a.Verdict == uncertain, err != nil && !errors.Is(err, link.ErrNotSent):
 			doubt = true
 		}
 		late := r.clock.Now()-begin > ownerlessTime
@@ -184,22 +180,20 @@
 	}
 }
 
-// errNotSent marks a request that has not reached an owner.
-var errNotSent = errors.New("request was not sent")
-
 func (r *Router) attempt(ctx context.Context, partition int, f *forward) (reply, error) {
 	if r.keeper.Owns(partition) {
 		return r.local(ctx, f), nil
 	}
 	member, err := r.owner(ctx, partition)
 	if err != nil {
-		return reply{}, fmt.Errorf("%w: %w", errNotSent, err)
+		return reply{}, fmt.Errorf("%w: %w", link.ErrNotSent, err)
 	}
 	if member == "" || member == r.keeper.cfg.Member {
 		r.expectChange()
 		return reply{Verdict: notOwner}, nil
 	}
-	a, err := r.send(ctx, addressOf(member), f)
+	var a reply
+	err = r.caller.Exchange(ctx, addressOf(member), Path, f, &a)
 	if err != nil || a.Verdict == notOwner {
 		r.expectChange()
 	}
@@ -234,53 +228,13 @@
 	r.ownersAt = min(r.ownersAt, r.clock.Now()-ownersAge+ownersRetry)
 }
 
-func (r *Router) send(ctx context.Context, address string, f *forward) (reply, error) {
-	var a reply
-	body, err := wire.Marshal(f)
-	if err != nil {
-		return a, fmt.Errorf("%w: %w", errNotSent, err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
-	if err != nil {
-		return a, fmt.Errorf("%w: %w", errNotSent, err)
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			err = fmt.Errorf("%w: %w", errNotSent, err)
-		}
-		return a, gypsumtide.NewError("forward", address, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxForwardBytes))
-	if err != nil {
-		return a, gypsumtide.NewError("forward", address, err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return a, gypsumtide.NewError("forward", address, fmt.Errorf("status %d", resp.StatusCode))
-	}
-	return a, wire.Unmarshal(data, &a)
-}
-
 // Handle registers the interface for other entries.
 func (r *Router) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+Path, func(w http.ResponseWriter, req *http.Request) {
 		var f forward
-		data, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxForwardBytes))
-		if err == nil {
-			err = wire.Unmarshal(data, &f)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		data, err = wire.Marshal(r.local(req.Context(), &f))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
+		if data, ok := r.caller.Answer(w, req, &f, func() any { return r.local(req.Context(), &f) }); ok {
+			_, _ = w.Write(data) // The other entry asks again if the answer is lost.
 		}
-		_, _ = w.Write(data) // The other entry asks again if the answer is lost.
 	})
 }
 
--- a/run.go
+++ b/run.go
@@ -14,6 +14,19 @@
 	Index int    `cbor:"3,keyasint,omitempty"`
 }
 
+// TaskIndex returns the index of a task over all steps of its job, or false for a
+// name that is not one of the job's.
+func TaskIndex(steps []JobStep, n TaskName) (int, bool) {
+	if n.Step < 0 || n.Step >= len(steps) || n.Index < 0 || n.Index >= steps[n.Step].Tasks {
+		return 0, false
+	}
+	index := n.Index
+	for _, step := range steps[:n.Step] {
+		index += step.Tasks
+	}
+	return index, true
+}
+
 // String returns the form used in logs.
 func (n TaskName) String() string { return fmt.Sprintf("%s/%d/%d", n.Job, n.Step, n.Index) }
 
