daemon: answer new connections before the shutdown

Since Go 1.2x net/http closes a connection whose request has been read after Shutdown was called, also if the connection was accepted before. The window is short on an idle machine and longer beside load.

Not mended: a request that reaches a reused idle connection while it is closed, which HTTP/1.1 cannot tell from a request never sent; connections in the kernel's backlog when the listener closes, which are reset.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,9 +122,13 @@
 // and waits for the requests in progress. Those that are left at the end of the
 // grace are cut, but for the answers that giveUp causes. It may be nil.
 func (p *Process) Serve(ctx context.Context, address string, h http.Handler, giveUp func()) error {
-	return p.serve(ctx, address, h, func(srv *http.Server) {
+	srv := newServer(h)
+	first := &arrivals{}
+	first.watch(srv)
+	return p.serve(ctx, address, srv, func() {
 		sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.requestTimeout().Duration())
 		defer cancel()
+		first.wait(sctx)
 		if err := srv.Shutdown(sctx); err == nil {
 			return
 		}
@@ -147,25 +151,34 @@
 
 // ServeSessions is like Serve for connections that do not end by themselves.
 func (p *Process) ServeSessions(ctx context.Context, address string, h http.Handler) error {
-	return p.serve(ctx, address, h, func(srv *http.Server) { _ = srv.Close() })
+	srv := newServer(h)
+	return p.serve(ctx, address, srv, func() { _ = srv.Close() })
 }
 
-// serve runs an HTTP server until ctx is done, and ends it by stop.
-func (p *Process) serve(ctx context.Context, address string, h http.Handler, stop func(srv *http.Server)) error {
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// serve runs srv until ctx is done. It then accepts no more connections, and ends
+// those that are open by stop.
+func (p *Process) serve(ctx context.Context, address string, srv *http.Server, stop func()) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return gypsumtide.NewError("listen", address, err)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	done := group.Go(ctx, func(context.Context) error { return srv.Serve(l) })
 	select {
 	case err := <-done:
 		return gypsumtide.NewError("serve", address, err)
 	case <-ctx.Done():
 	}
-	stop(srv)
-	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
-		return gypsumtide.NewError("serve", address, err)
+	// The server ends by an error of the closed listener, after it has registered the
+	// connections accepted before.
+	cerr := l.Close()
+	err = <-done
+	stop()
+	if cerr != nil || !errors.Is(err, net.ErrClosed) {
+		return gypsumtide.NewError("serve", address, errors.Join(cerr, err))
 	}
 	return ctx.Err()
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -16,10 +17,7 @@
 // their work has not ended at the end of the grace (soak seeds 57, 59, 66 and 67).
 func TestServeAnswersAtTheEnd(t *testing.T) {
 	Convey("A request that is open at the end of the grace gets its answer", t, func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		address := l.Addr().String()
-		So(l.Close(), ShouldBeNil)
+		address := freeAddress()
 
 		p := New(Config{Name: "n", Grace: 1500})
 		given := make(chan struct{})
@@ -33,6 +31,7 @@
 		})
 		time.AfterFunc(100*time.Millisecond, cancel)
 		var resp *http.Response
+		var err error
 		for range 20 {
 			if resp, err = http.Get("http://" + address); err == nil {
 				break
@@ -45,3 +44,67 @@
 		So(<-done, ShouldEqual, context.Canceled)
 	})
 }
+
+// Guards against connections that are closed without an answer because their
+// first request is read after the shutdown has begun (soak seed 2).
+func TestServeAnswersNewConnections(t *testing.T) {
+	Convey("A connection accepted before the stop gets the answer to its request", t, func() {
+		address := freeAddress()
+
+		p := New(Config{Name: "n", Grace: 1500})
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := group.Go(ctx, func(ctx context.Context) error { return p.Serve(ctx, address, handler, nil) })
+		conn := connect(address)
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		_, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		So(err, ShouldBeNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusNoContent)
+		So(resp.Body.Close(), ShouldBeNil)
+		So(conn.Close(), ShouldBeNil)
+		So(<-done, ShouldEqual, context.Canceled)
+	})
+	Convey("A connection without a request does not hold up the stop", t, func() {
+		address := freeAddress()
+
+		p := New(Config{Name: "n", Grace: 1500})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := group.Go(ctx, func(ctx context.Context) error { return p.Serve(ctx, address, http.NotFoundHandler(), nil) })
+		conn := connect(address)
+		cancel()
+		var err error
+		select {
+		case err = <-done:
+		case <-time.After(1500 * time.Millisecond):
+			err = context.DeadlineExceeded
+		}
+		So(err, ShouldEqual, context.Canceled)
+		So(conn.Close(), ShouldBeNil)
+	})
+}
+
+// freeAddress returns an address at which nothing listens.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	So(l.Close(), ShouldBeNil)
+	return l.Addr().String()
+}
+
+// connect returns a connection that the server has accepted.
+func connect(address string) net.Conn {
+	var conn net.Conn
+	var err error
+	for range 20 {
+		if conn, err = net.Dial("tcp", address); err == nil {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	So(err, ShouldBeNil)
+	time.Sleep(50 * time.Millisecond)
+	return conn
+}
