--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -52,6 +52,12 @@
 	taskDone
 )
 
+// taskPhaseNames has the names of the phases in logs.
+var taskPhaseNames = [...]string{"blocked", "ready", "ordered", "queued", "running", "ended", "done"}
+
+// String returns the name used in logs.
+func (p taskPhase) String() string { return taskPhaseNames[p] }
+
 // task is a task of a job with the state of its latest run.
 type task struct {
 	job   *job
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -219,6 +219,7 @@
 		s.updateProjection(now, t, r.Remaining, r.Stalled)
 		return
 	}
+	s.logInconclusiveEnd(now, t, r)
 	s.removeRun(w, t)
 	if t.job.stored && r.End.Conclusive() {
 		s.recordEnd(t, r)
@@ -227,6 +228,20 @@
 	s.handleEnd(now, t, r)
 }
 
+// logInconclusiveEnd logs why a run counts as over although its task is neither done nor
+// failed, and what was known of the run until then.
+func (s *State) logInconclusiveEnd(now gypsumtide.Millis, t *task, r wire.RunReport) {
+	if r.End.Conclusive() {
+		return
+	}
+	kind := "run-lost"
+	if r.End == gypsumtide.EndNotStarted {
+		kind = "run-returned"
+	}
+	s.log.Decision(kind, "run", t.ref(), "worker", t.worker, "end", r.End, "reason", r.Reason, "phase", t.phase.String(),
+		"ordered-ms", now-t.orderedAt, "report", r.Number)
+}
+
 // handleQueued processes the report that an order is waiting in its agent's queue.
 func (s *State) handleQueued(now gypsumtide.Millis, t *task) {
 	if t.phase != taskOrdered {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -24,7 +24,7 @@
 
 // routineKinds lists the kinds of lines that are dropped first: a request that
 // succeeded needs no explanation.
-var routineKinds = map[string]bool{"task-placed": true, "run-sent": true, "run-ended": true, "job-admitted": true}
+var routineKinds = map[string]bool{"task-placed": true, "run-sent": true, "run-ended": true, "run-returned": true, "job-admitted": true}
 
 // Log writes decision lines within a budget in bytes per second. It implements
 // gypsumtide.DecisionLogger.
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -165,7 +165,7 @@
 		fresh := f.Echo > 0 && now-f.Echo <= link.MaxEchoAge
 		for _, o := range f.Orders {
 			if !fresh {
-				a.log.Decision("order-stale", "run", o.Ref, "age-ms", now-f.Echo)
+				a.log.Decision("order-stale", "run", o.Ref, "age-ms", now-f.Echo, "update", o.Update, "held-as", a.state.heldAs(o.Ref))
 				a.sendReports(now, owner, []wire.RunReport{{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: "stale"}})
 				continue
 			}
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -36,6 +36,12 @@
 	phaseRunning
 )
 
+// phaseNames has the names of the phases in logs.
+var phaseNames = [...]string{"waiting", "sent", "running"}
+
+// String returns the name used in logs.
+func (p phase) String() string { return phaseNames[p] }
+
 // run is an order that the agent has accepted.
 type run struct {
 	order       wire.Order
@@ -272,6 +278,15 @@
 	return o
 }
 
+// heldAs returns the phase of a run that the agent holds, or "" if it holds none.
+func (s *State) heldAs(ref gypsumtide.RunRef) string {
+	r, ok := s.runs[ref]
+	if !ok {
+		return ""
+	}
+	return r.phase.String()
+}
+
 // HasOwner reports whether the agent keeps state of an owner.
 func (s *State) HasOwner(owner Owner) bool {
 	_, ok := s.owners[owner]
