Never report a run as not started because of a stale message about it

Cause: an entry sends a second order with the same reference, an update, when a job has started while one of its orders waits. The entry, told that the run will never start, ordered the next.

Change: the check of the echo moves from Agent.handleFrame into State.Submit, after the look at the run table: an order that the agent holds is ignored, an update that is stale changes nothing, and only an order that the agent does not hold is returned as stale. The simulation of stored jobs, which had a copy of the old check, now uses the real one.

--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -294,7 +294,7 @@
 		sim.after(linkDelay, func() {
 			a.update(func(now gypsumtide.Millis) {
 				for _, o := range m.Orders {
-					a.state.Submit(now, owner, o)
+					a.state.Submit(now, owner, o, now)
 				}
 				for _, ref := range m.Stops {
 					a.state.StopRun(now, ref)
--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -13,7 +13,7 @@
 	for b.Loop() {
 		n++
 		o := testOrder(n)
-		s.Submit(gypsumtide.Millis(n), "entry", o)
+		s.Submit(gypsumtide.Millis(n), "entry", o, gypsumtide.Millis(n))
 		e := s.TakeEffects()
 		s.StartAnswered(gypsumtide.Millis(n), e.Starts[0], 5000, nil)
 		c, _ := s.NextRenewal(gypsumtide.Millis(n), 60)
--- a/internal/runner/model_test.go
+++ b/internal/runner/model_test.go
@@ -125,7 +125,7 @@
 	o.Incarnation = m.state.Incarnation()
 	o.Size.Processors = rapid.Int64Range(500, 2500).Draw(m.t, "processors")
 	m.sizes[o.Ref] = o.Size.Processors
-	m.state.Submit(m.now, "entry", o)
+	m.state.Submit(m.now, "entry", o, m.now)
 }
 
 // execute starts an order on the worker and checks the invariants.
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -27,16 +27,24 @@
 }
 
 // Submit queues an order and starts it if possible, or returns it unstarted with a reason.
-// An order that the agent already holds is ignored. An update only changes a waiting order.
-func (s *State) Submit(now gypsumtide.Millis, owner Owner, o wire.Order) {
-	if o.Update {
-		s.updateOrder(now, o)
-		return
+// echo is that of the frame with the order. An order that the agent already holds is
+// ignored. An update only changes a waiting order.
+func (s *State) Submit(now gypsumtide.Millis, owner Owner, o wire.Order, echo gypsumtide.Millis) {
+	r, held := s.runs[o.Ref]
+	stale := echo <= 0 || now-echo > s.timing.MaxEchoAge
+	if stale {
+		s.log.Decision("order-stale", "run", o.Ref, "age-ms", now-echo, "update", o.Update, "held-as", r.phaseName())
 	}
-	if _, ok := s.runs[o.Ref]; ok {
+	switch {
+	case o.Update:
+		if !stale {
+			s.updateOrder(now, o)
+		}
+		return
+	case held:
 		return
 	}
-	reason := s.orderRejection(o)
+	reason := s.orderRejection(o, stale)
 	if reason == ReasonNotMarked {
 		s.effects.SaveStoredJobsMark = true
 	}
@@ -45,7 +53,7 @@
 		return
 	}
 	s.stopOtherRuns(now, o.Ref)
-	r := &run{order: o, owner: owner, queuedAt: now, expiresAt: now + o.StartWithin}
+	r = &run{order: o, owner: owner, queuedAt: now, expiresAt: now + o.StartWithin}
 	s.runs[o.Ref] = r
 	s.runsPerTask[o.Ref.Task]++
 	s.queue = append(s.queue, r)
@@ -68,9 +76,13 @@
 	s.sortQueue()
 }
 
-// orderRejection returns why an order cannot be accepted, or "" if it can.
-func (s *State) orderRejection(o wire.Order) string {
+// orderRejection returns why an order that the agent does not hold cannot be accepted, or
+// "" if it can. A stale order may come from an entry that was suspended and whose callers
+// no longer wait.
+func (s *State) orderRejection(o wire.Order, stale bool) string {
 	switch {
+	case stale:
+		return "stale"
 	case s.draining:
 		return "agent-drains"
 	case !s.known:
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -161,15 +161,8 @@
 		if a.sessions[owner] != s {
 			return
 		}
-		// An entry that was suspended may send orders whose callers no longer wait.
-		fresh := f.Echo > 0 && now-f.Echo <= link.MaxEchoAge
 		for _, o := range f.Orders {
-			if !fresh {
-				a.log.Decision("order-stale", "run", o.Ref, "age-ms", now-f.Echo, "update", o.Update, "held-as", a.state.heldAs(o.Ref))
-				a.sendReports(now, owner, []wire.RunReport{{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: "stale"}})
-				continue
-			}
-			a.state.Submit(now, owner, o)
+			a.state.Submit(now, owner, o, f.Echo)
 		}
 		for _, ref := range f.StopRuns {
 			a.state.StopRun(now, ref)
--- a/internal/runner/stalled_test.go
+++ b/internal/runner/stalled_test.go
@@ -13,7 +13,7 @@
 func TestStalledRun(t *testing.T) {
 	Convey("Given a run that has started", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		ref := testOrder(0).Ref
 		start := s.TakeEffects().Starts[0]
 		s.StartAnswered(3, start, 5002, nil)
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -67,6 +67,14 @@
 	stopSentAt gypsumtide.Millis
 }
 
+// phaseName returns the name of the run's phase in logs, or "" if there is no run.
+func (r *run) phaseName() string {
+	if r == nil {
+		return ""
+	}
+	return r.phase.String()
+}
+
 // StartCall is a start request to send to the worker.
 type StartCall struct {
 	Incarnation gypsumtide.Incarnation
@@ -110,7 +118,7 @@
 	// OwnerGrace is how long the runs of an entry continue without a session to it.
 	OwnerGrace gypsumtide.Millis
 	// MaxEchoAge is the age of an owner's newest echo above which its waiting orders
-	// are not started.
+	// are not started, and the age of a frame's echo above which its orders are rejected.
 	MaxEchoAge gypsumtide.Millis
 	// StopRetry and SyncRetry are the delays before a stop or a sync is retried.
 	StopRetry gypsumtide.Millis
@@ -278,15 +286,6 @@
 	return o
 }
 
-// heldAs returns the phase of a run that the agent holds, or "" if it holds none.
-func (s *State) heldAs(ref gypsumtide.RunRef) string {
-	r, ok := s.runs[ref]
-	if !ok {
-		return ""
-	}
-	return r.phase.String()
-}
-
 // HasOwner reports whether the agent keeps state of an owner.
 func (s *State) HasOwner(owner Owner) bool {
 	_, ok := s.owners[owner]
--- a/internal/runner/state_test.go
+++ b/internal/runner/state_test.go
@@ -67,14 +67,14 @@
 	Convey("No run is started before the worker has answered the first sync", t, func() {
 		s := NewState(testTiming, 10, discardLogger{})
 		s.Heartbeat(1, testInfo(testIncarnation))
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		So(s.TakeEffects().Starts, ShouldBeEmpty)
 	})
 
 	Convey("Orders beyond the capacity wait and are reported as queued", t, func() {
 		s := newSyncedState()
 		for i := range 3 {
-			s.Submit(2, "entry", testOrder(i))
+			s.Submit(2, "entry", testOrder(i), 2)
 		}
 		e := s.TakeEffects()
 		So(len(e.Starts), ShouldEqual, 2)
@@ -104,7 +104,7 @@
 		s := newSyncedState()
 		o := testOrder(0)
 		o.Update = true
-		s.Submit(2, "entry", o)
+		s.Submit(2, "entry", o, 2)
 		So(s.TakeEffects().Starts, ShouldBeEmpty)
 	})
 
@@ -112,7 +112,7 @@
 	// the worker.
 	Convey("A recall does not affect a run that has been sent", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		s.TakeEffects()
 		s.Recall(testOrder(0).Ref)
 		e := s.TakeEffects()
@@ -125,7 +125,7 @@
 func TestOrderWithoutAnswer(t *testing.T) {
 	Convey("Given a start call without an answer", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		start := s.TakeEffects().Starts[0]
 		s.StartAnswered(42, start, 0, errTimeout)
 		e := s.TakeEffects()
@@ -146,7 +146,7 @@
 			So(again[0].Order.Fence, ShouldEqual, e.Sync.Request.Fence)
 		})
 		Convey("no run is started while the sync is open", func() {
-			s.Submit(44, "entry", testOrder(1))
+			s.Submit(44, "entry", testOrder(1), 44)
 			So(s.TakeEffects().Starts, ShouldBeEmpty)
 		})
 		Convey("the run is lost once the lease must have expired", func() {
@@ -177,7 +177,7 @@
 		sync := *s.TakeEffects().Sync
 		o := testOrder(0)
 		o.Incarnation = next
-		s.Submit(11, "entry", o)
+		s.Submit(11, "entry", o, 11)
 		orphan := gypsumtide.RunRef{Task: gypsumtide.TaskName{Job: "old"}, Number: 1}
 		s.SyncAnswered(12, sync, gypsumtide.RenewResponse{StartTime: 2000, Running: []gypsumtide.RunProgress{{Ref: orphan}}}, nil)
 		e := s.TakeEffects()
@@ -191,7 +191,7 @@
 
 	Convey("Runs of the previous incarnation are lost, and their reservations are released", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		s.StartAnswered(3, s.TakeEffects().Starts[0], 5001, nil)
 		s.TakeEffects()
 		renewal, _ := s.NextRenewal(4, 60)
@@ -211,13 +211,13 @@
 	Convey("If the worker drains, waiting orders are returned and new ones rejected", t, func() {
 		s := newSyncedState()
 		for i := range 3 {
-			s.Submit(2, "entry", testOrder(i))
+			s.Submit(2, "entry", testOrder(i), 2)
 		}
 		s.TakeEffects()
 		info := testInfo(testIncarnation)
 		info.Seq, info.Draining = 2, true
 		s.Heartbeat(3, info)
-		s.Submit(4, "entry", testOrder(7))
+		s.Submit(4, "entry", testOrder(7), 4)
 		So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"2 not-started worker-drains", "7 not-started worker-drains"})
 	})
 }
@@ -227,7 +227,7 @@
 func TestDisconnectedOwner(t *testing.T) {
 	Convey("Runs of an entry without a session are stopped after the grace period", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		s.StartAnswered(3, s.TakeEffects().Starts[0], 5001, nil)
 		s.TakeEffects()
 		s.SessionClosed(100, "entry")
@@ -239,7 +239,7 @@
 
 	Convey("Runs of an entry that reconnects continue", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", testOrder(0))
+		s.Submit(2, "entry", testOrder(0), 2)
 		s.TakeEffects()
 		s.SessionClosed(100, "entry")
 		s.SessionOpened("entry")
--- a/internal/runner/stored_test.go
+++ b/internal/runner/stored_test.go
@@ -19,7 +19,7 @@
 func newStoredRunState() *State {
 	s := newSyncedState()
 	s.StoredJobsMarkSaved()
-	s.Submit(2, "entry", storedOrder(0))
+	s.Submit(2, "entry", storedOrder(0), 2)
 	s.StartAnswered(3, s.TakeEffects().Starts[0], 5001, nil)
 	s.TakeEffects()
 	return s
@@ -178,13 +178,13 @@
 
 	Convey("The first run of a stored job waits until the host is marked", t, func() {
 		s := newSyncedState()
-		s.Submit(2, "entry", storedOrder(0))
+		s.Submit(2, "entry", storedOrder(0), 2)
 		e := s.TakeEffects()
 		So(e.Starts, ShouldBeEmpty)
 		So(e.Reports["entry"][0].Reason, ShouldEqual, ReasonNotMarked)
 		So(e.SaveStoredJobsMark, ShouldBeTrue)
 		s.StoredJobsMarkSaved()
-		s.Submit(3, "entry", storedOrder(0))
+		s.Submit(3, "entry", storedOrder(0), 3)
 		So(s.TakeEffects().Starts, ShouldHaveLength, 1)
 	})
 
--- a/internal/runner/suspended_test.go
+++ b/internal/runner/suspended_test.go
@@ -18,7 +18,7 @@
 		for i := range 3 {
 			o := testOrder(i)
 			o.StartWithin = 5000
-			s.Submit(100, "entry", o)
+			s.Submit(100, "entry", o, 100)
 		}
 		starts := s.TakeEffects().Starts
 		So(starts, ShouldHaveLength, 2)
--- a/internal/stored/simulation_entry_test.go
+++ b/internal/stored/simulation_entry_test.go
@@ -6,7 +6,6 @@
 
 	"gypsumtide"
 	"gypsumtide/internal/dispatch"
-	"gypsumtide/internal/link"
 	"gypsumtide/internal/runner"
 	"gypsumtide/internal/wire"
 )
@@ -118,12 +117,8 @@
 	l.sendToAgent(ses, func() {
 		now := e.s.now
 		for _, o := range m.Orders {
-			if now-echo > link.MaxEchoAge {
-				a.report(e.owner(), []wire.RunReport{{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: "stale"}})
-				continue
-			}
 			o.Stored = e.s.mutation != earlyAcknowledgement
-			a.state.Submit(now, e.owner(), o)
+			a.state.Submit(now, e.owner(), o, echo)
 		}
 		for _, ref := range m.Stops {
 			a.state.StopRun(now, ref)
