Ask an agent again for a recovery after its session was replaced

Callers saw outcome-unknown 2 s after a takeover although the agent that had to say what it started was connected: the home marked the recovery request as sent once and for all, and the request or the reply was lost with the session.

A new session of an agent clears the mark of the recoveries that wait for it. The ledger answers a repeated request with the same list, and the home counts only the first reply.

TestRecovery, "an agent that opens a new session during the recovery is asked again": timed out waiting for the second request before, passes after.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -99,7 +99,8 @@
 }
 
 // agentConnected registers the session of an agent. It asks for the state of the
-// tasks that are still open from an earlier session.
+// tasks that are still open from an earlier session, and for the recoveries that wait
+// for the agent.
 func (h *home) agentConnected(rec wire.AgentRecord, s *wire.Session) *agentConn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -120,6 +121,10 @@
 	h.agentsByName[rec.Name] = c
 	c.session = s
 	h.queryOpenTasks(c)
+	for _, aj := range h.recovering {
+		// The request or the reply may have been lost with the earlier session.
+		delete(aj.recovery.requested, rec.Incarnation)
+	}
 	h.invalidateServiceAgents()
 	return c
 }
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -465,6 +465,24 @@
 			th.clock.offset.Add(int64(recoveryTimeout) + 1)
 			return th.awaitAnswer(ch)
 		}, unknown, "outcome-unknown", false},
+		// Guards against an unknown outcome when a recovery request or its reply is lost with a session.
+		{"an agent that opens a new session during the recovery is asked again", func(th *testHome) wire.Answer {
+			a := th.addAgent("a1", 1)
+			th.shardManager.update(maybeAccepted(a1))
+			ch := th.submit(th.newJob(1), 5_000)
+			eventually(th.t, "the first request", func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return len(a.recoveryRequests) == 1
+			})
+			a.mu.Lock()
+			a.recoveryRequests = nil
+			a.mu.Unlock()
+			a.connect()
+			a.answerRecovery(false)
+			a.reportDone(a.awaitDispatch(1), "x")
+			return th.awaitAnswer(ch)
+		}, complete, "", false},
 		{"an agent that restarts during the recovery", func(th *testHome) wire.Answer {
 			th.addAgent("a1", 1)
 			th.shardManager.update(maybeAccepted(a1))
