Count frames of an agent's replaced session no more

A task could run twice. A home queries an agent's open tasks when a new session of it connects. A not-started report that is still unread on the old session then counted too: the home sent the task again, and the answer to the query, which has the same task and epoch, counted for that dispatch. The home sent the task a third time while the second dispatch ran. A load report of the old session could likewise declare an agent drained that was not.

Cause: handleAgentFrame did not look whether the session was the agent's current one, so statements of two sessions of one agent were mixed without an order.

handleAgentFrame now takes the session and ignores a frame of a replaced one, except for the final ledger, which an agent sends once and which stays true. Nothing is lost: the new session has queried every open task, and the agent's announcement and load come with its first frame.

TestLostAndReturnedTasks, "a not-started report of a replaced session is left to the query of the new one": 2 dispatches instead of 1 before the answer to the query without the change, passes with it. internal/entry passes with -race.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -214,13 +214,21 @@
 	h.invalidateServiceAgents()
 }
 
-// handleAgentFrame processes one frame from an agent. It reports whether the agent is
-// draining and, according to the load in this frame, holds no tasks, so that it will start
-// no more.
-func (h *home) handleAgentFrame(c *agentConn, f *wire.Frame) (drained bool) {
+// handleAgentFrame processes one frame that an agent sent on the session s. It reports
+// whether the agent is draining and, according to the load in this frame, holds no tasks,
+// so that it will start no more.
+//
+// Of a replaced session only the final ledger counts, since an agent sends it once and it
+// stays true. The new session has asked for everything else again. A result counted from
+// both sessions could count for a dispatch that was sent between the two.
+func (h *home) handleAgentFrame(c *agentConn, s *wire.Session, f *wire.Frame) (drained bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	h.storeFinalLedger(c, f, now)
+	if c.session != s {
+		return false
+	}
 	if f.Announcement != nil {
 		h.applyAnnouncement(c, f.Announcement)
 	}
@@ -233,7 +241,6 @@
 	for i := range f.Results {
 		h.applyResult(c, &f.Results[i])
 	}
-	h.storeFinalLedger(c, f, now)
 	for i := range f.RecoveryReplies {
 		h.handleRecoveryReply(c, &f.RecoveryReplies[i], now)
 	}
@@ -354,7 +361,7 @@
 		for _, p := range f.FenceConfirmations {
 			e.shardManager.FenceConfirmed(rec.Incarnation, p)
 		}
-		if e.home.handleAgentFrame(c, f) {
+		if e.home.handleAgentFrame(c, s, f) {
 			e.shardManager.AgentLeft(rec.Incarnation)
 		}
 		if first {
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -340,6 +340,25 @@
 			So(th.awaitAnswer(th.submit(req, 5_000)), ShouldResemble, got)
 			return got
 		}, complete, "", false},
+		// Guards against a second run: the answer to the query would count for the next dispatch.
+		{"a not-started report of a replaced session is left to the query of the new one", func(th *testHome) wire.Answer {
+			a := th.addAgent("a1", 1)
+			ch := th.submit(th.newJob(1), 5_000)
+			ref := a.awaitDispatch(1)
+			replaced := a.session
+			a.connect()
+			a.awaitQuery(ref)
+			replaced.Update(func(f *wire.Frame) {
+				f.Results = append(f.Results, wire.Result{TaskRef: ref, State: wire.TaskNotStarted, Reason: wire.ReasonRecalled})
+			})
+			time.Sleep(50 * time.Millisecond)
+			So(a.dispatchCount(), ShouldEqual, 1)
+			a.reportNotStarted(ref, wire.ReasonNeverReceived)
+			a.reportDone(a.awaitDispatch(2), "x")
+			got := th.awaitAnswer(ch)
+			So(a.dispatchCount(), ShouldEqual, 2)
+			return got
+		}, complete, "", false},
 		{"a task that its agent cancels unasked is not dispatched again", func(th *testHome) wire.Answer {
 			a := th.addAgent("a1", 1)
 			ch := th.submit(th.newJob(1), 200)
--- a/internal/entry/testhome_test.go
+++ b/internal/entry/testhome_test.go
@@ -135,7 +135,7 @@
 	}
 	c := th.agentConnected(wire.AgentRecord{Name: f.Hello.Name, Incarnation: f.Hello.Incarnation, Zone: f.Hello.Zone}, s)
 	_ = s.Run(th.ctx, func(f *wire.Frame) error {
-		th.handleAgentFrame(c, f)
+		th.handleAgentFrame(c, s, f)
 		return nil
 	})
 	th.agentDisconnected(c, s)
