Discard lower epochs' copies when a dispatch is refused

Accept refused a dispatch of a higher epoch with not-started while a copy of a lower epoch stayed queued and could start. It now raises the epoch before the refusal. No reachable case is known. TestLedgerSequences: start true before, false after; ledger passes with -race, agent without.

--- a/internal/ledger/accept.go
+++ b/internal/ledger/accept.go
@@ -11,9 +11,9 @@
 // answers with its state, because "not started" would be false. A lower epoch, an
 // expired id and a task that is already queued take precedence over refusalReason too.
 //
-// An accepted dispatch of a higher epoch raises the epoch of its shard. Like Fence,
-// this discards the shard's queued tasks of lower epochs; discarded holds the answers
-// for them.
+// A dispatch of a higher epoch raises the epoch of its shard, also if it is refused: a
+// copy of a lower epoch must not start after the refusal. Like Fence, this discards the
+// shard's queued tasks of lower epochs; discarded holds the answers for them.
 func (l *Ledger) Accept(ref wire.TaskRef, session uint64, refusalReason string) (accepted bool, answer wire.Result, discarded []Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -35,13 +35,13 @@
 		e.setRequester(session, ref.Epoch)
 		return false, wire.Result{TaskRef: ref}, nil
 	}
+	discarded = l.raiseEpoch(shard, ref.Epoch)
 	if refusalReason != "" {
-		return false, notStarted(ref, refusalReason), nil
+		return false, notStarted(ref, refusalReason), discarded
 	}
 	if e != nil && e.state == stateNotStarted && isOutdated(e, ref.Epoch, session) {
-		return false, notStarted(ref, wire.ReasonFenced), nil
+		return false, notStarted(ref, wire.ReasonFenced), discarded
 	}
-	discarded = l.raiseEpoch(shard, ref.Epoch)
 	if e == nil {
 		e = l.add(ref.Submission, ref.Task)
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -119,6 +119,10 @@
 		{"a dispatch of a higher epoch replaces a queued one", []step{
 			{"dispatch", 4, 1, "accepted 0"}, {"dispatch", 5, 2, "accepted 1"}, {"start", 4, 0, "false"}, {"start", 5, 0, "true"},
 		}},
+		// Guards against a refusal for a new home while a copy of an earlier home can still start.
+		{"a refused dispatch of a higher epoch discards a queued one", []step{
+			{"dispatch", 4, 1, "accepted 0"}, {"refuse", 5, 2, "not-started queue-full"}, {"start", 4, 0, "false"},
+		}},
 		{"a started task is never reported as fenced", []step{
 			{"dispatch", 4, 1, "accepted 0"}, {"start", 4, 0, "true"}, {"fence", 6, 0, "6 0"},
 			{"dispatch", 5, 2, "running "}, {"query", 4, 1, "running "}, {"done", 4, 0, "done to 2 under 5"},
