Do not deny a recorded job because the log refused a later batch

Callers saw: DELETE returned that there is no such job, for a job whose acceptance was being recorded and was recorded; a repeated POST of such a job returned that it is refused, although it runs.

Cause: a request that waits for an acceptance queues an empty write and took the result of the batch with that write for the result of the acceptance. The acceptance may be in an earlier batch, which was recorded.

Evidence: reading, and TestRefusalAfterAcceptance, which holds the append of the acceptance, queues the empty write and another job, and refuses their batch.

Change: reportAcceptance reports success if the job is recorded, whatever became of the batch with the empty write.

--- a/internal/stored/partition_manager_test.go
+++ b/internal/stored/partition_manager_test.go
@@ -278,6 +278,68 @@
 	})
 }
 
+// Guards against the answer that there is no such job, or that it is refused, for a job whose
+// acceptance is recorded: the log refuses the batch after the acceptance, and a request that
+// waits for the acceptance has an empty write in that batch.
+func TestRefusalAfterAcceptance(t *testing.T) {
+	// acceptBeforeRefusal submits job a and calls request while its acceptance is being
+	// appended. Job b is then queued, and the log refuses the batch of b.
+	acceptBeforeRefusal := func(request func(m *testManager)) {
+		log := newMemoryLog()
+		log.partitionCount = 1
+		m := startOwner(t, log, "one")
+		appending, proceed := make(chan struct{}), make(chan struct{})
+		appends := 0
+		log.setAppendFailure(func() (error, bool) {
+			appends++
+			switch appends {
+			case 1:
+				close(appending)
+				<-proceed
+			case 2:
+				return gypsumtide.ErrNotAppended, false
+			}
+			return nil, true
+		})
+		results := make(chan error, 2)
+		waitForQueue := func(n int) {
+			m.waitFor("queued writes", func() bool {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				return len(m.owned[0].queue) == n
+			})
+		}
+		go func() { results <- m.submit("a") }()
+		<-appending
+		requested := group.Go(context.Background(), func(context.Context) error {
+			request(m)
+			return nil
+		})
+		waitForQueue(1)
+		go func() { results <- m.submit("b") }()
+		waitForQueue(2)
+		close(proceed)
+		So(<-requested, ShouldBeNil)
+		first, second := <-results, <-results
+		So(errors.Is(first, gypsumtide.ErrNotAppended) != errors.Is(second, gypsumtide.ErrNotAppended), ShouldBeTrue)
+		So(log.value("a"), ShouldNotBeNil)
+	}
+
+	Convey("A job is cancelled if the log refuses the batch after its acceptance", t, func() {
+		var state gypsumtide.JobState
+		var err error
+		acceptBeforeRefusal(func(m *testManager) { state, err = m.Cancel(context.Background(), "a") })
+		So(err, ShouldBeNil)
+		So(state, ShouldEqual, gypsumtide.JobCancelled)
+	})
+
+	Convey("A job submitted again is accepted if the log refuses the batch after its acceptance", t, func() {
+		var err error
+		acceptBeforeRefusal(func(m *testManager) { err = m.submit("a") })
+		So(err, ShouldBeNil)
+	})
+}
+
 // Guards against reporting an append as refused although it may be in the log.
 func TestWriter(t *testing.T) {
 	appendOnce := func(w *partitionWriter) error {
--- a/internal/stored/request.go
+++ b/internal/stored/request.go
@@ -61,20 +61,20 @@
 }
 
 // reportAcceptance arranges that done receives the result of a job's acceptance, whose
-// record is queued already. It queues an empty write for this, since writes complete in
-// order. If the log refuses the batch with the empty write, done receives ErrNotAppended
-// even if the acceptance is in an earlier batch and recorded. The caller holds the lock.
+// record is queued already: nil if the acceptance is recorded. It queues an empty write for
+// this, since writes complete in order. The result of the empty write itself is that of its
+// batch, which may be a later one than the batch with the acceptance. The caller holds the
+// lock.
 func (m *PartitionManager) reportAcceptance(o *ownedPartition, j *job, done chan<- error) {
-	o.enqueue(pendingWrite{failIfRefused: true, onFailed: func(err error) { done <- err }, onCommitted: func() {
+	report := func(err error) {
 		m.mu.Lock()
-		recorded := j.recorded
-		m.mu.Unlock()
-		if !recorded {
-			done <- gypsumtide.ErrNotAppended
-			return
+		defer m.mu.Unlock()
+		if j.recorded {
+			err = nil
 		}
-		done <- nil
-	}})
+		done <- err
+	}
+	o.enqueue(pendingWrite{failIfRefused: true, onFailed: report, onCommitted: func() { report(gypsumtide.ErrNotAppended) }})
 }
 
 // accept adds a job and queues the record of its acceptance. done receives the result. The
