stored: skip a job record with impossible numbers instead of ending the entry

Operators would see an entry end with "makeslice: len out of range" each time it takes over the partition with such a record, and then the next owner of the partition, and so on: no stored job of any partition goes on.

Cause: recoverJobTable checked only that a record can be decoded.

Evidence: TestOddRecord panics before the change. The existing fuzz test had no such seed.

The odd records are seeds of FuzzRecords.

Result: before, the process panics; after, 13 odd records and 6 unreadable ones are skipped, and the job next to them is taken over.

--- a/internal/stored/job_table.go
+++ b/internal/stored/job_table.go
@@ -202,7 +202,7 @@
 
 // recoverJobTable builds the jobTable of a new owner from the values of a partition. It
 // returns records of the jobs in progress with their new ownerCount, and an error for
-// each job that cannot be read. Such a job is skipped and stays in the log.
+// each job whose record cannot be read or is invalid. Such a job is skipped and stays in the log.
 func recoverJobTable(values map[string][]byte) (t *jobTable, records []gypsumtide.KeyedRecord, errs []error) {
 	t = newJobTable()
 	for key, value := range values {
@@ -210,6 +210,9 @@
 			continue
 		}
 		r, err := decodeJob(value)
+		if err == nil {
+			err = r.validate()
+		}
 		if err != nil {
 			errs = append(errs, fmt.Errorf("decode job %s: %w", key, err))
 			continue
--- a/internal/stored/job_table_test.go
+++ b/internal/stored/job_table_test.go
@@ -1,7 +1,9 @@
 package stored
 
 import (
+	"bytes"
 	"errors"
+	"math"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -145,6 +147,68 @@
 	})
 }
 
+// oddRecords returns job records that can be decoded, but that no entry writes.
+func oddRecords() map[string]jobRecord {
+	record := func(change func(r *jobRecord)) jobRecord {
+		r := testJob("a", 2).record()
+		change(&r)
+		return r
+	}
+	step := func(s gypsumtide.JobStep) jobRecord {
+		return record(func(r *jobRecord) { r.Steps = []gypsumtide.JobStep{{Tasks: 1}, s} })
+	}
+	return map[string]jobRecord{
+		"negative tasks": step(gypsumtide.JobStep{Tasks: -5}),
+		"too many tasks": step(gypsumtide.JobStep{Tasks: 1 << 62}),
+		"sum overflows": record(func(r *jobRecord) {
+			r.Steps = []gypsumtide.JobStep{{Tasks: math.MaxInt}, {Tasks: math.MaxInt}, {Tasks: 5}}
+		}),
+		"no tasks":              record(func(r *jobRecord) { r.Steps = nil }),
+		"dependency on itself":  step(gypsumtide.JobStep{Tasks: 1, After: []int{1}}),
+		"dependency is no step": step(gypsumtide.JobStep{Tasks: 1, After: []int{-7}}),
+		"size overflows":        step(gypsumtide.JobStep{Tasks: 1, Size: gypsumtide.Size{Processors: math.MaxInt64}}),
+		"negative size":         step(gypsumtide.JobStep{Tasks: 1, Size: gypsumtide.Size{Memory: -1}}),
+		"estimate overflows":    step(gypsumtide.JobStep{Tasks: 1, Estimate: math.MaxInt64}),
+		"slack is no number":    record(func(r *jobRecord) { r.Route.SlackFactor = math.NaN() }),
+		"owner count overflows": record(func(r *jobRecord) { r.OwnerCount = math.MaxUint32 }),
+		"unknown state":         record(func(r *jobRecord) { r.State = "asleep" }),
+		"ended in the future":   record(func(r *jobRecord) { r.State, r.EndedAt = gypsumtide.JobComplete, math.MaxInt64 }),
+	}
+}
+
+// Guards against an entry that ends whenever it takes over a partition with an odd record
+// of another writer, as does the next owner after it.
+func TestOddRecord(t *testing.T) {
+	Convey("An odd record is skipped, and the job next to it is taken over", t, func() {
+		good, err := encode("good", testJob("good", 2).record())
+		So(err, ShouldBeNil)
+		for name, r := range oddRecords() {
+			odd, err := encode("odd", r)
+			So(err, ShouldBeNil)
+			Convey(name, func() {
+				table, records, errs := recoverJobTable(map[string][]byte{"odd": odd.Value, "good": good.Value, "": {1}})
+				So(errs, ShouldHaveLength, 2)
+				So(records, ShouldHaveLength, 1)
+				So(table.jobs, ShouldHaveLength, 1)
+				So(table.jobs["good"].remaining, ShouldEqual, 3)
+			})
+		}
+	})
+
+	Convey("Records that are nested deeply, truncated or have a key twice are skipped", t, func() {
+		good, err := encode("good", testJob("good", 2).record())
+		So(err, ShouldBeNil)
+		for _, data := range [][]byte{
+			bytes.Repeat([]byte{0x81}, 1_000_000), append([]byte{0xa1, 0x04}, bytes.Repeat([]byte{0x81}, 1_000_000)...),
+			good.Value[:len(good.Value)-3], {0xa2, 0x01, 0x01, 0x01, 0x01}, {}, {0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		} {
+			table, _, errs := recoverJobTable(map[string][]byte{"odd": data, "good": good.Value})
+			So(errs, ShouldHaveLength, 1)
+			So(table.jobs, ShouldHaveLength, 1)
+		}
+	})
+}
+
 // Guards against records that make the recovery of a partition panic or count tasks wrong.
 func FuzzRecords(f *testing.F) {
 	j := testJob("a", 3)
@@ -155,6 +219,14 @@
 		}
 		f.Add(r.Value, r.Value)
 	}
+	for _, v := range oddRecords() {
+		r, err := encode("a", v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(r.Value, []byte{})
+	}
+	f.Add(bytes.Repeat([]byte{0x81}, 5000), []byte{0xa1, 0x03, 0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, record, progress []byte) {
 		table, _, _ := recoverJobTable(map[string][]byte{"a": record, progressKey("a"): progress, ownerKey: progress})
 		for _, j := range table.inProgressJobs() {
--- a/internal/stored/record.go
+++ b/internal/stored/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"gypsumtide"
@@ -57,6 +58,24 @@
 	return r, err
 }
 
+// validate returns an error for a record that cannot be the one of a job: its numbers
+// would exhaust memory or overflow.
+func (r *jobRecord) validate() error {
+	switch {
+	case r.OwnerCount == math.MaxUint32:
+		return &gypsumtide.InvalidValueError{Field: "owner count", Value: r.OwnerCount}
+	case math.IsNaN(r.Route.SlackFactor) || math.IsInf(r.Route.SlackFactor, 0):
+		return &gypsumtide.InvalidValueError{Field: "slack factor", Value: r.Route.SlackFactor}
+	}
+	switch r.State {
+	case "":
+		return gypsumtide.ValidateSteps(r.Steps)
+	case gypsumtide.JobComplete, gypsumtide.JobFailed, gypsumtide.JobCancelled:
+		return gypsumtide.ValidateTime("end", r.EndedAt)
+	}
+	return &gypsumtide.InvalidValueError{Field: "job state", Value: r.State}
+}
+
 func decodeProgress(data []byte) (progressRecord, error) {
 	var r progressRecord
 	err := decode(data, "progress", &r, &r.Version)
