--- a/valid.go
+++ b/valid.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"strconv"
+	"strings"
 )
 
 // Limits of values received from other processes. Values within them can be added up
@@ -23,6 +24,8 @@
 	MaxCounter = 1 << 53
 	// maxPort is the largest TCP port.
 	maxPort = 1<<16 - 1
+	// invalidHostCharacters would make the host of an address another part of a URL.
+	invalidHostCharacters = "/?#@\\ \t\r\n\x00"
 )
 
 // InvalidValueError means that a decoded value lies outside the permitted range.
@@ -57,7 +60,7 @@
 // with a port from 1 to 65535.
 func ValidateAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
-	if err == nil && host != "" {
+	if err == nil && host != "" && !strings.ContainsAny(host, invalidHostCharacters) {
 		if n, err := strconv.ParseUint(port, 10, 32); err == nil && n > 0 && n <= maxPort {
 			return nil
 		}
