link: ignore addresses that cannot be dialled and records that never expire

Operators would see each entry and each agent dial an address with port 99999 again and again for as long as a process runs, once another writer left a record with a time in the far future in the directory: its age is negative, so that it is added anew at each reading. The subtraction also overflowed for the smallest int64. A message or record set with very many addresses started a goroutine for each.

Change: Addresses.Add takes only host:port with a valid port (gypsumtide.ValidateAddress), up to 4096 addresses; AddRecords compares without an overflow and ignores records more than five minutes ahead.

--- a/internal/link/addresses.go
+++ b/internal/link/addresses.go
@@ -22,6 +22,9 @@
 	// maxRecordAge is the age from which the address in a directory record is ignored. An
 	// entry renews its record every 30 s (announceInterval in package routing).
 	maxRecordAge gypsumtide.Millis = 300_000
+	// maxAddresses limits the addresses that are known at the same time, since each is
+	// dialled. It is well above the number of entries of a deployment.
+	maxAddresses = 4096
 )
 
 // Addresses is the set of the addresses of entries that a process knows. It is safe
@@ -53,23 +56,26 @@
 }
 
 // Add adds an address received from another process or read from the directory. It has no
-// effect on an address that is known already, and ignores an empty one.
+// effect on an address that is known already, and ignores one that is invalid or beyond
+// the limit of known addresses.
 func (a *Addresses) Add(address string) {
-	if address == "" {
+	if gypsumtide.ValidateAddress(address) != nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, ok := a.known[address]; !ok {
+	if _, ok := a.known[address]; !ok && len(a.known) < maxAddresses {
 		a.known[address] = &addressInfo{lastContact: a.clock.Now()}
 	}
 }
 
 // AddRecords adds the addresses of directory records. It ignores records that
-// their entries no longer renew.
+// their entries no longer renew, and records that are as far in the future, since these
+// would never expire.
 func (a *Addresses) AddRecords(records []gypsumtide.DirectoryRecord) {
+	now := a.clock.Wall()
 	for _, r := range records {
-		if a.clock.Wall()-r.Announced < maxRecordAge {
+		if r.Announced > now-maxRecordAge && r.Announced < now+maxRecordAge {
 			a.Add(r.Address)
 		}
 	}
