directory: a record that cannot be decoded no longer keeps an entry from working

Operators would see "directory-unreachable" each second although the store answers, and callers of stored jobs a refusal: with an odd record in the directory, readAndAnnounce returned its error; if no other record was there, the entry never announced itself nor learnt whether stored jobs are in use, and otherwise read and wrote the directory each second instead of each 30 s.

Change: Records returns a typed UnreadableRecordsError next to the readable records. The entry logs it once as directory-record-unreadable and goes on.

--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -67,6 +67,10 @@
 	queued func() map[string]int
 	usage  *storedUsage
 
+	// unreadable is the last logged text about directory records that cannot be decoded.
+	// Only the goroutine of syncDirectory accesses it.
+	unreadable string
+
 	mu sync.Mutex
 	// inProgress holds the addresses with which an exchange is in progress.
 	inProgress map[string]bool
@@ -144,19 +148,32 @@
 
 // readAndAnnounce reads the directory and then writes this entry's record. It reads first
 // because the record that it replaces, of an earlier incarnation, may say that stored jobs
-// are in use. If only some records can be read, it uses these, writes the record and returns
-// the error.
+// are in use. It ignores records that cannot be decoded.
 func (p *Peers) readAndAnnounce(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	records, err := p.directory.Records(callCtx)
-	if err != nil && len(records) == 0 {
+	var unreadable *gypsumtide.UnreadableRecordsError
+	if err != nil && !errors.As(err, &unreadable) {
 		return err
 	}
+	p.logUnreadable(unreadable)
 	p.entries.AddRecords(records)
 	p.usage.updateFromDirectory(records)
 	active, _ := p.usage.Active()
-	return errors.Join(err, p.announce(callCtx, active))
+	return p.announce(callCtx, active)
+}
+
+// logUnreadable logs the records that cannot be decoded once, until others cannot be.
+func (p *Peers) logUnreadable(unreadable *gypsumtide.UnreadableRecordsError) {
+	text := ""
+	if unreadable != nil {
+		text = unreadable.Error()
+	}
+	if text != "" && text != p.unreadable {
+		p.log.Decision("directory-record-unreadable", "error", text)
+	}
+	p.unreadable = text
 }
 
 // announce writes this entry's directory record, which says whether stored jobs are in
--- a/internal/routing/usage_test.go
+++ b/internal/routing/usage_test.go
@@ -15,6 +15,8 @@
 type memoryDirectory struct {
 	records map[string]gypsumtide.DirectoryRecord
 	fail    bool
+	// unreadable lists the names of records that cannot be decoded.
+	unreadable []string
 }
 
 func (d *memoryDirectory) Announce(_ context.Context, r gypsumtide.DirectoryRecord) error {
@@ -33,6 +35,9 @@
 	for _, r := range d.records {
 		out = append(out, r)
 	}
+	if len(d.unreadable) > 0 {
+		return out, gypsumtide.NewUnreadableRecordsError(d.unreadable)
+	}
 	return out, nil
 }
 
@@ -59,6 +64,17 @@
 		So(usage(p), ShouldResemble, [2]bool{false, true})
 	})
 
+	// Guards against an entry that never announces itself, and refuses all stored jobs,
+	// because another writer left an odd record in the directory.
+	Convey("A record that cannot be decoded hides neither the others nor this entry", t, func() {
+		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord), unreadable: []string{"odd"}}
+		p := newPeers("a", d)
+		So(p.readAndAnnounce(ctx), ShouldBeNil)
+		So(usage(p), ShouldResemble, [2]bool{false, true})
+		So(d.records, ShouldContainKey, "a")
+		So(p.unreadable, ShouldContainSubstring, "odd")
+	})
+
 	Convey("The use of stored jobs takes effect once it is in the directory, and survives restarts of the entries", t, func() {
 		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord), fail: true}
 		p := newPeers("a", d)
