Ask a restarted worker for all its ends before runs count as lost

Seen by callers: a task of a stored job was started again after its completion, which the agent had acknowledged.

Cause: a restarted worker executed an order meant for its previous incarnation. The agent's sync acknowledged ends by the numbers of the previous incarnation, so the answer left out the end of that run, and the agent reported it as lost (worker-restarted). The next renew call then listed it: end-of-unknown-run.

Change: an answer of another incarnation to a sync that acknowledged ends is followed by a sync that acknowledges none.

Tests of internal/runner and internal/dispatch pass with -race.

--- a/internal/runner/stored_test.go
+++ b/internal/runner/stored_test.go
@@ -204,3 +204,63 @@
 		So(renews, ShouldBeFalse)
 	})
 }
+
+// Guards against a second run of a stored job's task whose order for the previous incarnation
+// of the worker was executed and completed in the next one: the agent counted the run as lost,
+// since its sync acknowledged the end by the number of an earlier end.
+func TestEndInNextIncarnation(t *testing.T) {
+	next := gypsumtide.Incarnation{ID: testIncarnation.ID, StartTime: testIncarnation.StartTime + 1000}
+	first, second := storedOrder(0), storedOrder(1)
+	// endsAfter returns the ends of the next incarnation that the worker lists in its answer.
+	endsAfter := func(acknowledged uint64) []gypsumtide.RunEnd {
+		ends := []gypsumtide.RunEnd{{Number: 1, Ref: second.Ref, Kind: gypsumtide.EndDone}}
+		return ends[min(acknowledged, 1):]
+	}
+	// restarted returns a State with an acknowledged end and a second run, whose order reached
+	// the worker after its restart. The answer to a renew call shows the restart.
+	restarted := func() *State {
+		s := newStoredRunState()
+		endRun(s, 60, gypsumtide.EndDone)
+		s.EndsRecorded([]gypsumtide.RunRef{first.Ref})
+		c, _ := s.NextRenewal(61, 60)
+		So(c.Request.Acknowledged, ShouldEqual, 1)
+		s.Submit(62, "entry", second)
+		s.StartAnswered(63, s.TakeEffects().Starts[0], 1, nil)
+		s.RenewAnswered(121, 61, c, gypsumtide.RenewResponse{StartTime: next.StartTime, Clock: 60, Ended: endsAfter(c.Request.Acknowledged)}, nil)
+		return s
+	}
+	// answerSyncs answers the calls of the open sync, and returns the reports.
+	answerSyncs := func(s *State, running []gypsumtide.RunProgress, ends func(acknowledged uint64) []gypsumtide.RunEnd) []string {
+		var reports []string
+		for range 3 {
+			e := s.TakeEffects()
+			reports = append(reports, reportTexts(e)...)
+			if e.Sync == nil {
+				break
+			}
+			s.SyncAnswered(123, *e.Sync, gypsumtide.RenewResponse{StartTime: next.StartTime, Clock: 62, Running: running, Ended: ends(e.Sync.Request.Acknowledged)}, nil)
+		}
+		return reports
+	}
+
+	Convey("The end of a run that the next incarnation completed is reported", t, func() {
+		s := restarted()
+		So(answerSyncs(s, nil, endsAfter), ShouldResemble, []string{"1 done "})
+		So(s.UnrecordedEnds("entry"), ShouldResemble, []gypsumtide.RunRef{second.Ref})
+		n, _ := nextAcknowledged(s, 124)
+		So(n, ShouldEqual, 0)
+	})
+
+	noEnds := func(uint64) []gypsumtide.RunEnd { return nil }
+
+	Convey("A run that the next incarnation has not executed is lost", t, func() {
+		So(answerSyncs(restarted(), nil, noEnds), ShouldResemble, []string{"1 lost worker-restarted"})
+	})
+
+	Convey("A run that the next incarnation is executing continues", t, func() {
+		s := restarted()
+		So(answerSyncs(s, []gypsumtide.RunProgress{{Ref: second.Ref}}, noEnds), ShouldBeEmpty)
+		So(s.Running(), ShouldEqual, 1)
+		So(s.orphans, ShouldBeEmpty)
+	})
+}
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -127,6 +127,13 @@
 	if a.StartTime != s.incarnation.StartTime {
 		s.log.Decision("worker-restarted", "life", s.incarnation, "born", a.StartTime)
 		s.setIncarnation(gypsumtide.Incarnation{ID: s.incarnation.ID, StartTime: a.StartTime})
+		if call.Request.Acknowledged > 0 {
+			// The call acknowledged ends of the previous incarnation by their numbers, so the
+			// answer lacks the ends with these numbers of the new one. It may have executed
+			// orders meant for the previous one.
+			s.sendSync(now)
+			return
+		}
 	}
 	s.clock.set(now, a.Clock)
 	s.processEnds(now, a.Ended)
