--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -220,7 +220,7 @@
 			a.log.Decision("worker-left", "life", incarnation)
 			a.deregistered = append(a.deregistered, incarnation)
 			a.deregistered = a.deregistered[max(0, len(a.deregistered)-maxDeregistered):]
-			a.state.loseWorker(now)
+			a.state.WorkerDeregistered(now, id)
 		}
 	})
 }
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -157,6 +157,15 @@
 	}
 }
 
+// WorkerDeregistered processes the deregistration of the worker with the given id. It has no
+// effect if the agent uses another worker or none.
+func (s *State) WorkerDeregistered(now gypsumtide.Millis, id string) {
+	if s.incarnation.ID != id {
+		return
+	}
+	s.loseWorker(now)
+}
+
 // loseWorker returns the waiting orders, reports the runs at the worker as lost, and drops
 // the worker. Either a worker with another ID answers at the address and rejects orders for
 // this one, or the worker has deregistered.
