Do not report runs as lost while a deregistered worker executes them

The agent reported the runs of a worker as lost when it deregistered, although the worker may go on until it has the acknowledgement, and some seconds if that is lost. The entry retried them at once.

The agent now stops the runs and syncs until the worker lists them as ended or its lease has expired, and only then drops the worker. It accepts no orders meanwhile.

--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -73,7 +73,7 @@
 	switch {
 	case s.draining:
 		return "agent-drains"
-	case !s.known:
+	case !s.known, s.leaving:
 		return "no-worker"
 	case s.info.Draining:
 		return "worker-drains"
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -126,6 +126,8 @@
 	incarnation gypsumtide.Incarnation
 	// known is set when info describes the worker's current incarnation.
 	known bool
+	// leaving is set once the worker has deregistered, until none of its runs is left.
+	leaving bool
 	// fence is the current fencing token.
 	fence uint64
 
@@ -295,7 +297,7 @@
 
 // AcceptsStarts reports whether runs may be started on the worker now.
 func (s *State) AcceptsStarts() bool {
-	return s.known && !s.syncing && !s.withholdLease && !s.draining && !s.info.Draining
+	return s.known && !s.leaving && !s.syncing && !s.withholdLease && !s.draining && !s.info.Draining
 }
 
 // Incarnation returns the current incarnation of the worker, or a zero value if there is
@@ -316,7 +318,7 @@
 func (s *State) WorkerReport(now gypsumtide.Millis) wire.WorkerReport {
 	r := wire.WorkerReport{
 		Incarnation: s.incarnation, Service: s.info.Service, Zone: s.info.Zone, Labels: s.info.Labels,
-		Accepting: s.known && !s.withholdLease && !s.draining && !s.info.Draining && !s.syncOverdue(now), EarlierRunsEnded: s.earlierRunsEnded && !s.withholdLease,
+		Accepting: s.known && !s.leaving && !s.withholdLease && !s.draining && !s.info.Draining && !s.syncOverdue(now), EarlierRunsEnded: s.earlierRunsEnded && !s.withholdLease,
 	}
 	if s.known {
 		r.Capacity = s.info.Capacity
@@ -517,6 +519,7 @@
 			s.finish(r, gypsumtide.EndLost, now-r.startedAt, "lease-expired")
 		}
 	}
+	s.dropLeftWorker(now)
 }
 
 // leaseMargin allows for the error of the estimate of the worker's clock. The part of
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -53,6 +53,7 @@
 func (s *State) setIncarnation(incarnation gypsumtide.Incarnation) {
 	s.incarnation = incarnation
 	s.known = false
+	s.leaving = false
 	s.earlierRunsEnded = false
 	s.info.Seq = 0
 	s.processed, s.acknowledged = 0, 0
@@ -131,7 +132,8 @@
 	s.clock.set(now, a.Clock)
 	s.processEnds(now, a.Ended)
 	s.reconcile(now, call.Request.Fence, a.Running)
-	if len(s.orphans) > 0 {
+	s.dropLeftWorker(now)
+	if len(s.orphans) > 0 || s.leaving {
 		s.syncDue = now + orphanInterval
 		return
 	}
@@ -158,17 +160,29 @@
 }
 
 // WorkerDeregistered processes the deregistration of the worker with the given id. It has no
-// effect if the agent uses another worker or none.
+// effect if the agent uses another worker or none. The worker may go on running tasks, so
+// their runs are stopped, and end when the worker lists them as ended or its lease has expired.
 func (s *State) WorkerDeregistered(now gypsumtide.Millis, id string) {
-	if s.incarnation.ID != id {
+	if s.incarnation.ID != id || s.leaving {
 		return
 	}
-	s.loseWorker(now)
+	s.leaving = true
+	s.returnQueue("worker-gone")
+	// The sync raises the fencing token, which the stops need.
+	s.beginSync(now)
+	s.StopAll(now)
+}
+
+// dropLeftWorker drops a worker that has deregistered, once none of its runs is left.
+func (s *State) dropLeftWorker(now gypsumtide.Millis) {
+	if s.leaving && s.reservations.Len() == 0 {
+		s.loseWorker(now)
+	}
 }
 
 // loseWorker returns the waiting orders, reports the runs at the worker as lost, and drops
 // the worker. Either a worker with another ID answers at the address and rejects orders for
-// this one, or the worker has deregistered.
+// this one, or the worker has deregistered and has no runs left.
 func (s *State) loseWorker(now gypsumtide.Millis) {
 	s.returnQueue("worker-gone")
 	for _, r := range s.runs {
