--- a/internal/stored/simulation_slow_test.go
+++ b/internal/stored/simulation_slow_test.go
@@ -183,3 +183,14 @@
 		t.Error("no task of an ephemeral job was started")
 	}
 }
+
+// Guards against checks of TestSimulationSlow that miss violations.
+func TestSimulationSlowMutation(t *testing.T) {
+	for seed := range simMutationSeeds {
+		if v := simulateSlow(uint64(seed), staleAnswers).violations; len(v) > 0 {
+			t.Logf("seed %d: %s", seed, v[0])
+			return
+		}
+	}
+	t.Errorf("no violation in %d seeds", simMutationSeeds)
+}
--- a/internal/stored/simulation_test.go
+++ b/internal/stored/simulation_test.go
@@ -63,6 +63,9 @@
 	noOwnerWait
 	// noLogFencing makes the log accept the appends of former owners.
 	noLogFencing
+	// staleAnswers makes agents answer each stale message about a run as not started,
+	// whether they hold the run or not.
+	staleAnswers
 )
 
 // simulation holds the state of one simulation. Its random choices are determined by a
