Ignore the start of an agent's older session at an entry

An agent that opens two sessions shortly after each other to a slow entry sends two lists of runs, which two goroutines of the entry handle in any order. With the older list last, it replaced the newer session, and orders sent in between counted as never arrived although the agent had them: a second run of the task.

Resume carries the number of the session (field 4). State.BeginResume rejects an older one.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -304,11 +304,14 @@
 	}
 	d.update(func(now gypsumtide.Millis) {
 		if f.Resume != nil {
+			if !d.state.BeginResume(id, *f.Resume) {
+				s.Close()
+				return
+			}
 			if old, ok := d.sessions[id]; ok && old != s {
 				old.Close()
 			}
 			d.sessions[id] = s
-			d.state.BeginResume(id, *f.Resume)
 		}
 		if d.sessions[id] != s {
 			return
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -43,10 +43,19 @@
 
 // BeginResume processes the start of a session before the reports that come with it. An
 // agent that does not have all of its reports any more may number new ones from 1 again.
-func (s *State) BeginResume(id WorkerID, r wire.Resume) {
+// The result is false if the agent has opened a newer session, so that this one must be
+// ignored: its list of runs is outdated.
+func (s *State) BeginResume(id WorkerID, r wire.Resume) bool {
+	w := s.ensureWorker(id)
+	if r.Session > 0 && r.Session < w.lastSession {
+		s.log.Decision("session-outdated", "worker", id, "session", r.Session, "newest", w.lastSession)
+		return false
+	}
+	w.lastSession = r.Session
 	if !r.Complete {
-		s.ensureWorker(id).lastReportNumber = 0
+		w.lastReportNumber = 0
 	}
+	return true
 }
 
 // AcceptReport reports whether the run report with the number is new, and marks it as
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -36,6 +36,8 @@
 	slowness float64
 	// lastReportNumber is the number of the last processed run report.
 	lastReportNumber uint64
+	// lastSession is the highest number of a session of the agent.
+	lastSession uint64
 	// tasks holds the tasks with an order or a run at the worker.
 	tasks map[gypsumtide.RunRef]*task
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -94,11 +94,13 @@
 	mu    sync.Mutex
 	state *State
 	// worker is the client for the worker at address.
-	worker      gypsumtide.Worker
-	address     string
-	sessions    map[Owner]*wire.Session
-	outboxes    map[Owner]*outbox
-	loadChanged bool
+	worker   gypsumtide.Worker
+	address  string
+	sessions map[Owner]*wire.Session
+	outboxes map[Owner]*outbox
+	// sessionCount is the number of sessions opened.
+	sessionCount uint64
+	loadChanged  bool
 	// broadcastAt is the time of the last broadcast.
 	broadcastAt gypsumtide.Millis
 	// deregistered holds the worker incarnations that have deregistered, newest last.
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -119,6 +119,8 @@
 	now := a.clock.Now()
 	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
 	resume := a.state.resumeMessage(owner, complete)
+	a.sessionCount++
+	resume.Session = a.sessionCount
 	a.sendFrame(now, owner, s, func(f *wire.Frame) {
 		f.RunReports = append(f.RunReports, reports...)
 		f.Resume = resume
--- a/internal/stored/simulation_agent_test.go
+++ b/internal/stored/simulation_agent_test.go
@@ -26,7 +26,9 @@
 	outboxes    map[runner.Owner]*simOutbox
 	pausedUntil gypsumtide.Millis
 	renewing    bool
-	slowness    simSlowness
+	// sessionCount is the number of sessions opened.
+	sessionCount uint64
+	slowness     simSlowness
 }
 
 func (s *simulation) startAgent(slot int) {
--- a/internal/stored/simulation_link_test.go
+++ b/internal/stored/simulation_link_test.go
@@ -101,17 +101,21 @@
 	l.session = ses
 	l.open = append(l.open, ses)
 	owner := e.owner()
+	a.sessionCount++
 	complete := a.state.SessionOpened(owner)
 	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
-	resume := wire.Resume{Held: a.state.RunsOf(owner), Complete: complete, Unrecorded: a.state.UnrecordedEnds(owner)}
+	resume := wire.Resume{Held: a.state.RunsOf(owner), Complete: complete, Session: a.sessionCount, Unrecorded: a.state.UnrecordedEnds(owner)}
 	worker, load := a.state.WorkerReport(l.s.now), a.state.LoadReport(l.s.now, owner)
 	l.sendToEntry(ses, func() {
+		if !e.state.BeginResume(a.id(), resume) {
+			l.closeEntry(ses)
+			return
+		}
 		if old := e.sessions[a.id()]; old != nil && old != ses {
 			old.replaced = true
 			l.closeEntry(old)
 		}
 		e.sessions[a.id()] = ses
-		e.state.BeginResume(a.id(), resume)
 		e.receiveReports(a.id(), a, reports)
 		e.state.Connected(l.s.now, a.id(), resume)
 		e.updateWorker(a, worker, load)
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -132,4 +132,7 @@
 	Complete bool `cbor:"2,keyasint,omitempty"`
 	// Unrecorded lists the runs whose end the receiver has not confirmed as recorded.
 	Unrecorded []gypsumtide.RunRef `cbor:"3,keyasint,omitempty"`
+	// Session numbers the sessions of the sender to the receiver in the order in which the
+	// sender has opened them, from 1; 0 means unknown.
+	Session uint64 `cbor:"4,keyasint,omitempty"`
 }
