--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -94,11 +94,13 @@
 	mu    sync.Mutex
 	state *State
 	// worker is the client for the worker at address.
-	worker      gypsumtide.Worker
-	address     string
-	sessions    map[Owner]*wire.Session
-	outboxes    map[Owner]*outbox
-	loadChanged bool
+	worker   gypsumtide.Worker
+	address  string
+	sessions map[Owner]*wire.Session
+	outboxes map[Owner]*outbox
+	// sessionCount is the number of sessions opened.
+	sessionCount uint64
+	loadChanged  bool
 	// broadcastAt is the time of the last broadcast.
 	broadcastAt gypsumtide.Millis
 	// deregistered holds the worker incarnations that have deregistered, newest last.
@@ -220,7 +222,7 @@
 			a.log.Decision("worker-left", "life", incarnation)
 			a.deregistered = append(a.deregistered, incarnation)
 			a.deregistered = a.deregistered[max(0, len(a.deregistered)-maxDeregistered):]
-			a.state.loseWorker(now)
+			a.state.WorkerDeregistered(now, id)
 		}
 	})
 }
