--- a/internal/runner/stored_test.go
+++ b/internal/runner/stored_test.go
@@ -224,7 +224,7 @@
 		s.EndsRecorded([]gypsumtide.RunRef{first.Ref})
 		c, _ := s.NextRenewal(61, 60)
 		So(c.Request.Acknowledged, ShouldEqual, 1)
-		s.Submit(62, "entry", second)
+		s.Submit(62, "entry", second, 62)
 		s.StartAnswered(63, s.TakeEffects().Starts[0], 1, nil)
 		s.RenewAnswered(121, 61, c, gypsumtide.RenewResponse{StartTime: next.StartTime, Clock: 60, Ended: endsAfter(c.Request.Acknowledged)}, nil)
 		return s
--- a/internal/stored/simulation_slow_test.go
+++ b/internal/stored/simulation_slow_test.go
@@ -146,6 +146,15 @@
 	return 1000
 }
 
+// longestRun returns the longest run time of a task. With slow processes it exceeds the
+// timeouts of lost agents and entries.
+func (w *simWorker) longestRun() int {
+	if w.s.ephemeral {
+		return 1500
+	}
+	return 350
+}
+
 // callDelay returns the time by which another call to the worker is carried out late, or 0.
 func (w *simWorker) callDelay() gypsumtide.Millis {
 	if !w.s.ephemeral || !w.s.chance(w.delayProbability/2) {
--- a/internal/stored/simulation_worker_test.go
+++ b/internal/stored/simulation_worker_test.go
@@ -98,7 +98,7 @@
 		return gypsumtide.ErrLeaseExpired
 	}
 	w.leaseUntil = max(w.leaseUntil, min(c.Order.LeaseUntil, w.s.now+simLease))
-	r := &simRun{worker: w.number, task: ref.Task, number: ref.Number, startedAt: w.s.now, running: true, endsAt: w.s.now + w.s.randomBetween(20, 350), willFail: w.s.chance(0.08), staleIncarnation: c.Incarnation != w.incarnation}
+	r := &simRun{worker: w.number, task: ref.Task, number: ref.Number, startedAt: w.s.now, running: true, endsAt: w.s.now + w.s.randomBetween(20, w.longestRun()), willFail: w.s.chance(0.08), staleIncarnation: c.Incarnation != w.incarnation}
 	w.running[ref] = r
 	w.s.checkStart(r)
 	return nil
