Count the loss of an entry from its newest echo, and bound both sides by the same constants

A task could run twice at the same time. The agent stopped the runs of a lost entry 400 ms after it had noticed the loss, and the entry retried them 1.1 s after it had noticed it. The two bounds began with different events: an agent that handles buffered frames late, or whose session was closed by a message that got lost, notices the loss up to 500 ms after its last frame, and may stop the runs after the entry has retried them. Besides, the entry's bound followed the lease alone: with a lease below 800 ms it passed before the agent's, and with one of 5 s or more before a worker clock that is 2% slow.

Change: an owner without a session is also lost when its newest echo is MaxOwnerSilence (receive timeout plus grace, 900 ms) old. The entry has received that clock reading before it can lose the session, so its bound, which now includes 200 ms for the stop, begins no earlier. runner.LostRunTimeout gives it next to OrphanedRunTimeout; it stays 1.1 s for a lease of 1 s.

Open: a stop that the worker carries out late. The agent repeats it each 80 ms, but goes on renewing the worker's lease for its other runs.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,9 +37,6 @@
 	sendEntriesInterval gypsumtide.Millis = 500
 	// reconnectGrace is enough time for an agent to reconnect.
 	reconnectGrace gypsumtide.Millis = 450
-	// leaseMargin covers a worker clock that runs 2% slow, and the time a lease renewal
-	// takes to arrive.
-	leaseMargin gypsumtide.Millis = 100
 )
 
 // ProgressRecorder records the progress of stored jobs. Record is called with the
@@ -81,7 +78,7 @@
 // NewTiming returns the timeouts of a State for workers that grant leases of at most
 // lease.
 func NewTiming(lease gypsumtide.Millis) Timing {
-	return Timing{ReconnectGrace: reconnectGrace, LostRunTimeout: lease + leaseMargin, LostStoredRunTimeout: runner.OrphanedRunTimeout(lease)}
+	return Timing{ReconnectGrace: reconnectGrace, LostRunTimeout: runner.LostRunTimeout(lease), LostStoredRunTimeout: runner.OrphanedRunTimeout(lease)}
 }
 
 // Submit runs a job and returns its answer. If the job is already in progress, the
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -53,9 +53,17 @@
 	// acknowledgement.
 	drainReportTime gypsumtide.Millis = 200
 	// ownerGrace is how long the runs of a disconnected entry continue, so that it
-	// can reconnect. ownerGrace plus the receive timeout of a session must be shorter
-	// than the time after which callers resubmit a job.
+	// can reconnect.
 	ownerGrace gypsumtide.Millis = 400
+	// maxOwnerSilence is the age of a disconnected entry's newest echo from which its runs
+	// are stopped, even if the loss was noticed late. It must be shorter than the time
+	// after which callers resubmit a job.
+	maxOwnerSilence = link.ReceiveTimeout + ownerGrace
+	// stopTime is enough for an agent to notice that maxOwnerSilence has passed, and for the
+	// worker to stop the runs.
+	stopTime gypsumtide.Millis = 200
+	// renewalTime is the time that a lease renewal may take to arrive.
+	renewalTime gypsumtide.Millis = 50
 	// stopRetry and syncRetry are the delays before a stop or a sync is retried.
 	stopRetry gypsumtide.Millis = 80
 	syncRetry gypsumtide.Millis = 10
@@ -73,7 +81,15 @@
 // NewTiming returns the intervals of a State for a worker that grants leases of at most
 // lease.
 func NewTiming(lease gypsumtide.Millis) Timing {
-	return Timing{Lease: lease, OwnerGrace: ownerGrace, MaxEchoAge: link.MaxEchoAge, StopRetry: stopRetry, SyncRetry: syncRetry}
+	return Timing{Lease: lease, OwnerGrace: ownerGrace, MaxOwnerSilence: maxOwnerSilence, MaxEchoAge: link.MaxEchoAge, StopRetry: stopRetry, SyncRetry: syncRetry}
+}
+
+// LostRunTimeout returns the time after the loss of a session from which an entry may retry
+// the runs of ephemeral jobs on other hosts. By then the agent has stopped the runs, or the
+// worker's lease has expired because the agent no longer renews it.
+func LostRunTimeout(lease gypsumtide.Millis) gypsumtide.Millis {
+	// A worker's clock may run slow by less than a twentieth.
+	return max(lease+lease/20+renewalTime, maxOwnerSilence+stopTime)
 }
 
 // OrphanedRunTimeout returns the time after the loss of a session from which an entry
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -117,6 +117,10 @@
 	Lease gypsumtide.Millis
 	// OwnerGrace is how long the runs of an entry continue without a session to it.
 	OwnerGrace gypsumtide.Millis
+	// MaxOwnerSilence is the age of the newest echo of a disconnected entry from which its
+	// runs are stopped. The entry counts the loss from its own last frame, so that
+	// the bounds of both sides begin with the echo, whenever either side notices the loss.
+	MaxOwnerSilence gypsumtide.Millis
 	// MaxEchoAge is the age of an owner's newest echo above which its waiting orders
 	// are not started, and the age of a frame's echo above which its orders are rejected.
 	MaxEchoAge gypsumtide.Millis
@@ -525,11 +529,20 @@
 // the lease that leaseExpired adds to it allows for a slow worker clock.
 const leaseMargin gypsumtide.Millis = 30
 
-// expireOwners stops the runs of owners that have been disconnected for OwnerGrace, and
-// removes such owners once they have neither runs nor unrecorded ends.
+// ownerLost reports whether an owner may retry its runs on other hosts, because it has been
+// disconnected for too long.
+func (s *State) ownerLost(now gypsumtide.Millis, o *ownerState) bool {
+	if o.connected {
+		return false
+	}
+	return now-o.closedAt >= s.timing.OwnerGrace || o.lastEcho > 0 && now-o.lastEcho >= s.timing.MaxOwnerSilence
+}
+
+// expireOwners stops the runs of lost owners, and removes such owners once they have neither
+// runs nor unrecorded ends.
 func (s *State) expireOwners(now gypsumtide.Millis) {
 	for name, o := range s.owners {
-		if o.connected || now-o.closedAt < s.timing.OwnerGrace {
+		if !s.ownerLost(now, o) {
 			continue
 		}
 		for ref, r := range s.runs {
--- a/internal/runner/stored.go
+++ b/internal/runner/stored.go
@@ -137,7 +137,7 @@
 // host.
 func (s *State) abandoned(now gypsumtide.Millis, e unrecordedEnd) bool {
 	o, ok := s.owners[e.owner]
-	return !ok || !o.connected && now-o.closedAt >= s.timing.OwnerGrace
+	return !ok || s.ownerLost(now, o)
 }
 
 // leaseExpired reports whether the worker's lease must have expired, even if the worker's
