Do not report the runs of a worker as lost because another one announced itself

A heartbeat with another id replaced the agent's worker at once, also one from another writer, and the first answer of the other worker ended all runs of the former one as lost (worker-restarted): they were retried while the former worker may still execute them.

Cause: the answer of a worker with another id says nothing about the runs of the former worker.

Now such runs end as lost (worker-replaced) when the former worker's lease must have expired, which the agent has not renewed since the replacement, and go on if the former worker announces itself again. A worker that restarts under its id is not affected.

--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -136,6 +136,8 @@
 	log         gypsumtide.DecisionLogger
 	info        gypsumtide.WorkerInfo
 	incarnation gypsumtide.Incarnation
+	// replacedAt is when a worker with another ID than the one before announced itself.
+	replacedAt gypsumtide.Millis
 	// known is set when info describes the worker's current incarnation.
 	known bool
 	// leaving is set once the worker has deregistered, until none of its runs is left.
@@ -503,6 +505,7 @@
 	}
 	s.sampleOverdueRuns(now)
 	s.expireLease(now)
+	s.endReplacedRuns(now)
 	s.updateLeaseWithholding(now)
 	if s.syncing && !s.syncPending && now >= s.syncDue {
 		s.sendSync(now)
--- a/internal/runner/stored.go
+++ b/internal/runner/stored.go
@@ -142,8 +142,11 @@
 
 // leaseExpired reports whether the worker's lease must have expired, even if the worker's
 // clock is slow.
-func (s *State) leaseExpired(now gypsumtide.Millis) bool {
-	return now-s.leaseRenewedAt >= s.timing.Lease+s.timing.Lease/20+leaseMargin
+func (s *State) leaseExpired(now gypsumtide.Millis) bool { return s.leaseOver(now, s.leaseRenewedAt) }
+
+// leaseOver reports whether a lease that was last renewed at renewedAt must have expired.
+func (s *State) leaseOver(now, renewedAt gypsumtide.Millis) bool {
+	return now-renewedAt >= s.timing.Lease+s.timing.Lease/20+leaseMargin
 }
 
 // resumeMessage returns what is sent to an owner at the start of a session.
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -33,6 +33,9 @@
 	}
 	s.log.Decision("worker-life", "life", info.Incarnation, "before", s.incarnation, "service", info.Service,
 		"capacity", info.Capacity, "seq", info.Seq)
+	if info.Incarnation.ID != s.incarnation.ID {
+		s.replacedAt = now
+	}
 	s.setIncarnation(info.Incarnation)
 	// An earlier incarnation of the agent may have renewed the lease a moment ago.
 	s.leaseRenewedAt = now
@@ -232,6 +235,9 @@
 // with the given fencing token.
 func (s *State) reconcileUnlisted(now gypsumtide.Millis, fence uint64, r *run) {
 	switch {
+	case r.incarnation.ID != s.incarnation.ID:
+		// Another worker answers. The run ends with the lease of its own, see
+		// endReplacedRuns.
 	case r.incarnation != s.incarnation:
 		s.finish(r, gypsumtide.EndLost, now-r.startedAt, "worker-restarted")
 	case r.phase == phaseRunning:
@@ -243,6 +249,19 @@
 	}
 }
 
+// endReplacedRuns reports the runs at a replaced worker as lost once its lease must have
+// expired. Its lease has not been renewed since another worker announced itself.
+func (s *State) endReplacedRuns(now gypsumtide.Millis) {
+	if !s.leaseOver(now, s.replacedAt) {
+		return
+	}
+	for _, r := range s.runs {
+		if r.phase != phaseWaiting && r.incarnation.ID != s.incarnation.ID {
+			s.finish(r, gypsumtide.EndLost, now-r.startedAt, "worker-replaced")
+		}
+	}
+}
+
 // maxRenewFailures is the number of consecutive renew calls that may go unanswered
 // before a sync.
 const maxRenewFailures = 2
