Let only sessions that the entry has resumed extend the grace of its runs

A task could run twice at the same time. After the loss of a session, each new one that got the handshake but was not resumed by the entry began the agent's grace anew, and its echoes counted, while the entry still counted from the session that it had lost: it retried the runs 1.1 s later and the agent went on with them, without a bound while such a session stayed open.

Found by the review, with a test of the state machine; no run is known to have met it. Resets of connections to an entry short of processor time are the candidates.

Change: an owner counts as present only while a session is resumed; the grace begins at the end of the last resumed session, with the newest echo received until then. An owner with an open session is not forgotten. Two existing cases, "Runs of an entry that reconnects continue" and "An owner that reconnects before the lease expires may still record the end", took an opened session for a reconnected entry; they now resume it, and the new case says that opening is not enough.

"Sessions that the entry does not resume do not extend the grace period" failed before (no stop).

--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -111,12 +111,13 @@
 func (a *Agent) addSession(owner Owner, s *wire.Session) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
 	if old, ok := a.sessions[owner]; ok {
 		old.Close()
+		a.state.SessionClosed(now, owner)
 	}
 	a.sessions[owner] = s
 	complete := a.state.SessionOpened(owner)
-	now := a.clock.Now()
 	reports := append([]wire.RunReport(nil), a.outbox(owner).pending...)
 	resume := a.state.resumeMessage(owner, complete)
 	a.sessionCount++
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -195,7 +195,11 @@
 // ownerState is what the agent knows of an owner.
 type ownerState struct {
 	connected bool
-	closedAt  gypsumtide.Millis
+	// closedAt is when the last resumed session ended, and echoAtClose the newest echo
+	// received until then. A session that is not resumed leaves both as they are, since the
+	// entry has not noticed it.
+	closedAt    gypsumtide.Millis
+	echoAtClose gypsumtide.Millis
 	// booked is the capacity reserved for the owner's runs.
 	booked gypsumtide.Size
 	// resumed is set once the owner has compared the runs listed at the start of the
@@ -270,7 +274,10 @@
 func (s *State) SessionClosed(now gypsumtide.Millis, owner Owner) {
 	o := s.owner(owner)
 	o.connected = false
-	o.closedAt = now
+	if o.resumed {
+		o.resumed = false
+		o.closedAt, o.echoAtClose = now, o.lastEcho
+	}
 }
 
 // RunsOf returns the waiting and running orders of an owner.
@@ -532,17 +539,17 @@
 // the lease that leaseExpired adds to it allows for a slow worker clock.
 const leaseMargin gypsumtide.Millis = 30
 
-// ownerLost reports whether an owner may retry its runs on other hosts, because it has been
-// disconnected for too long.
+// ownerLost reports whether an owner may retry its runs on other hosts, because it has had no
+// resumed session for too long.
 func (s *State) ownerLost(now gypsumtide.Millis, o *ownerState) bool {
-	if o.connected {
+	if o.resumed {
 		return false
 	}
-	return now-o.closedAt >= s.timing.OwnerGrace || o.lastEcho > 0 && now-o.lastEcho >= s.timing.MaxOwnerSilence
+	return now-o.closedAt >= s.timing.OwnerGrace || o.echoAtClose > 0 && now-o.echoAtClose >= s.timing.MaxOwnerSilence
 }
 
 // expireOwners stops the runs of lost owners, and removes such owners once they have neither
-// runs nor unrecorded ends.
+// a session nor runs nor unrecorded ends.
 func (s *State) expireOwners(now gypsumtide.Millis) {
 	for name, o := range s.owners {
 		if !s.ownerLost(now, o) {
@@ -553,7 +560,7 @@
 				s.StopRun(now, ref)
 			}
 		}
-		if len(s.RunsOf(name)) == 0 && len(s.UnrecordedEnds(name)) == 0 {
+		if !o.connected && len(s.RunsOf(name)) == 0 && len(s.UnrecordedEnds(name)) == 0 {
 			delete(s.owners, name)
 		}
 	}
--- a/internal/runner/state_test.go
+++ b/internal/runner/state_test.go
@@ -243,10 +243,29 @@
 		s.TakeEffects()
 		s.SessionClosed(100, "entry")
 		s.SessionOpened("entry")
+		s.Tick(499)
+		s.SessionResumed(499, "entry")
 		s.Tick(600)
 		So(s.TakeEffects().Stops, ShouldBeEmpty)
 		So(s.RunsOf("entry"), ShouldResemble, []gypsumtide.RunRef{testOrder(0).Ref})
 	})
+
+	// Guards against a grace period that begins again with each session of which the entry
+	// has not noticed anything.
+	Convey("Sessions that the entry does not resume do not extend the grace period", t, func() {
+		s := newSyncedState()
+		s.EchoReceived("entry", 90)
+		s.Submit(90, "entry", testOrder(0), 90)
+		s.StartAnswered(91, s.TakeEffects().Starts[0], 5091, nil)
+		s.SessionClosed(100, "entry")
+		s.SessionOpened("entry")
+		s.EchoReceived("entry", 440)
+		s.SessionClosed(450, "entry")
+		s.SessionOpened("entry")
+		s.Tick(501)
+		So(s.TakeEffects().Stops, ShouldHaveLength, 1)
+		So(s.HasOwner("entry"), ShouldBeTrue)
+	})
 }
 
 // Guards against an entry that concludes that an order never arrived although the
--- a/internal/runner/stored_test.go
+++ b/internal/runner/stored_test.go
@@ -111,6 +111,7 @@
 		s.Tick(500)
 		So(s.SessionOpened("entry"), ShouldBeTrue)
 		So(s.resumeMessage("entry", true).Unrecorded, ShouldHaveLength, 1)
+		s.SessionResumed(510, "entry")
 		s.Tick(520)
 		So(s.WorkerReport(520).Accepting, ShouldBeTrue)
 	})
