Do not report the runs of a replaced worker as lost when a third worker answers

A delayed heartbeat of an earlier worker with another id made the agent look for that worker; the worker in its place answered that it is another one, and the agent reported all runs as lost, also those that this worker was executing. They were retried at once.

The answer proves that the worker asked for is gone, not that the runs of another one are. Such runs are now left to the expiry of their worker's lease, or go on when it announces itself again. The new case of TestReplacedWorkerStillRuns failed before.

--- a/internal/runner/replaced_test.go
+++ b/internal/runner/replaced_test.go
@@ -29,6 +29,13 @@
 			So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"0 lost worker-replaced"})
 			So(s.Running(), ShouldEqual, 0)
 		})
+		Convey("The run is not lost when a third worker answers at the address", func() {
+			s.SyncAnswered(201, *sync, gypsumtide.RenewResponse{}, gypsumtide.ErrOtherWorker)
+			s.Tick(1270)
+			So(reportTexts(s.TakeEffects()), ShouldBeEmpty)
+			s.Tick(1280)
+			So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"0 lost worker-replaced"})
+		})
 		Convey("The run goes on if the first worker announces itself again", func() {
 			s.SyncAnswered(201, *sync, gypsumtide.RenewResponse{}, errTimeout)
 			s.Heartbeat(300, testInfo(testIncarnation))
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -191,12 +191,14 @@
 }
 
 // loseWorker returns the waiting orders, reports the runs at the worker as lost, and drops
-// the worker. Either a worker with another ID answers at the address and rejects orders for
+// the worker. Runs at a replaced worker are left to endReplacedRuns. Either a worker with another ID answers at the address and rejects orders for
 // this one, or the worker has deregistered and has no runs left.
 func (s *State) loseWorker(now gypsumtide.Millis) {
 	s.returnQueue("worker-gone")
 	for _, r := range s.runs {
-		s.finish(r, gypsumtide.EndLost, now-r.startedAt, "worker-gone")
+		if r.incarnation.ID == s.incarnation.ID {
+			s.finish(r, gypsumtide.EndLost, now-r.startedAt, "worker-gone")
+		}
 	}
 	clear(s.orphans)
 	s.setIncarnation(gypsumtide.Incarnation{})
