Place no order on a worker while the start of its agent's session is handled

A task could be ordered twice. The reports that come with the start of a session are handled before the agent's list of runs is compared. If the entry had not noticed the end of the former session, such a report could place a task on the same worker; the comparison did not find the new order in the list and counted it as lost or never arrived, but the order was still sent.

From BeginResume to Connected the worker now counts as not connected. TestOrderDuringResume failed before (an order in the frame).

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -43,6 +43,8 @@
 
 // BeginResume processes the start of a session before the reports that come with it. An
 // agent that does not have all of its reports any more may number new ones from 1 again.
+// Until Connected, the reports cause no order on the worker, since Connected could not tell
+// such an order from one that did not arrive.
 // The result is false if the agent has opened a newer session, so that this one must be
 // ignored: its list of runs is outdated.
 func (s *State) BeginResume(id WorkerID, r wire.Resume) bool {
@@ -52,6 +54,7 @@
 		return false
 	}
 	w.lastSession = r.Session
+	w.connected = false
 	if !r.Complete {
 		w.lastReportNumber = 0
 	}
--- a/internal/dispatch/session_order_test.go
+++ b/internal/dispatch/session_order_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumtide"
 	"gypsumtide/internal/wire"
 )
 
@@ -26,3 +27,21 @@
 		})
 	})
 }
+
+// Guards against a second order for a task whose first one was sent in the same frame in which the
+// agent's list of runs was compared, and counted as never arrived.
+func TestOrderDuringResume(t *testing.T) {
+	Convey("A report that comes with the start of a session causes no order on that worker before the runs are compared", t, func() {
+		s := newTestState(1)
+		s.Submit(0, submission("a", 1, 50, 0))
+		first := orderedRuns(s.TakeEffects())[workerID(0)]
+		So(first, ShouldHaveLength, 1)
+		resume := wire.Resume{Complete: false, Session: 2}
+		So(s.BeginResume(workerID(0), resume), ShouldBeTrue)
+		s.HandleReport(10, workerID(0), wire.RunReport{Ref: first[0], End: gypsumtide.EndFailed, Number: 1})
+		So(orderedRuns(s.TakeEffects()), ShouldBeEmpty)
+		s.Connected(10, workerID(0), resume)
+		s.Tick(20)
+		So(orderedRuns(s.TakeEffects())[workerID(0)], ShouldHaveLength, 1)
+	})
+}
