Return an order whose number another entry has used for its run of the task

Callers that submitted a job again at another entry could wait until their deadline: both entries number their runs from 1, and the agent ignored the second entry's order without a word while it held a run of the first entry with the same reference.

TestNumberOfAnotherOwner failed before (no report).

--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -27,8 +27,9 @@
 }
 
 // Submit queues an order and starts it if possible, or returns it unstarted with a reason.
-// echo is that of the frame with the order. An order that the agent already holds is
-// ignored. An update only changes a waiting order.
+// echo is the time of the agent's clock that the entry had last received when it wrote the
+// order. An order that the agent already holds is ignored. An update only changes a waiting
+// order.
 func (s *State) Submit(now gypsumtide.Millis, owner Owner, o wire.Order, echo gypsumtide.Millis) {
 	r, held := s.runs[o.Ref]
 	stale := echo <= 0 || now-echo > s.timing.MaxEchoAge
@@ -41,6 +42,10 @@
 			s.updateOrder(now, o)
 		}
 		return
+	case held && r.owner != owner:
+		// Another entry has given its run of the task the same number.
+		s.report(owner, wire.RunReport{Ref: o.Ref, End: gypsumtide.EndNotStarted, Reason: ReasonStaleRun})
+		return
 	case held:
 		return
 	}
--- a/internal/runner/stale_update_test.go
+++ b/internal/runner/stale_update_test.go
@@ -46,24 +46,45 @@
 }
 
 // Guards against reporting a run as not started because a later frame about it is stale.
-func TestStaleUpdateOfStartedRun(t *testing.T) {
-	Convey("Given a run that the worker has started", t, func() {
-		clock := &manualClock{now: 1000}
-		a, s := newSyncedAgent(clock)
-		o := testOrder(0)
-		So(a.handleFrame("entry", s, &wire.Frame{Echo: clock.now, Orders: []wire.Order{o}}), ShouldBeNil)
-		a.callStart(context.Background(), <-a.starts)
-		So(a.running(), ShouldEqual, 1)
-
-		for name, update := range map[string]bool{"An update of its order": true, "A repetition of its order": false} {
-			Convey(name+" with an echo that is too old does not end it", func() {
+func TestStaleUpdateOfHeldRun(t *testing.T) {
+	phases := map[string]struct {
+		run int
+		set func(a *Agent)
+	}{
+		"waiting": {2, func(*Agent) {}},
+		"sent":    {0, func(*Agent) {}},
+		"running": {0, func(a *Agent) { a.callStart(context.Background(), <-a.starts) }},
+	}
+	for phase, c := range phases {
+		for kind, update := range map[string]bool{"update": true, "repetition": false} {
+			Convey("A stale "+kind+" of an order whose run is "+phase+" does not end the run", t, func() {
+				clock := &manualClock{now: 1000}
+				a, s := newSyncedAgent(clock)
+				for i := range 3 {
+					o := testOrder(i)
+					o.StartWithin = 5000
+					So(a.handleFrame("entry", s, &wire.Frame{Echo: clock.now, Orders: []wire.Order{o}}), ShouldBeNil)
+				}
+				c.set(a)
+				held := testOrder(c.run)
+				So(a.state.runs[held.Ref].phase.String(), ShouldEqual, phase)
+				a.outbox("entry").pending = nil
 				clock.now += 1000
-				o.Update = update
-				So(a.handleFrame("entry", s, &wire.Frame{Echo: 1000, Orders: []wire.Order{o}}), ShouldBeNil)
+				held.Update = update
+				So(a.handleFrame("entry", s, &wire.Frame{Echo: 1000, Orders: []wire.Order{held}}), ShouldBeNil)
 				So(a.outbox("entry").pending, ShouldBeEmpty)
-				So(a.running(), ShouldEqual, 1)
+				So(a.state.runs[held.Ref].phase.String(), ShouldEqual, phase)
 			})
 		}
+	}
+
+	Convey("A stale order that the agent does not hold is returned", t, func() {
+		clock := &manualClock{now: 1000}
+		a, s := newSyncedAgent(clock)
+		clock.now += 1000
+		So(a.handleFrame("entry", s, &wire.Frame{Echo: 1000, Orders: []wire.Order{testOrder(0)}}), ShouldBeNil)
+		So(a.outbox("entry").pending, ShouldHaveLength, 1)
+		So(a.running(), ShouldEqual, 0)
 	})
 }
 
@@ -72,13 +93,18 @@
 	Convey("Given a synced agent that holds no run", t, func() {
 		s := newSyncedState()
 		Convey("A new order with an echo that is too old is returned unstarted", func() {
-			s.Submit(1000, "entry", testOrder(0), 500)
+			s.Submit(1000, "entry", testOrder(0), 549)
 			e := s.TakeEffects()
 			So(e.Starts, ShouldBeEmpty)
 			So(reportTexts(e), ShouldResemble, []string{"0 not-started stale"})
 		})
-		Convey("So is one of a frame without an echo", func() {
-			s.Submit(1000, "entry", testOrder(0), 0)
+		Convey("One with the oldest permitted echo starts", func() {
+			s.EchoReceived("entry", 1000)
+			s.Submit(1000, "entry", testOrder(0), 550)
+			So(s.TakeEffects().Starts, ShouldHaveLength, 1)
+		})
+		Convey("One of a frame without an echo is returned unstarted", func() {
+			s.Submit(100, "entry", testOrder(0), 0)
 			So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"0 not-started stale"})
 		})
 		Convey("A stale update of a waiting order changes and reports nothing", func() {
@@ -95,5 +121,31 @@
 			s.Tick(301)
 			So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"2 not-started expired"})
 		})
+		Convey("A recent update of a waiting order lets it wait longer", func() {
+			for i := range 3 {
+				s.Submit(100, "entry", testOrder(i), 100)
+			}
+			s.TakeEffects()
+			update := testOrder(2)
+			update.Update = true
+			update.StartWithin = 5000
+			s.Submit(250, "entry", update, 250)
+			s.Tick(301)
+			So(reportTexts(s.TakeEffects()), ShouldBeEmpty)
+			So(s.Waiting(), ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against an order that is neither run nor returned, because another entry has given its
+// run of the same task the same number.
+func TestNumberOfAnotherOwner(t *testing.T) {
+	Convey("An order with the number of another entry's run is returned for a higher number", t, func() {
+		s := newSyncedState()
+		s.Submit(100, "entry", testOrder(0), 100)
+		s.TakeEffects()
+		s.Submit(101, "other", testOrder(0), 101)
+		So(s.TakeEffects().Reports["other"], ShouldResemble, []wire.RunReport{{Ref: testOrder(0).Ref, End: gypsumtide.EndNotStarted, Reason: ReasonStaleRun}})
+		So(s.RunsOf("entry"), ShouldHaveLength, 1)
 	})
 }
