--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -235,7 +235,7 @@
 		return
 	}
 	kind := "run-lost"
-	if r.End == gypsumtide.EndNotStarted {
+	if r.End == gypsumtide.EndNotStarted && t.phase != taskRunning {
 		kind = "run-returned"
 	}
 	s.log.Decision(kind, "run", t.ref(), "worker", t.worker, "end", r.End, "reason", r.Reason, "phase", t.phase.String(),
