worker: a renewal with an end of an unknown kind or a number out of range is a failed call

An entry received the end of a run without its kind as a report without an end, and went on as if the run continued. Cause: the rows and times of a worker's response were only decoded, not checked.

--- a/valid.go
+++ b/valid.go
@@ -79,6 +79,26 @@
 	return nil
 }
 
+// Validate returns an *InvalidValueError unless the end has a number and a known kind.
+func (e *RunEnd) Validate() error {
+	if e.Number == 0 {
+		return &InvalidValueError{Field: "number of an end", Value: e.Number}
+	}
+	if err := ValidateCounter("number of an end", e.Number); err != nil {
+		return err
+	}
+	return e.Kind.Validate()
+}
+
+// Validate returns an *InvalidValueError for an empty or unknown kind.
+func (k EndKind) Validate() error {
+	switch k {
+	case EndDone, EndFailed, EndStopped, EndLeaseExpired, EndLost, EndNotStarted:
+		return nil
+	}
+	return &InvalidValueError{Field: "kind of an end", Value: strconv.Quote(string(k))}
+}
+
 // Validate returns an *InvalidValueError unless the description names a worker that can
 // be used.
 func (i *WorkerInfo) Validate() error {
