--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	if e.Kind == kindSnapshot {
-		if f.ready && e.AsOf >= f.minSnapshotAsOf {
+		if f.ready && e.AsOf <= r.Offset && e.AsOf >= f.minSnapshotAsOf {
 			f.snapshotReadAt = f.clock.Now()
 			f.recordsSinceSnapshot = 0
 		}
@@ -162,13 +162,18 @@
 
 // searchSnapshot looks through the records of a read and restores the first valid
 // snapshot whose as-of offset was not trimmed when the search began, so that the
-// records from that offset on can be read. The caller must hold the lock.
+// records from that offset on can be read. It ignores a snapshot that claims to include
+// records after itself, since reading would continue beyond the end of the stream. The caller must hold the lock.
 func (f *Follower) searchSnapshot(records []gypsumtide.Record, next uint64) {
 	for _, r := range records {
 		e, err := decodeEnvelope(r.Data)
 		if err != nil || e.Kind != kindSnapshot || e.AsOf < f.search.first {
 			continue
 		}
+		if e.AsOf > r.Offset {
+			f.logger.Info("snapshot of later records ignored", "offset", r.Offset, "as-of", e.AsOf)
+			continue
+		}
 		if err := f.restore(e.AsOf, e.Body); err != nil {
 			f.logger.Error(err, "invalid snapshot ignored", "offset", r.Offset)
 			continue
