shard: a record with a time out of range is malformed

A first record with a time near the limits of an int64 made the time of the state overflow, so that departed members could be discarded although recoveries still need them, and it entered the membership. Cause: the time of a record was not checked. Change: a record with a time before 1970 or after the year 9999 is malformed, as one that cannot be decoded.

--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -94,6 +94,9 @@
 }
 
 func (r *Record) check() error {
+	if err := gypsumtide.ValidateTime("record time", r.Time); err != nil {
+		return fmt.Errorf("%w: %w", errMalformed, err)
+	}
 	switch r.Kind {
 	case EntryJoined:
 		if r.Entry == nil || r.Entry.Name == "" || !validIncarnation(r.Entry.Incarnation) {
