upstream: refuse announcements and usages with values out of range

An announcement with an impossible port replaced a usable upstream; one with a huge lease had expired at once; huge slots, capacities and usages made the sums that entries compute overflow. Cause: only signs of slots, connections and the lease were checked. Change: slots, connections, lease, capacity, port and reported usage have limits; an odd request is answered with 400 and changes nothing. After: passes, and the tests of upstream pass with -race.

--- a/internal/upstream/handler.go
+++ b/internal/upstream/handler.go
@@ -54,6 +54,12 @@
 	if !readJSON(w, req, &body) {
 		return
 	}
+	if body.Used != nil {
+		if err := body.Used.Validate(); err != nil {
+			writeError(w, http.StatusBadRequest, err)
+			return
+		}
+	}
 	name := req.PathValue("name")
 	lease, err := r.Renew(name, body.Generation)
 	switch {
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -171,7 +171,30 @@
 	if a.Slots < 1 || a.Connections < 1 || a.TTL < 1 {
 		return errors.New("slots, connections and ttl-ms must be positive")
 	}
-	return nil
+	return a.checkLimits(u)
+}
+
+// maxSlots limits the slots and the connections of an upstream, so that the sums over many
+// upstreams do not overflow.
+const maxSlots = 1 << 20
+
+// checkLimits returns a *gypsumtide.InvalidValueError for a value that is too large, and for a
+// port that is out of range in the parsed URL.
+func (a *Announcement) checkLimits(u *url.URL) error {
+	switch {
+	case a.Slots > maxSlots:
+		return &gypsumtide.InvalidValueError{Field: "slots", Value: a.Slots}
+	case a.Connections > maxSlots:
+		return &gypsumtide.InvalidValueError{Field: "connections", Value: a.Connections}
+	case a.TTL > gypsumtide.MaxDuration:
+		return &gypsumtide.InvalidValueError{Field: "ttl-ms", Value: a.TTL}
+	}
+	if u.Port() != "" {
+		if err := gypsumtide.ValidateAddress(u.Host); err != nil {
+			return err
+		}
+	}
+	return a.Capacity.Validate()
 }
 
 // Renew extends a lease of the current generation that has not expired.
