shard: an agent that cannot be recorded no longer keeps others out of the log

If one agent opened a session with an empty name or an incarnation that is empty or too long, no join or departure in the same record was ever logged, so that entries could not use the other agents once the successor changed. Cause: the record of all unlogged agents is encoded as one, and its encoding fails for the odd one, on each retry. Change: an entry closes the session of such an agent with a typed error; the manager ignores it in sessions, roster updates and departures. Before: TestOddAgent fails in all 7 cases. After: passes, and the tests of shard pass with -race (48.9 s).

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -9,6 +9,7 @@
 
 	"gypsumtide"
 	"gypsumtide/internal/job"
+	"gypsumtide/internal/shard"
 	"gypsumtide/internal/wire"
 )
 
@@ -365,6 +366,9 @@
 // of this entry closes the second session without sending one.
 func (e *Entry) serveAgent(ctx context.Context, hello *wire.Hello, s *wire.Session) error {
 	rec := wire.AgentRecord{Name: hello.Name, Incarnation: hello.Incarnation, Zone: hello.Zone, Rack: hello.Rack}
+	if err := shard.ValidateAgent(&rec); err != nil {
+		return gypsumtide.NewError("open session", s.Peer(), err)
+	}
 	var c *agentConn
 	s.Observe(e.metrics.countFrame)
 	err := s.Run(ctx, func(f *wire.Frame) error {
--- a/internal/shard/odd_input_test.go
+++ b/internal/shard/odd_input_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"math"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumtide"
+	"gypsumtide/internal/wire"
 )
 
 // Guards against a time that overflows when the retention is subtracted from it or added to
@@ -51,3 +53,41 @@
 		})
 	}
 }
+
+// Guards against an agent whose join cannot be encoded, so that the joins of all other agents
+// in the same record are never logged.
+func TestOddAgent(t *testing.T) {
+	for name, odd := range map[string]wire.AgentRecord{
+		"no name":              {Incarnation: "odd1"},
+		"no incarnation":       {Name: "odd"},
+		"incarnation too long": {Name: "odd", Incarnation: strings.Repeat("a", maxIncarnationLength+1)},
+	} {
+		good := wire.AgentRecord{Name: "x", Incarnation: "x1"}
+		joinedAgents := func(m *singleManager) []wire.AgentRecord {
+			_, r := findRecord(m.advance(2000, "a1", "c1"), AgentJoined)
+			So(r, ShouldNotBeNil)
+			So(m.internalErrors, ShouldEqual, 0)
+			return r.Agents
+		}
+		Convey("A session of an agent that cannot be recorded does not keep others out of the log: "+name, t, func() {
+			m := newSingleManager("b1")
+			m.AgentConnected(odd)
+			m.AgentConnected(good)
+			So(joinedAgents(m), ShouldResemble, []wire.AgentRecord{good})
+		})
+		Convey("A roster update about such an agent is not acknowledged: "+name, t, func() {
+			m := newSingleManager("b1")
+			So(m.HandleRosterUpdates("a1", []wire.AgentRecord{odd, good}), ShouldResemble, []wire.AgentRecord{good})
+			So(joinedAgents(m), ShouldResemble, []wire.AgentRecord{good})
+		})
+	}
+	Convey("The departure of such an agent does not keep others out of the log", t, func() {
+		m := newSingleManager("b1")
+		for _, incarnation := range []string{"", strings.Repeat("a", maxIncarnationLength+1), "x1"} {
+			m.AgentLeft(incarnation)
+		}
+		_, r := findRecord(m.advance(2000, "a1", "c1"), AgentLeft)
+		So(r, ShouldNotBeNil)
+		So(r.Agents, ShouldHaveLength, 1)
+	})
+}
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 
 	"gypsumtide"
 	"gypsumtide/internal/wire"
@@ -127,13 +128,25 @@
 	}
 	for i := range r.Agents {
 		a := &r.Agents[i]
-		if !validIncarnation(a.Incarnation) || r.Kind == AgentJoined && a.Name == "" {
+		if !validIncarnation(a.Incarnation) || r.Kind == AgentJoined && ValidateAgent(a) != nil {
 			return errMalformed
 		}
 	}
 	return nil
 }
 
+// ValidateAgent returns a *gypsumtide.InvalidValueError unless the join of the agent can be
+// recorded.
+func ValidateAgent(a *wire.AgentRecord) error {
+	switch {
+	case a.Name == "":
+		return &gypsumtide.InvalidValueError{Field: "agent name", Value: strconv.Quote(a.Name)}
+	case !validIncarnation(a.Incarnation):
+		return &gypsumtide.InvalidValueError{Field: "length of the incarnation", Value: len(a.Incarnation)}
+	}
+	return nil
+}
+
 func (r *Record) checkShards() error {
 	if !validIncarnation(r.Author) || len(r.Successor) > maxIncarnationLength || len(r.Shards) == 0 || len(r.Shards) > gypsumtide.ShardCount {
 		return errMalformed
--- a/internal/shard/roster.go
+++ b/internal/shard/roster.go
@@ -201,11 +201,15 @@
 	return out
 }
 
-// AgentConnected reports that a session with an agent was established.
+// AgentConnected reports that a session with an agent was established. It ignores an agent
+// that ValidateAgent rejects, whose join would keep other joins out of the log.
 func (m *Manager) AgentConnected(rec wire.AgentRecord) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.syncState()
+	if ValidateAgent(&rec) != nil {
+		return
+	}
 	m.roster.connected[rec.Incarnation] = rec
 	if !m.state.knowsAgent(rec.Incarnation) {
 		m.roster.add(rec, m.clock.Now())
@@ -229,7 +233,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.syncState()
-	if _, ok := m.roster.leaving[incarnation]; ok {
+	if _, ok := m.roster.leaving[incarnation]; ok || !validIncarnation(incarnation) {
 		return
 	}
 	if _, ok := m.roster.present[incarnation]; ok || !m.state.knowsAgent(incarnation) {
@@ -281,9 +285,9 @@
 }
 
 // HandleRosterUpdates takes the roster updates of a home and returns those to
-// acknowledge. It acknowledges nothing to a home from which this entry is taking over a
-// shard, or took one over so recently that the home may still start tasks: the home
-// could then use an agent that has not confirmed the fencing.
+// acknowledge, without those that ValidateAgent rejects. It acknowledges nothing to a home
+// from which this entry is taking over a shard, or took one over so recently that the home
+// may still start tasks: the home could then use an agent that has not confirmed the fencing.
 func (m *Manager) HandleRosterUpdates(from string, updates []wire.AgentRecord) []wire.AgentRecord {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -295,6 +299,9 @@
 	now := m.clock.Now()
 	var acks []wire.AgentRecord
 	for _, rec := range updates {
+		if ValidateAgent(&rec) != nil {
+			continue
+		}
 		if !m.state.knowsAgent(rec.Incarnation) {
 			m.roster.add(rec, now).acknowledged = true
 			m.roster.version++
