entry: ignore reports of agents, homes and callers with values out of range

A draining agent with an odd load counted as finished, and its departure was logged while it could still start tasks; an upstream with odd slots made the sum of an agent's slots negative; a usage that is no number, negative or huge reached the shares of limits; sizes near the limit of an int64 made sums overflow; a forwarded submission without a job panicked and ended the session of two entries with all requests on it. Cause: values of frames were only decoded, and sizes of callers were checked only for signs. Change: an odd upstream, load or usage is ignored and logged once, the others hold; an odd forwarded job is ignored and logged; a caller gets status 400. Before (with the checks disabled): TestOddSubmission, TestOddForward, TestOddAgentFrame and TestOddUsage fail.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -47,6 +47,8 @@
 	openTasks map[taskKey]openTask
 	// revision is the newest configuration revision that the agent reported.
 	revision uint64
+	// oddLogged is set once a value out of range has been logged.
+	oddLogged bool
 	// lost is set once the home treats this incarnation as ended.
 	lost bool
 }
@@ -208,12 +210,12 @@
 			h.serviceSeenAt[service] = now
 		}
 	}
-	c.upstreams = a.Upstreams
+	c.upstreams = h.validUpstreams(c, a.Upstreams)
 	c.draining = a.Draining
 	slots := 0
 	var capacity gypsumtide.Size
-	ejected := len(a.Upstreams) > 0
-	for _, u := range a.Upstreams {
+	ejected := len(c.upstreams) > 0
+	for _, u := range c.upstreams {
 		if u.Leaving {
 			continue
 		}
@@ -229,6 +231,17 @@
 	h.invalidateServiceAgents()
 }
 
+// applyLoad stores the load that an agent reported. It ignores a load that is out of range
+// and then returns false.
+func (h *home) applyLoad(c *agentConn, load *gypsumtide.Load, now gypsumtide.Millis) bool {
+	if err := validateLoad(load); err != nil {
+		h.logOdd(c, "agent load ignored", err)
+		return false
+	}
+	c.view.Report(*load, now)
+	return true
+}
+
 // handleAgentFrame processes one frame that an agent sent on the session s. It reports
 // whether the agent is draining and, according to the load in this frame, holds no tasks,
 // so that it will start no more.
@@ -247,9 +260,7 @@
 	if f.Announcement != nil {
 		h.applyAnnouncement(c, f.Announcement)
 	}
-	if f.Load != nil {
-		c.view.Report(*f.Load, now)
-	}
+	loadKnown := f.Load != nil && h.applyLoad(c, f.Load, now)
 	if f.Revision > c.revision {
 		c.revision = f.Revision
 	}
@@ -264,7 +275,7 @@
 			h.dispatchWaiting(p, now)
 		}
 	}
-	return c.draining && f.Load != nil && f.Load.Running+f.Load.Queued == 0
+	return c.draining && loadKnown && f.Load.Running+f.Load.Queued == 0
 }
 
 // applyResult applies the reported state of a task to its job. It drops a report that
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -113,6 +113,8 @@
 	// transfers holds, for each shard, the newest list of accepted ids that a previous
 	// home sent.
 	transfers [gypsumtide.ShardCount]*receivedTransfer
+	// oddUsageLogged is set once a usage out of range has been logged.
+	oddUsageLogged bool
 }
 
 // pendingRequeue is a task that is queued again at a later time.
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -261,6 +261,12 @@
 		return fmt.Errorf("payload: larger than %d bytes", e.cfg.MaxPayloadBytes)
 	case t.Processors < 0 || t.Memory < 0 || t.Accelerators < 0 || t.RunTimeMS < 0:
 		return errors.New("processors-milli, memory-mib, accelerators, run-time-ms: must not be negative")
+	case t.RunTimeMS > gypsumtide.MaxDuration:
+		return fmt.Errorf("run-time-ms: %d is greater than %d", t.RunTimeMS, gypsumtide.MaxDuration)
+	}
+	size := gypsumtide.Size{Processors: t.Processors, Memory: t.Memory, Accelerators: t.Accelerators}
+	if err := size.Validate(); err != nil {
+		return fmt.Errorf("processors-milli, memory-mib, accelerators: %w", err)
 	}
 	return nil
 }
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -106,8 +106,13 @@
 	}
 }
 
-// answerForward runs a forwarded request at this home.
+// answerForward runs a forwarded request at this home. It ignores a submission that the
+// sender must not have accepted.
 func (e *Entry) answerForward(ctx context.Context, s *wire.Session, req *wire.Forward) {
+	if err := validateForward(req); err != nil {
+		e.log.Error(err, "forwarded request ignored", "peer", s.Peer())
+		return
+	}
 	// The sender waits no longer than this for the answer.
 	ctx, cancel := context.WithTimeout(ctx, (req.Budget + answerGracePeriod).Duration())
 	defer cancel()
