--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -202,6 +202,9 @@
 // restore replaces the state. The caller must hold the lock and must have checked
 // that the new state is not older.
 func (f *Follower) restore(asOf uint64, state []byte) error {
+	if err := gypsumtide.ValidateCounter("as-of offset", asOf); err != nil {
+		return err
+	}
 	s, err := decodeState(state)
 	if err != nil {
 		return err
--- a/internal/journal/odd_input_test.go
+++ b/internal/journal/odd_input_test.go
@@ -59,6 +59,20 @@
 	})
 }
 
+// Guards against a follower that reads beyond the end of the stream for ever.
+func TestOddPeerState(t *testing.T) {
+	Convey("The state of a peer with an offset that is never reached is not adopted", t, func() {
+		for _, asOf := range []uint64{math.MaxInt64, math.MaxUint64} {
+			f := newTestFollower("http://127.0.0.1:1", 100)
+			adopted, err := f.Adopt(asOf, mustEncodeState([]string{"odd"}))
+			So(err, ShouldNotBeNil)
+			So(adopted, ShouldBeFalse)
+			So(f.Position(), ShouldEqual, 0)
+			So(f.bodies(), ShouldBeEmpty)
+		}
+	})
+}
+
 func mustEncodeState(bodies []string) []byte {
 	state, err := encodeState(newSeenIDs(nil), &bodyList{bodies: bodies})
 	if err != nil {
--- a/internal/object/configuration.go
+++ b/internal/object/configuration.go
@@ -156,12 +156,16 @@
 }
 
 // Restore implements journal.StateMachine. It rejects a snapshot with a lower revision,
-// with different objects for the same revision, or with a history that is too long.
+// with different objects for the same revision, with a revision out of range, or with a
+// history that is too long.
 func (s *ConfigurationState) Restore(data []byte) error {
 	var snapshot configurationSnapshot
 	if err := wire.Unmarshal(data, &snapshot); err != nil {
 		return fmt.Errorf("object: restore: %w", err)
 	}
+	if err := gypsumtide.ValidateCounter("revision", snapshot.Number); err != nil {
+		return fmt.Errorf("object: restore: %w", err)
+	}
 	if snapshot.Number < s.current.number {
 		return fmt.Errorf("object: restore: snapshot has revision %d, older than the current revision %d", snapshot.Number, s.current.number)
 	}
--- a/internal/shard/odd_input_test.go
+++ b/internal/shard/odd_input_test.go
@@ -91,3 +91,24 @@
 		So(r.Agents, ShouldHaveLength, 1)
 	})
 }
+
+// Guards against a state that accepts no later snapshot, or that discards departed members.
+func TestOddSnapshot(t *testing.T) {
+	for name, change := range map[string]func(s *State){
+		"offset never reached": func(s *State) { s.nextOffset = math.MaxUint64 },
+		"negative time":        func(s *State) { s.recordTime = math.MinInt64 },
+		"time never reached":   func(s *State) { s.recordTime = math.MaxInt64 },
+	} {
+		Convey("An odd snapshot is rejected and the state stays in use: "+name, t, func() {
+			odd := replay(entryJoined("odd", "odd1"))
+			change(odd)
+			data, err := odd.Snapshot()
+			So(err, ShouldBeNil)
+			s := replay(entryJoined("a", "a1"))
+			So(s.Restore(data), ShouldNotBeNil)
+			_, ok := s.Entry("a1")
+			So(ok, ShouldBeTrue)
+			So(s.Next(), ShouldEqual, 1)
+		})
+	}
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -488,6 +488,11 @@
 	if len(snap.Ownerships) != gypsumtide.ShardCount || len(snap.Epochs) != gypsumtide.ShardCount {
 		return fmt.Errorf("shard: restore: snapshot of %d shards, want %d", len(snap.Ownerships), gypsumtide.ShardCount)
 	}
+	for _, err := range []error{gypsumtide.ValidateCounter("next offset", snap.Next), gypsumtide.ValidateTime("snapshot time", snap.Time)} {
+		if err != nil {
+			return fmt.Errorf("shard: restore: %w", err)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if snap.Next < s.nextOffset {
