agent: refuse tasks with an echo that the agent cannot have sent

An agent started the tasks of a frame whose echo was negative near the limit of an int64 or in the future, although the sender may have lost its lease; and after a configuration with a huge revision it took no newer one. Cause: the age of such an echo overflows or is negative and so counts as recent; the revision was only compared. Change: such an echo counts as expired; a revision greater than 2^53 is a typed error, which closes the session. Before: TestOddEcho and TestOddFrame fail. After: they pass, and the tests of agent pass with -race.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"gypsumtide"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/ledger"
 	"gypsumtide/internal/object"
@@ -129,6 +130,9 @@
 // agent never goes back to an older revision. An error closes the session. On the next
 // one the agent reports its revision, and the entry sends a configuration that fits it.
 func (a *Agent) applyConfig(c *wire.Config) error {
+	if err := gypsumtide.ValidateCounter("configuration revision", c.Revision); err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.Revision <= a.revision() {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -10,12 +10,12 @@
 const maxScheduleWait = gypsumtide.Millis(60_000)
 
 // acceptDispatches queues or refuses the tasks of a frame. The echo of a frame is a clock
-// reading of this agent that the sender returns. If it is missing or older than
-// MaxEchoAge, new tasks are refused, since the sender may have lost its lease as the home
+// reading of this agent that the sender returns. If it is missing, in the future or older
+// than MaxEchoAge, new tasks are refused, since the sender may have lost its lease as the home
 // after that reading. The mutex must be held.
 func (a *Agent) acceptDispatches(s *entrySession, f *wire.Frame) {
 	now := a.clock.Now()
-	echoExpired := f.Echo == 0 || now-f.Echo > a.cfg.MaxEchoAge
+	echoExpired := f.Echo <= 0 || f.Echo > now || now-f.Echo > a.cfg.MaxEchoAge
 	for i := range f.Dispatches {
 		d := &f.Dispatches[i]
 		accepted, answer, discarded := a.ledger.Accept(d.TaskRef, s.number, a.refusalReason(d, echoExpired))
