operator: refuse an author that no node can read or that is too long

Cause: the author was not checked. Change: such a publish is answered with 400 and not appended. Before: TestOddPublish of operator fails (504 instead of 400). After: passes, and the tests of operator pass with -race.

--- a/internal/operator/configuration.go
+++ b/internal/operator/configuration.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"unicode/utf8"
 
 	"gypsumtide"
 	"gypsumtide/internal/object"
@@ -39,6 +41,9 @@
 	writeJSON(w, http.StatusOK, response)
 }
 
+// maxAuthorBytes limits the author of a publish, which all nodes keep in the history.
+const maxAuthorBytes = 256
+
 // putConfiguration publishes the body as the successor of the revision in the query
 // parameter base.
 func (h *Handler) putConfiguration(w http.ResponseWriter, r *http.Request) {
@@ -48,6 +53,11 @@
 		writeBadRequest(w, step, "base: the number of the revision that the set replaces is required")
 		return
 	}
+	author := r.URL.Query().Get("author")
+	if len(author) > maxAuthorBytes || !utf8.ValidString(author) {
+		writeBadRequest(w, step, fmt.Sprintf("author: must be valid UTF-8 of at most %d bytes", maxAuthorBytes))
+		return
+	}
 	objects, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -63,7 +73,6 @@
 	}
 	ctx, cancel := h.actionContext(r)
 	defer cancel()
-	author := r.URL.Query().Get("author")
 	revision, err := h.configuration.Publish(ctx, base, objects, author)
 	if err != nil {
 		h.writePublishError(w, step, err)
