--- a/internal/entry/odd_input_test.go
+++ b/internal/entry/odd_input_test.go
@@ -62,7 +62,6 @@
 			{Kind: wire.ForwardSubmit, Submission: id, Job: job(wire.JobTask{Size: gypsumtide.Size{Memory: math.MaxInt64}})},
 			{Kind: wire.ForwardSubmit, Submission: id, Job: job(wire.JobTask{RunTime: math.MinInt64})},
 		} {
-			// The session is nil, so an answer would panic.
 			So(func() { e.answerForward(context.Background(), &wire.Session{}, &odd) }, ShouldNotPanic)
 			var invalid *gypsumtide.InvalidValueError
 			So(errors.As(validateForward(&odd), &invalid), ShouldBeTrue)
