routing: limit the queue counts of peers before they are added up

One odd count of another entry made the number of queued jobs of a route negative or overflow. Counts are now taken from 0 to 2^32.

--- a/internal/routing/usage.go
+++ b/internal/routing/usage.go
@@ -86,6 +86,9 @@
 // stored jobs of which no task has started. It must be called before Run.
 func (p *Peers) SetQueuedCounter(queued func() map[string]int) { p.queued = queued }
 
+// maxQueuedJobs limits the count of one entry that is taken into a sum.
+const maxQueuedJobs = 1 << 32
+
 // QueuedJobs returns the number of stored jobs of a route of which no task has started. It
 // adds up the count of this entry and those that other entries sent within maxCountsAge.
 func (p *Peers) QueuedJobs(route string) int {
@@ -95,7 +98,7 @@
 	now := p.clock.Now()
 	for _, c := range p.queueCounts {
 		if now-c.receivedAt <= maxCountsAge {
-			n += c.queued[route]
+			n += min(max(0, c.queued[route]), maxQueuedJobs)
 		}
 	}
 	return n
--- a/internal/routing/usage_test.go
+++ b/internal/routing/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -102,5 +103,11 @@
 		p.applyMessage("b:1", &peerMessage{})
 		So(p.QueuedJobs("r"), ShouldEqual, 6)
 		So(p.QueuedJobs("s"), ShouldEqual, 0)
+
+		// Guards against a sum that one odd count makes negative.
+		p.applyMessage("odd:1", &peerMessage{Queued: map[string]int{"s": math.MinInt}})
+		p.applyMessage("odd:2", &peerMessage{Queued: map[string]int{"s": math.MaxInt}})
+		p.applyMessage("odd:3", &peerMessage{Queued: map[string]int{"s": math.MaxInt}})
+		So(p.QueuedJobs("s"), ShouldEqual, 2*maxQueuedJobs)
 	})
 }
