Ignore reports of agents and orders with values that no agent or entry sends

A load report with a slowness that is not a number made the cost of its worker not a number, and a comparison with it chose that worker or kept every task waiting; sizes near the largest integer overflowed sums. An order with a negative size enlarged the free capacity of the worker.

LoadReport.Validate is checked before a report is used; such a report, or a worker report with such a capacity, is ignored and the first one is logged (agent-report-rejected); such an order is returned as invalid-size.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -83,12 +83,17 @@
 	return w
 }
 
-// UpdateWorker processes an agent's report on its worker.
+// UpdateWorker processes an agent's report on its worker. It ignores a report with a capacity
+// out of range.
 func (s *State) UpdateWorker(now gypsumtide.Millis, id WorkerID, r wire.WorkerReport) {
 	w, ok := s.workers[id]
 	if !ok {
 		return
 	}
+	if err := r.Capacity.Validate(); err != nil {
+		s.logOddReport(w, err)
+		return
+	}
 	if r.Accepting != w.report.Accepting || r.Incarnation != w.report.Incarnation {
 		s.log.Decision("worker-state", "worker", id, "life", r.Incarnation, "open", r.Accepting, "before", w.report.Accepting,
 			"capacity", r.Capacity.Processors)
@@ -100,11 +105,26 @@
 	}
 }
 
-// UpdateLoad processes an agent's report on the load of its worker.
+// UpdateLoad processes an agent's report on the load of its worker. It ignores a report with
+// values out of range, which would keep the entry from choosing between workers.
 func (s *State) UpdateLoad(now gypsumtide.Millis, id WorkerID, r *wire.LoadReport) {
-	if w, ok := s.workers[id]; ok {
-		w.applyLoad(r)
-		w.loadReportedAt = now
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	if err := r.Validate(); err != nil {
+		s.logOddReport(w, err)
+		return
+	}
+	w.applyLoad(r)
+	w.loadReportedAt = now
+}
+
+// logOddReport logs the first report of an agent with values out of range.
+func (s *State) logOddReport(w *worker, err error) {
+	if !w.oddLogged {
+		w.oddLogged = true
+		s.log.Decision("agent-report-rejected", "worker", w.id, "error", err.Error())
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -38,6 +38,8 @@
 	lastReportNumber uint64
 	// lastSession is the highest number of a session of the agent.
 	lastSession uint64
+	// oddLogged is set once a report with values out of range has been logged.
+	oddLogged bool
 	// tasks holds the tasks with an order or a run at the worker.
 	tasks map[gypsumtide.RunRef]*task
 }
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -96,6 +96,8 @@
 		return "worker-drains"
 	case o.Incarnation != s.incarnation:
 		return "other-life"
+	case o.Size.Validate() != nil:
+		return "invalid-size"
 	case !o.Size.AtMost(s.info.Capacity):
 		return "too-large"
 	case o.Stored && !s.storedJobsMarked:
--- a/internal/runner/stale_update_test.go
+++ b/internal/runner/stale_update_test.go
@@ -149,3 +149,14 @@
 		So(s.RunsOf("entry"), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against an order that frees capacity instead of using it.
+func TestOddOrderSize(t *testing.T) {
+	Convey("An order with a negative size is returned unstarted", t, func() {
+		s := newSyncedState()
+		o := testOrder(0)
+		o.Size.Processors = -1000
+		s.Submit(100, "entry", o, 100)
+		So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"0 not-started invalid-size"})
+	})
+}
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -94,6 +94,29 @@
 	Waiting []WaitingLoad
 }
 
+// maxRatio is the largest accepted value of the ratios in a LoadReport.
+const maxRatio = 1e6
+
+// Validate returns an *InvalidValueError for a value with which an entry could not choose
+// between workers.
+func (r *LoadReport) Validate() error {
+	for _, ratio := range []float32{r.Slowness, r.FailureShare} {
+		if !(ratio >= 0 && ratio <= maxRatio) { // A NaN is not in the range.
+			return &gypsumtide.InvalidValueError{Field: "ratio", Value: ratio}
+		}
+	}
+	sizes := []SizeArray{r.Booked, r.FromPeer}
+	for _, l := range r.Waiting {
+		sizes = append(sizes, l.Size, l.FromPeer)
+	}
+	for _, size := range sizes {
+		if err := size.Size().Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // WaitingLoad is the total size of the orders of one priority that wait at an agent.
 type WaitingLoad struct {
 	_        struct{} `cbor:",toarray"`
