Keep a deregistered worker while it lists runs of an earlier agent

A restarted agent whose worker deregistered dropped the worker although it still listed runs of the agent's earlier incarnation, and then told entries that these runs had ended: they could be retried while they ran.

Cause: only runs that the agent knew kept the worker; after dropping it, the sync went on and counted as complete. The worker is now dropped when neither orphans nor runs are left, or when its lease has expired, and the sync ends there.

--- a/internal/runner/deregistered_test.go
+++ b/internal/runner/deregistered_test.go
@@ -35,6 +35,19 @@
 			So(reportTexts(s.TakeEffects()), ShouldResemble, []string{"0 stopped "})
 			So(s.Incarnation().ID, ShouldBeEmpty)
 		})
+		// Guards against entries that retry the runs of the agent's earlier incarnation.
+		Convey("The worker is kept while it lists a run that the agent has not ordered", func() {
+			orphan := gypsumtide.RunProgress{Ref: testOrder(1).Ref}
+			ended := []gypsumtide.RunEnd{{Number: 1, Ref: testOrder(0).Ref, Kind: gypsumtide.EndStopped}}
+			s.SyncAnswered(101, *e.Sync, gypsumtide.RenewResponse{
+				StartTime: testIncarnation.StartTime, Clock: 5101, Running: []gypsumtide.RunProgress{orphan}, Ended: ended,
+			}, nil)
+			So(s.Incarnation(), ShouldResemble, testIncarnation)
+			s.Tick(130)
+			s.SyncAnswered(131, *s.TakeEffects().Sync, gypsumtide.RenewResponse{StartTime: testIncarnation.StartTime, Clock: 5131, Ended: ended}, nil)
+			So(s.Incarnation().ID, ShouldBeEmpty)
+			So(s.WorkerReport(131).EarlierRunsEnded, ShouldBeFalse)
+		})
 		Convey("It is lost when the worker does not answer and the lease has expired", func() {
 			s.SyncAnswered(101, *e.Sync, gypsumtide.RenewResponse{}, errTimeout)
 			s.Tick(900)
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -532,7 +532,9 @@
 			s.finish(r, gypsumtide.EndLost, now-r.startedAt, "lease-expired")
 		}
 	}
-	s.dropLeftWorker(now)
+	if s.leaving {
+		s.loseWorker(now)
+	}
 }
 
 // leaseMargin allows for the error of the estimate of the worker's clock. The part of
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -142,11 +142,14 @@
 	s.clock.set(now, a.Clock)
 	s.processEnds(now, a.Ended)
 	s.reconcile(now, call.Request.Fence, a.Running)
-	s.dropLeftWorker(now)
-	if len(s.orphans) > 0 || s.leaving {
+	if len(s.orphans) > 0 || s.leaving && s.reservations.Len() > 0 {
 		s.syncDue = now + orphanInterval
 		return
 	}
+	if s.leaving {
+		s.loseWorker(now)
+		return
+	}
 	s.syncing = false
 	s.earlierRunsEnded = true
 	s.startWaiting(now)
@@ -183,16 +186,10 @@
 	s.StopAll(now)
 }
 
-// dropLeftWorker drops a worker that has deregistered, once none of its runs is left.
-func (s *State) dropLeftWorker(now gypsumtide.Millis) {
-	if s.leaving && s.reservations.Len() == 0 {
-		s.loseWorker(now)
-	}
-}
-
 // loseWorker returns the waiting orders, reports the runs at the worker as lost, and drops
-// the worker. Runs at a replaced worker are left to endReplacedRuns. Either a worker with another ID answers at the address and rejects orders for
-// this one, or the worker has deregistered and has no runs left.
+// the worker. Either a worker with another ID answers at the address and rejects orders for
+// this one, or the worker has deregistered and has no runs left. Runs at a replaced worker
+// are left to endReplacedRuns.
 func (s *State) loseWorker(now gypsumtide.Millis) {
 	s.returnQueue("worker-gone")
 	for _, r := range s.runs {
