--- a/internal/runner/owner_silence_test.go
+++ b/internal/runner/owner_silence_test.go
@@ -6,6 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumtide"
+	"gypsumtide/internal/wire"
 )
 
 // Guards against a run that goes on after its entry has retried it, because the agent noticed
@@ -26,6 +27,36 @@
 		})
 	})
 
+	// Guards against a run that goes on after its caller has submitted the job to another
+	// entry, because the first entry is behind a link that delays all it sends and receives.
+	Convey("Given an ephemeral and a stored run of an entry whose frames arrive ever later", t, func() {
+		s := newSyncedState()
+		s.EchoReceived("entry", 100)
+		stored := testOrder(1)
+		stored.Stored = true
+		for _, o := range []wire.Order{testOrder(0), stored} {
+			s.Submit(100, "entry", o, 100)
+		}
+		for _, c := range s.TakeEffects().Starts {
+			s.StartAnswered(101, c, 5101, nil)
+		}
+		s.EchoReceived("entry", 200)
+
+		Convey("The ephemeral run is stopped when the newest echo is as old as the callers' patience", func() {
+			s.Tick(1090)
+			So(s.TakeEffects().Stops, ShouldBeEmpty)
+			s.Tick(1100)
+			stops := s.TakeEffects().Stops
+			So(stops, ShouldHaveLength, 1)
+			So(stops[0].Ref, ShouldResemble, testOrder(0).Ref)
+		})
+		Convey("A newer echo lets both go on", func() {
+			s.EchoReceived("entry", 300)
+			s.Tick(1100)
+			So(s.TakeEffects().Stops, ShouldBeEmpty)
+		})
+	})
+
 	Convey("An entry does not retry a lost run before the agent must have stopped it, however short the lease is", t, func() {
 		for _, lease := range []gypsumtide.Millis{100, 500, 1000, 5000} {
 			So(LostRunTimeout(lease), ShouldBeGreaterThanOrEqualTo, maxOwnerSilence+stopTime)
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -550,18 +550,28 @@
 	return now-o.closedAt >= s.timing.OwnerGrace || o.echoAtClose > 0 && now-o.echoAtClose >= s.timing.MaxOwnerSilence
 }
 
-// expireOwners stops the runs of lost owners, and removes such owners once they have neither
-// a session nor runs nor unrecorded ends.
+// ownerLags reports whether an owner's frames arrive so late that it may not know yet which
+// of its callers have left and have submitted their jobs to other entries.
+func (s *State) ownerLags(now gypsumtide.Millis, o *ownerState) bool {
+	return o.resumed && now-o.lastEcho >= s.timing.MaxOwnerSilence
+}
+
+// expireOwners stops the runs of lost owners and the ephemeral runs of owners that lag, and
+// removes lost owners once they have neither a session nor runs nor unrecorded ends.
 func (s *State) expireOwners(now gypsumtide.Millis) {
 	for name, o := range s.owners {
-		if !s.ownerLost(now, o) {
+		lost := s.ownerLost(now, o)
+		if !lost && !s.ownerLags(now, o) {
 			continue
 		}
 		for ref, r := range s.runs {
-			if r.owner == name {
+			if r.owner == name && (lost || !r.order.Stored) {
 				s.StopRun(now, ref)
 			}
 		}
+		if !lost {
+			continue
+		}
 		if !o.connected && len(s.RunsOf(name)) == 0 && len(s.UnrecordedEnds(name)) == 0 {
 			delete(s.owners, name)
 		}
