Let the idle cost of a fleet grow with its hosts, not with entries times agents

Cause: every agent kept a session to every entry, 5,600 of them, each with a heartbeat every 150 ms both ways and a load report every 200 ms whether anything had changed or not; every entry sent its list of entries to every agent twice a second, and exchanged messages with every other entry twice a second.

A session that is not selected any more is closed after the entry was told and the last run has ended. - A session on which no work depends has a heartbeat every 250 ms from the agent and every second from the entry. Each frame announces the next one, so that the other side waits for it no longer than that plus the usual margin. A clock reading that an entry echoes stays younger than 450 ms. - A load report is sent if it says something new: at once when the worker is or becomes nearly full, within 200 ms while it had and has room. - The list of entries is sent when it changes. Entries exchange messages with six others at a time, chosen at random, and with one that names a newer route table at once; with all while stored jobs are in use, whose counts are summed up. - An idle agent ticks every 100 ms and renews the lease of an idle worker every 200 ms.

Ruled out: heartbeats of idle sessions at a second from the agent too (orders on them would be rejected as stale and sent twice); one heartbeat for several agents (they share no connection).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,7 +58,7 @@
 
 	mu       sync.Mutex
 	state    *State
-	sessions map[WorkerID]*wire.Session
+	sessions map[WorkerID]*agentSession
 	// waiters holds, by job id, a channel for each caller that waits for the answer.
 	waiters map[string][]chan Answer
 }
@@ -68,7 +68,7 @@
 	d := &Dispatcher{
 		cfg: cfg, clock: clock, log: log, addresses: addresses,
 		state:    NewState(clock.Now(), cfg.Zone, cfg.RemoteFactor, NewTiming(cfg.Lease), log),
-		sessions: make(map[WorkerID]*wire.Session),
+		sessions: make(map[WorkerID]*agentSession),
 		waiters:  make(map[string][]chan Answer),
 	}
 	d.metrics = newDispatcherMetrics(set, d)
@@ -169,6 +169,7 @@
 	for id, m := range eff.Messages {
 		d.metrics.countOrders(m.Orders)
 		if s, ok := d.sessions[id]; ok {
+			s.SetIdle(!d.state.HasTasks(id))
 			s.Update(func(f *wire.Frame) {
 				f.Orders = append(f.Orders, m.Orders...)
 				f.StopRuns = append(f.StopRuns, m.Stops...)
@@ -275,12 +276,13 @@
 	id := WorkerID{Agent: hello.Name, Incarnation: hello.Incarnation}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.Update(func(f *wire.Frame) { f.Entries = d.addresses.Shareable() })
-	err = s.Run(ctx, func(f *wire.Frame) error { return d.receive(id, s, f) })
-	d.disconnect(id, s, err)
+	as := &agentSession{Session: s}
+	as.sendEntries(d.clock.Now(), d.addresses.Shareable(), 0)
+	err = s.Run(ctx, func(f *wire.Frame) error { return d.receive(id, as, f) })
+	d.disconnect(id, as, err)
 }
 
-func (d *Dispatcher) disconnect(id WorkerID, s *wire.Session, err error) {
+func (d *Dispatcher) disconnect(id WorkerID, s *agentSession, err error) {
 	reason := "closed"
 	if err != nil {
 		reason = err.Error()
@@ -295,7 +297,7 @@
 }
 
 // receive processes a frame from an agent.
-func (d *Dispatcher) receive(id WorkerID, s *wire.Session, f *wire.Frame) error {
+func (d *Dispatcher) receive(id WorkerID, s *agentSession, f *wire.Frame) error {
 	if f.Resume == nil && f.Worker == nil && f.WorkerLoad == nil && len(f.RunReports) == 0 {
 		return nil
 	}
@@ -328,6 +330,7 @@
 		if f.WorkerLoad != nil {
 			d.state.UpdateLoad(now, id, f.WorkerLoad)
 		}
+		s.SetIdle(!d.state.HasTasks(id))
 	})
 	if f.Resume != nil {
 		// The stops requested by Connected were queued before, so the agent receives them no
@@ -337,18 +340,16 @@
 	return nil
 }
 
-// sendEntries sends every connected agent the shareable addresses of entries and the
-// minimum interval of its load broadcasts.
+// sendEntries tells the connected agents the shareable addresses of entries and the minimum
+// interval of their load broadcasts.
 func (d *Dispatcher) sendEntries() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock.Now()
 	entries := d.addresses.Shareable()
 	interval := d.reportInterval()
 	for _, s := range d.sessions {
-		s.Update(func(f *wire.Frame) {
-			f.Entries = entries
-			f.ReportInterval = interval
-		})
+		s.sendEntries(now, entries, interval)
 	}
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -72,6 +72,12 @@
 	return true
 }
 
+// HasTasks reports whether the worker has an order or a run of this entry.
+func (s *State) HasTasks(id WorkerID) bool {
+	w, ok := s.workers[id]
+	return ok && len(w.tasks) > 0
+}
+
 // ensureWorker returns the worker with the id, and adds it if it is new.
 func (s *State) ensureWorker(id WorkerID) *worker {
 	w, ok := s.workers[id]
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -172,7 +172,7 @@
 func (sim *simulation) addAgent(i int, slowness float64, capacity int64) {
 	a := &simAgent{
 		sim: sim, id: workerID(i), slowness: slowness, capacity: capacity, running: make(map[gypsumtide.RunRef]*simRun),
-		state: runner.NewState(runner.Timing{Lease: 1000, OwnerGrace: 400, MaxOwnerSilence: 900, MaxEchoAge: 1 << 40, StopRetry: 80, SyncRetry: 10}, 1, discardLogger{}),
+		state: runner.NewState(runner.Timing{Lease: 1000, OwnerGrace: 400, MaxOwnerSilence: 900, MaxOwnerLag: 1 << 40, MaxEchoAge: 1 << 40, StopRetry: 80, SyncRetry: 10}, 1, discardLogger{}),
 	}
 	sim.agents = append(sim.agents, a)
 	for k, e := range sim.entries {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,8 +15,15 @@
 // Intervals and time limits of a session.
 const (
 	heartbeatInterval gypsumtide.Millis = 150
+	// agentIdleInterval replaces heartbeatInterval for an agent that holds no order of the
+	// entry. Together with the time that frames take, it must stay below MaxEchoAge, since
+	// the entry returns the clock reading of the agent's last frame with its next order.
+	agentIdleInterval gypsumtide.Millis = 250
+	// entryIdleInterval replaces heartbeatInterval for an entry that has no task at the
+	// agent.
+	entryIdleInterval gypsumtide.Millis = 1000
 	// ReceiveTimeout is the time without a received frame after which a session is
-	// closed. Together with the time for which an agent continues the runs of a
+	// closed, unless the last frame announced an idle interval. Together with the time for which an agent continues the runs of a
 	// disconnected entry, it must stay below the time after which callers submit a job
 	// again.
 	ReceiveTimeout gypsumtide.Millis = 500
@@ -33,8 +40,11 @@
 // SessionPath is the HTTP path of agent sessions.
 const SessionPath = "/v1/agents"
 
-// timing is used by both ends of a session.
-var timing = wire.Timing{HeartbeatInterval: heartbeatInterval, ReceiveTimeout: ReceiveTimeout}
+// agentTiming and entryTiming are used by the two ends of a session.
+var (
+	agentTiming = wire.Timing{HeartbeatInterval: heartbeatInterval, IdleInterval: agentIdleInterval, ReceiveTimeout: ReceiveTimeout}
+	entryTiming = wire.Timing{HeartbeatInterval: heartbeatInterval, IdleInterval: entryIdleInterval, ReceiveTimeout: ReceiveTimeout}
+)
 
 // httpClient opens the WebSocket connections of Dial.
 var httpClient = &http.Client{Transport: &http.Transport{
@@ -51,12 +61,12 @@
 func Dial(ctx context.Context, address string, clock gypsumtide.Clock) (*wire.Session, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, 2*dialTimeout.Duration())
 	defer cancel()
-	return wire.Dial(dialCtx, httpClient, "http://"+address+SessionPath, "", clock, timing, &counters)
+	return wire.Dial(dialCtx, httpClient, "http://"+address+SessionPath, "", clock, agentTiming, &counters)
 }
 
 // Accept upgrades an HTTP request to a session.
 func Accept(w http.ResponseWriter, r *http.Request, clock gypsumtide.Clock) (*wire.Session, error) {
-	return wire.Accept(w, r, clock, timing, &counters)
+	return wire.Accept(w, r, clock, entryTiming, &counters)
 }
 
 // ClientHandshake sends hello and waits for the welcome.
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +35,11 @@
 	maxPeerConnections = 2
 	// maxTableBytes is the maximum size of a message or a table from a peer.
 	maxTableBytes = 8 << 20
+	// exchangesPerInterval is the number of randomly chosen entries with which an entry
+	// exchanges messages in each interval. Each of them passes on what it has learned, so
+	// that news reaches all entries within a few intervals. With all of them the cost
+	// would grow with the square of the number of entries.
+	exchangesPerInterval = 6
 )
 
 // peerMessage describes the state of its sender. Two entries exchange their messages in
@@ -71,6 +78,9 @@
 	// Only the goroutine of syncDirectory accesses it.
 	unreadable string
 
+	// ahead receives the address of an entry whose message named a newer table.
+	ahead chan string
+
 	mu sync.Mutex
 	// inProgress holds the addresses with which an exchange is in progress.
 	inProgress map[string]bool
@@ -84,7 +94,7 @@
 func NewPeers(name, ownAddress string, entries *link.Addresses, holder *TableHolder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log gypsumtide.DecisionLogger) *Peers {
 	return &Peers{
 		ownAddress: ownAddress, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
-		clock: clock, log: log, startedAt: clock.Now(), inProgress: make(map[string]bool),
+		clock: clock, log: log, startedAt: clock.Now(), ahead: make(chan string, 1), inProgress: make(map[string]bool),
 		queued: func() map[string]int { return nil }, usage: newStoredUsage(), queueCounts: make(map[string]peerCounts),
 		client: link.NewClient(exchangeTimeout, maxPeerConnections, maxTableBytes),
 	}
@@ -98,23 +108,45 @@
 	ticker := time.NewTicker(exchangeInterval.Duration())
 	defer ticker.Stop()
 	for {
-		for _, address := range p.entries.List() {
-			if address != p.ownAddress && p.beginExchange(address) {
-				g.Add("exchange with "+address, func(ctx context.Context) error {
-					defer p.endExchange(address)
-					p.exchangeWith(ctx, address)
-					return nil
-				})
-			}
+		for _, address := range p.choosePeers() {
+			p.startExchange(g, address)
 		}
-		select {
-		case <-g.Context().Done():
-			return g.Wait()
-		case <-ticker.C:
+		for waiting := true; waiting; {
+			select {
+			case <-g.Context().Done():
+				return g.Wait()
+			case address := <-p.ahead:
+				p.startExchange(g, address)
+			case <-ticker.C:
+				waiting = false
+			}
 		}
 	}
 }
 
+// startExchange starts an exchange with the entry at the address, unless one is in progress.
+func (p *Peers) startExchange(g *group.Group, address string) {
+	if !p.beginExchange(address) {
+		return
+	}
+	g.Add("exchange with "+address, func(ctx context.Context) error {
+		defer p.endExchange(address)
+		p.exchangeWith(ctx, address)
+		return nil
+	})
+}
+
+// choosePeers returns the addresses with which to exchange messages now. While stored jobs
+// are in use these are all, since an entry adds up the queue counts of all others.
+func (p *Peers) choosePeers() []string {
+	peers := slices.DeleteFunc(p.entries.List(), func(address string) bool { return address == p.ownAddress })
+	if active, _ := p.usage.Active(); active || len(peers) <= exchangesPerInterval {
+		return peers
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:exchangesPerInterval]
+}
+
 // beginExchange reports whether an exchange with the address may start. There is at most
 // one at a time with each address.
 func (p *Peers) beginExchange(address string) bool {
@@ -261,6 +293,7 @@
 	var m peerMessage
 	reply, ok := p.client.HandleExchange(w, r, &m, func() any {
 		p.applyMessage(m.Address, &m)
+		p.noteVersion(&m)
 		return p.message()
 	})
 	if ok {
@@ -268,6 +301,18 @@
 	}
 }
 
+// noteVersion requests an exchange with the sender of a message that names a newer table.
+func (p *Peers) noteVersion(m *peerMessage) {
+	if m.Version <= p.holder.Version() || gypsumtide.ValidateAddress(m.Address) != nil {
+		return
+	}
+	select {
+	case p.ahead <- m.Address:
+	default:
+		// The next one will be noted, or an exchange of the next interval finds the table.
+	}
+}
+
 func (p *Peers) serveTable(w http.ResponseWriter, _ *http.Request) {
 	raw := p.holder.Encoded()
 	if raw == nil {
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -38,6 +38,8 @@
 const (
 	// tickInterval is the interval of State.Tick.
 	tickInterval gypsumtide.Millis = 20
+	// idleTickInterval replaces tickInterval while the agent holds no order.
+	idleTickInterval gypsumtide.Millis = 100
 	// broadcastInterval is the minimum time between two broadcasts of the load. An
 	// entry may request a longer interval.
 	broadcastInterval gypsumtide.Millis = 5
@@ -47,6 +49,8 @@
 	// renewWait is how long the worker may delay its answer to a renew call. A lost
 	// answer delays the ends of runs by renewWait plus renewMargin.
 	renewWait gypsumtide.Millis = 60
+	// idleRenewWait replaces renewWait while nothing runs.
+	idleRenewWait gypsumtide.Millis = 200
 	// renewMargin is the time that the answer may take beyond renewWait.
 	renewMargin gypsumtide.Millis = 40
 	// drainReportTime is the time for reporting the last ends and for their
@@ -81,7 +85,7 @@
 // NewTiming returns the intervals of a State for a worker that grants leases of at most
 // lease.
 func NewTiming(lease gypsumtide.Millis) Timing {
-	return Timing{Lease: lease, OwnerGrace: ownerGrace, MaxOwnerSilence: maxOwnerSilence, MaxEchoAge: link.MaxEchoAge, StopRetry: stopRetry, SyncRetry: syncRetry}
+	return Timing{Lease: lease, OwnerGrace: ownerGrace, MaxOwnerSilence: maxOwnerSilence, MaxOwnerLag: maxOwnerSilence, MaxEchoAge: link.MaxEchoAge, StopRetry: stopRetry, SyncRetry: syncRetry}
 }
 
 // LostRunTimeout returns the time after the loss of a session from which an entry may retry
@@ -114,6 +118,12 @@
 	address  string
 	sessions map[Owner]*wire.Session
 	outboxes map[Owner]*outbox
+	// links holds the connections to entries, by address.
+	links map[string]*entryLink
+	// rankedEntries are the addresses in knownEntries in the order in which the agent
+	// prefers them.
+	knownEntries  []string
+	rankedEntries []string
 	// sessionCount is the number of sessions opened.
 	sessionCount uint64
 	loadChanged  bool
@@ -143,6 +153,7 @@
 		state:               NewState(timing, uint64(max(1, clock.Wall())), log),
 		sessions:            make(map[Owner]*wire.Session),
 		outboxes:            make(map[Owner]*outbox),
+		links:               make(map[string]*entryLink),
 		starts:              make(chan StartCall, callQueueSize),
 		stops:               make(chan StopCall, callQueueSize),
 		syncs:               make(chan RenewCall, 1),
@@ -310,6 +321,7 @@
 	if !ok {
 		return
 	}
+	s.SetIdle(!a.state.HasRuns(owner))
 	a.sendFrame(now, owner, s, func(f *wire.Frame) { f.RunReports = append(f.RunReports, reports...) })
 }
 
@@ -317,10 +329,9 @@
 // and whatever add puts into the frame.
 func (a *Agent) sendFrame(now gypsumtide.Millis, owner Owner, s *wire.Session, add func(f *wire.Frame)) {
 	o := a.outbox(owner)
-	load := a.state.LoadReport(now, owner)
-	worker := a.state.WorkerReport(now)
+	worker, load := a.reports(now, owner, o)
 	changed := o.session != s || !o.worker.Equal(&worker)
-	o.session, o.worker = s, worker
+	o.session, o.worker, o.load = s, worker, load
 	s.Update(func(f *wire.Frame) {
 		add(f)
 		f.WorkerLoad = &load
@@ -331,6 +342,13 @@
 	o.reportedAt = now
 }
 
+// reports returns the present reports of the worker and its load to an owner.
+func (a *Agent) reports(now gypsumtide.Millis, owner Owner, o *outbox) (wire.WorkerReport, wire.LoadReport) {
+	worker := a.state.WorkerReport(now)
+	worker.Accepting = worker.Accepting && !o.retiring
+	return worker, a.state.LoadReport(now, owner)
+}
+
 func (a *Agent) outbox(owner Owner) *outbox {
 	o, ok := a.outboxes[owner]
 	if !ok {
@@ -340,33 +358,55 @@
 	return o
 }
 
-// broadcastLoad sends the load to every connected entry whose interval has passed.
+// broadcastLoad sends the load to every connected entry for which it is due.
 func (a *Agent) broadcastLoad(now gypsumtide.Millis) {
 	a.loadChanged = false
 	a.broadcastAt = now
 	for owner, s := range a.sessions {
-		if o := a.outbox(owner); now-o.reportedAt < o.minInterval {
+		o := a.outbox(owner)
+		if now-o.reportedAt < o.minInterval {
 			a.loadChanged = true
 			continue
 		}
+		worker, load := a.reports(now, owner, o)
+		switch o.urgency(&worker, &load) {
+		case reportNow:
+		case reportLater:
+			if now-o.reportedAt < maxReportInterval {
+				a.loadChanged = true
+				continue
+			}
+		case reportNotNeeded:
+			continue
+		}
 		a.sendFrame(now, owner, s, func(*wire.Frame) {})
 	}
 }
 
-// maxReportInterval is the maximum time between two load reports to an entry, unless
-// the entry has requested a longer one. They are sent without any event too, because
-// the health averages decay with time.
+// maxReportInterval is the maximum time between two load reports to an entry whose content
+// differs, unless the entry has requested a longer one.
 const maxReportInterval gypsumtide.Millis = 200
 
+// tickInterval returns the time until the next tick.
+func (a *Agent) tickInterval() gypsumtide.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.state.Idle() && !a.loadChanged {
+		return idleTickInterval
+	}
+	return tickInterval
+}
+
 func (a *Agent) tickLoop(ctx context.Context) error {
-	for gypsumtide.Sleep(ctx, tickInterval) {
+	for gypsumtide.Sleep(ctx, a.tickInterval()) {
 		a.update(func(now gypsumtide.Millis) {
 			a.state.Tick(now)
 			a.removeOutboxes()
 		})
 		a.mu.Lock()
 		now := a.clock.Now()
-		if a.loadChanged || a.reportDue(now) {
+		// The reports change with time too, because the health averages decay.
+		if a.loadChanged || now-a.broadcastAt >= maxReportInterval {
 			a.broadcastLoad(now)
 		}
 		a.mu.Unlock()
@@ -374,17 +414,6 @@
 	return ctx.Err()
 }
 
-// reportDue reports whether the last load report to any connected entry is at least
-// maxReportInterval old.
-func (a *Agent) reportDue(now gypsumtide.Millis) bool {
-	for owner := range a.sessions {
-		if now-a.outbox(owner).reportedAt >= maxReportInterval {
-			return true
-		}
-	}
-	return false
-}
-
 // removeOutboxes removes the outboxes of owners that the state has removed.
 func (a *Agent) removeOutboxes() {
 	for owner := range a.outboxes {
@@ -437,13 +466,17 @@
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		sentAt := a.clock.Now()
-		c, ok := a.state.NextRenewal(sentAt, renewWait)
+		wait := renewWait
+		if a.state.Running() == 0 {
+			wait = idleRenewWait
+		}
+		c, ok := a.state.NextRenewal(sentAt, wait)
 		a.mu.Unlock()
 		if !ok {
 			gypsumtide.Sleep(ctx, tickInterval/2)
 			continue
 		}
-		cctx, cancel := context.WithTimeout(ctx, (renewWait + renewMargin).Duration())
+		cctx, cancel := context.WithTimeout(ctx, (wait + renewMargin).Duration())
 		answer, err := a.client().Renew(cctx, c.Incarnation, c.Request)
 		late := cctx.Err() != nil
 		cancel()
--- a/internal/runner/outbox.go
+++ b/internal/runner/outbox.go
@@ -17,9 +17,13 @@
 	minInterval gypsumtide.Millis
 	// reportedAt is the time of the last frame with a load report.
 	reportedAt gypsumtide.Millis
-	// worker is the last worker report that was sent on session.
+	// worker and load are the last reports that were sent on session.
 	worker  wire.WorkerReport
+	load    wire.LoadReport
 	session *wire.Session
+	// retiring is set when the session is about to end, so that the entry sends no more
+	// orders.
+	retiring bool
 }
 
 // add numbers the reports, keeps them until they are acknowledged, and returns them.
@@ -40,3 +44,40 @@
 	}
 	o.pending = append(o.pending[:0], o.pending[n:]...)
 }
+
+// reportUrgency says when a load report is due.
+type reportUrgency uint8
+
+const (
+	// reportNotNeeded means that the entry knows all that the report would say.
+	reportNotNeeded reportUrgency = iota
+	// reportLater means that the entry can place tasks well without the report for a
+	// while, because the worker had and has room for more of them.
+	reportLater
+	reportNow
+)
+
+// urgency returns when the reports are due, given the last ones that were sent.
+func (o *outbox) urgency(worker *wire.WorkerReport, load *wire.LoadReport) reportUrgency {
+	switch {
+	case o.session == nil || !o.worker.Equal(worker):
+		return reportNow
+	case o.load.Similar(load):
+		return reportNotNeeded
+	case hasRoom(worker, &o.load) && hasRoom(worker, load):
+		return reportLater
+	}
+	return reportNow
+}
+
+// roomShare is the free part of a worker's processors and memory with which it has room for a few tasks.
+const roomShare = 0.35
+
+// hasRoom reports whether a worker with the load could start a few more tasks at once.
+func hasRoom(worker *wire.WorkerReport, load *wire.LoadReport) bool {
+	booked := load.Booked.Size()
+	return len(load.Waiting) == 0 &&
+		float64(booked.Processors) <= (1-roomShare)*float64(worker.Capacity.Processors) &&
+		float64(booked.Memory) <= (1-roomShare)*float64(worker.Capacity.Memory) &&
+		(worker.Capacity.Accelerators == 0 || float64(booked.Accelerators) <= (1-roomShare)*float64(worker.Capacity.Accelerators))
+}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"gypsumtide"
@@ -20,27 +19,20 @@
 	// lasts longer than maxRedialInterval resets it.
 	redialInterval    gypsumtide.Millis = 40
 	maxRedialInterval gypsumtide.Millis = 320
+	// selectInterval is the time between two selections of the entries to connect to.
+	selectInterval gypsumtide.Millis = 100
 	// directoryInterval is the minimum time between two queries of the directory while
 	// no entry is connected.
 	directoryInterval gypsumtide.Millis = 1000
 )
 
-// dialEntries maintains one session to each known address of an entry, and queries the
-// directory for more while there is no session.
+// dialEntries maintains the sessions to the selected entries, and queries the directory
+// for more entries while there is no session.
 func (a *Agent) dialEntries(ctx context.Context) error {
 	g := group.New(ctx)
-	var dialled sync.Map
 	var queriedAt gypsumtide.Millis
-	for gypsumtide.Sleep(g.Context(), redialInterval) {
-		for _, address := range a.entries.List() {
-			if _, ok := dialled.LoadOrStore(address, true); ok {
-				continue
-			}
-			g.Add("session to "+address, func(ctx context.Context) error {
-				defer dialled.Delete(address)
-				return a.maintainSession(ctx, address)
-			})
-		}
+	for gypsumtide.Sleep(g.Context(), selectInterval) {
+		a.openSelected(g)
 		if now := a.clock.Now(); a.cfg.Directory != nil && !a.connected() && now-queriedAt >= directoryInterval {
 			queriedAt = now
 			a.queryDirectory(g.Context())
@@ -49,12 +41,41 @@
 	return g.Wait()
 }
 
+// openSelected starts to maintain sessions to the entries that were selected since the last
+// call.
+func (a *Agent) openSelected(g *group.Group) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, address := range a.selectSessions(a.clock.Now()) {
+		ctx, stop := context.WithCancel(g.Context())
+		l := &entryLink{stop: stop}
+		a.links[address] = l
+		g.Add("session to "+address, func(context.Context) error {
+			defer a.removeLink(address, l)
+			return a.maintainSession(ctx, address, l)
+		})
+	}
+}
+
+func (a *Agent) removeLink(address string, l *entryLink) {
+	l.stop()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.links, address)
+}
+
 func (a *Agent) connected() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return len(a.sessions) > 0
 }
 
+func (a *Agent) hasRuns(owner Owner) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.HasRuns(owner)
+}
+
 // queryDirectory adds the entries in the directory to the known ones.
 func (a *Agent) queryDirectory(ctx context.Context) {
 	cctx, cancel := context.WithTimeout(ctx, directoryInterval.Duration()/2)
@@ -67,12 +88,12 @@
 }
 
 // maintainSession reconnects to the entry at address until the address is removed
-// from the known ones.
-func (a *Agent) maintainSession(ctx context.Context, address string) error {
+// from the known ones, or ctx is done.
+func (a *Agent) maintainSession(ctx context.Context, address string, l *entryLink) error {
 	wait := redialInterval
 	for ctx.Err() == nil && a.entries.Has(address) {
 		start := a.clock.Now()
-		err := a.runSession(ctx, address)
+		err := a.runSession(ctx, address, l)
 		if err != nil && !errors.Is(err, context.Canceled) {
 			a.metrics.sessionsLost.Inc()
 		}
@@ -82,11 +103,13 @@
 		gypsumtide.Sleep(ctx, wait)
 		wait = min(2*wait, maxRedialInterval)
 	}
-	return ctx.Err()
+	// The end of one session is not the end of the agent.
+	return nil
 }
 
 // runSession runs one session to the entry at address until it ends.
-func (a *Agent) runSession(ctx context.Context, address string) error {
+func (a *Agent) runSession(ctx context.Context, address string, l *entryLink) error {
+	defer a.noteFailure(l)
 	s, err := link.Dial(ctx, address, a.clock)
 	if err != nil {
 		return err
@@ -99,7 +122,7 @@
 	}
 	owner := Owner(welcome.Name + "/" + welcome.Incarnation)
 	defer a.entries.Confirm(address)
-	a.addSession(owner, s)
+	a.addSession(owner, s, l)
 	a.log.Decision("entry-connected", "entry", owner, "address", address)
 	err = s.Run(ctx, func(f *wire.Frame) error { return a.handleFrame(owner, s, f) })
 	a.removeSession(owner, s, err)
@@ -108,10 +131,11 @@
 
 // addSession makes s the session to an owner, and sends the owner the list of its
 // runs and the reports that it has not acknowledged.
-func (a *Agent) addSession(owner Owner, s *wire.Session) {
+func (a *Agent) addSession(owner Owner, s *wire.Session, l *entryLink) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	l.owner, l.failed = owner, false
 	if old, ok := a.sessions[owner]; ok {
 		old.Close()
 		a.state.SessionClosed(now, owner)
@@ -122,12 +146,20 @@
 	resume := a.state.resumeMessage(owner, complete)
 	a.sessionCount++
 	resume.Session = a.sessionCount
+	s.SetIdle(!a.state.HasRuns(owner))
 	a.sendFrame(now, owner, s, func(f *wire.Frame) {
 		f.RunReports = append(f.RunReports, reports...)
 		f.Resume = resume
 	})
 }
 
+// noteFailure notes that a session, or an attempt to open one, has ended.
+func (a *Agent) noteFailure(l *entryLink) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l.fail(a.clock.Now())
+}
+
 // removeSession processes the end of a session, unless a newer one has replaced it.
 func (a *Agent) removeSession(owner Owner, s *wire.Session, err error) {
 	a.mu.Lock()
@@ -179,6 +211,7 @@
 			a.state.SessionResumed(now, owner)
 		}
 	})
+	s.SetIdle(!a.hasRuns(owner))
 	a.metrics.frameSeconds.UpdateDuration(started)
 	return nil
 }
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -121,6 +121,8 @@
 	// runs are stopped. The entry counts the loss from its own last frame, so that
 	// the bounds of both sides begin with the echo, whenever either side notices the loss.
 	MaxOwnerSilence gypsumtide.Millis
+	// MaxOwnerLag is the same for the ephemeral runs of a connected entry.
+	MaxOwnerLag gypsumtide.Millis
 	// MaxEchoAge is the age of an owner's newest echo above which its waiting orders
 	// are not started, and the age of a frame's echo above which its orders are rejected.
 	MaxEchoAge gypsumtide.Millis
@@ -291,6 +293,21 @@
 	return refs
 }
 
+// HasRuns reports whether an owner has a waiting or running order.
+func (s *State) HasRuns(owner Owner) bool {
+	for _, r := range s.runs {
+		if r.owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+// Unused reports whether nothing at the agent depends on a session to the owner.
+func (s *State) Unused(owner Owner) bool {
+	return !s.HasRuns(owner) && len(s.UnrecordedEnds(owner)) == 0
+}
+
 // owner returns the state of an owner, and adds it if it is new.
 func (s *State) owner(owner Owner) *ownerState {
 	o, ok := s.owners[owner]
@@ -323,6 +340,10 @@
 // not ended.
 func (s *State) Running() int { return s.reservations.Len() }
 
+// Idle reports whether nothing waits or runs and no sync is open, so that Tick has little
+// to do.
+func (s *State) Idle() bool { return len(s.runs) == 0 && !s.syncing && len(s.orphans) == 0 }
+
 // Waiting returns the number of waiting orders.
 func (s *State) Waiting() int { return len(s.queue) }
 
@@ -553,7 +574,7 @@
 // ownerLags reports whether an owner's frames arrive so late that it may not know yet which
 // of its callers have left and have submitted their jobs to other entries.
 func (s *State) ownerLags(now gypsumtide.Millis, o *ownerState) bool {
-	return o.resumed && now-o.lastEcho >= s.timing.MaxOwnerSilence
+	return o.resumed && now-o.lastEcho >= s.timing.MaxOwnerLag
 }
 
 // expireOwners stops the runs of lost owners and the ephemeral runs of owners that lag, and
@@ -572,7 +593,7 @@
 		if !lost {
 			continue
 		}
-		if !o.connected && len(s.RunsOf(name)) == 0 && len(s.UnrecordedEnds(name)) == 0 {
+		if !o.connected && s.Unused(name) {
 			delete(s.owners, name)
 		}
 	}
--- a/internal/runner/state_test.go
+++ b/internal/runner/state_test.go
@@ -17,7 +17,7 @@
 func (discardLogger) Decision(string, ...any) {}
 
 var (
-	testTiming      = Timing{Lease: 1000, OwnerGrace: 400, MaxOwnerSilence: 900, MaxEchoAge: 450, StopRetry: 80, SyncRetry: 10}
+	testTiming      = Timing{Lease: 1000, OwnerGrace: 400, MaxOwnerSilence: 900, MaxOwnerLag: 900, MaxEchoAge: 450, StopRetry: 80, SyncRetry: 10}
 	testIncarnation = gypsumtide.Incarnation{ID: "w-1", StartTime: 1000}
 	errTimeout      = errors.New("no answer")
 )
--- a/internal/stored/simulation_agent_test.go
+++ b/internal/stored/simulation_agent_test.go
@@ -32,9 +32,13 @@
 }
 
 func (s *simulation) startAgent(slot int) {
+	timing := runner.NewTiming(simLease)
+	if s.mutation == staleAnswers {
+		timing.MaxOwnerLag = 1 << 40
+	}
 	a := &simAgent{
 		s: s, slot: slot, incarnation: fmt.Sprint(s.now), outboxes: make(map[runner.Owner]*simOutbox),
-		state: runner.NewState(runner.NewTiming(simLease), uint64(s.now), simRecorder{s, fmt.Sprint("agent-", slot, "/", s.now)}),
+		state: runner.NewState(timing, uint64(s.now), simRecorder{s, fmt.Sprint("agent-", slot, "/", s.now)}),
 	}
 	s.agents[slot] = a
 	s.schedule(s.randomBetween(2, 20), func() {
--- a/internal/stored/simulation_test.go
+++ b/internal/stored/simulation_test.go
@@ -64,7 +64,8 @@
 	// noLogFencing makes the log accept the appends of former owners.
 	noLogFencing
 	// staleAnswers makes agents answer each stale message about a run as not started,
-	// whether they hold the run or not.
+	// whether they hold the run or not, and go on with the ephemeral runs of entries that
+	// lag.
 	staleAnswers
 )
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -23,6 +23,10 @@
 	// have the task started.
 	Echo gypsumtide.Millis `cbor:"2,keyasint,omitempty"`
 
+	// NextWithin is the time within which the sender sends its next frame, if it is longer
+	// than the heartbeat interval.
+	NextWithin gypsumtide.Millis `cbor:"54,keyasint,omitempty"`
+
 	Hello        *Hello           `cbor:"3,keyasint,omitempty"`
 	Welcome      *Welcome         `cbor:"4,keyasint,omitempty"`
 	Announcement *Announcement    `cbor:"5,keyasint,omitempty"`
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -94,6 +94,17 @@
 	Waiting []WaitingLoad
 }
 
+// ratioTolerance is the relative difference up to which two ratios are similar.
+const ratioTolerance = 0.03
+
+// Similar reports whether an entry would place tasks in the same way with o as with r.
+func (r *LoadReport) Similar(o *LoadReport) bool {
+	return r.Booked == o.Booked && r.FromPeer == o.FromPeer && slices.Equal(r.Waiting, o.Waiting) &&
+		similarRatios(1+r.FailureShare, 1+o.FailureShare) && similarRatios(r.Slowness, o.Slowness)
+}
+
+func similarRatios(a, b float32) bool { return a <= b*(1+ratioTolerance) && b <= a*(1+ratioTolerance) }
+
 // maxRatio is the largest accepted value of the ratios in a LoadReport.
 const maxRatio = 1e6
 
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -22,8 +22,12 @@
 type Timing struct {
 	// HeartbeatInterval is the longest time between two sent frames.
 	HeartbeatInterval gypsumtide.Millis
+	// IdleInterval replaces HeartbeatInterval while the session is idle, see SetIdle. 0
+	// means that it does not.
+	IdleInterval gypsumtide.Millis
 	// ReceiveTimeout is the longest time between two received frames, and the
-	// longest time that a write may take.
+	// longest time that a write may take. It is extended by the difference of the
+	// intervals after a frame that announced the IdleInterval of the peer.
 	ReceiveTimeout gypsumtide.Millis
 }
 
@@ -60,6 +64,14 @@
 	pending *Frame
 	closed  bool
 	wake    chan struct{}
+	// intervalChanged signals that the session is not idle any more.
+	intervalChanged chan struct{}
+
+	// idle is set while heartbeats are sent at the IdleInterval only.
+	idle atomic.Bool
+	// peerInterval is the time within which the last received frame announced the next
+	// one.
+	peerInterval atomic.Int64
 
 	peerClock    atomic.Int64
 	lastReceived atomic.Int64
@@ -95,8 +107,9 @@
 
 func newSession(conn *websocket.Conn, peer string, clock gypsumtide.Clock, timing Timing, counters *Counters) *Session {
 	conn.SetReadLimit(MaxFrameBytes)
-	s := &Session{conn: conn, peer: peer, clock: clock, timing: timing, counters: counters, observe: func(*Frame) {}, wake: make(chan struct{}, 1)}
+	s := &Session{conn: conn, peer: peer, clock: clock, timing: timing, counters: counters, observe: func(*Frame) {}, wake: make(chan struct{}, 1), intervalChanged: make(chan struct{}, 1)}
 	s.lastReceived.Store(int64(clock.Now()))
+	s.peerInterval.Store(int64(timing.HeartbeatInterval))
 	return s
 }
 
@@ -116,6 +129,31 @@
 // with every frame from now on.
 func (s *Session) AcknowledgeReports(number uint64) { s.acknowledgedReport.Store(number) }
 
+// SetIdle says whether the loss of the session may be noticed late, because no work
+// depends on it. A session that is not idle any more has its next heartbeat within the
+// HeartbeatInterval. The session is not idle at first.
+func (s *Session) SetIdle(idle bool) {
+	if s.idle.Swap(idle) && !idle {
+		s.wakeWriter(s.intervalChanged)
+	}
+}
+
+// interval returns the longest time until the next frame is sent.
+func (s *Session) interval() gypsumtide.Millis {
+	if s.idle.Load() && s.timing.IdleInterval > 0 {
+		return s.timing.IdleInterval
+	}
+	return s.timing.HeartbeatInterval
+}
+
+// wakeWriter signals the writing goroutine without waiting for it.
+func (s *Session) wakeWriter(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
 // Update adds messages to the next frame. It returns false once Run has ended, in
 // which case nothing will be sent. A result of true does not mean that the frame
 // arrives. add is called with the session's lock held.
@@ -133,10 +171,7 @@
 	}
 	add(s.pending)
 	s.mu.Unlock()
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	s.wakeWriter(s.wake)
 	return true
 }
 
@@ -181,7 +216,7 @@
 
 // ReadFrame reads one frame. Other packages call it only for the handshake, before Run.
 func (s *Session) ReadFrame(ctx context.Context) (*Frame, error) {
-	rctx, cancel := context.WithTimeoutCause(ctx, s.timing.ReceiveTimeout.Duration(), ErrPeerTimeout)
+	rctx, cancel := context.WithTimeoutCause(ctx, s.receiveTimeout().Duration(), ErrPeerTimeout)
 	defer cancel()
 	kind, data, err := s.conn.Read(rctx)
 	if err != nil {
@@ -197,6 +232,7 @@
 	if err := Unmarshal(data, &f); err != nil {
 		return nil, err
 	}
+	s.peerInterval.Store(int64(max(s.timing.HeartbeatInterval, min(f.NextWithin, maxIdleInterval))))
 	s.counters.framesReceived.Add(1)
 	s.counters.bytesReceived.Add(uint64(len(data)))
 	s.lastReceived.Store(int64(s.clock.Now()))
@@ -207,23 +243,50 @@
 	return &f, nil
 }
 
+// maxIdleInterval limits the interval that a peer may announce.
+const maxIdleInterval gypsumtide.Millis = 5000
+
+// receiveTimeout returns the longest time until the next frame arrives.
+func (s *Session) receiveTimeout() gypsumtide.Millis {
+	return s.timing.ReceiveTimeout + gypsumtide.Millis(s.peerInterval.Load()) - s.timing.HeartbeatInterval
+}
+
 func (s *Session) write(ctx context.Context) error {
-	heartbeat := time.NewTicker(s.timing.HeartbeatInterval.Duration())
+	// The peer expects the first frame within this time, as no frame has announced another.
+	heartbeat := time.NewTimer(s.timing.HeartbeatInterval.Duration())
 	defer heartbeat.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-s.intervalChanged:
+			heartbeat.Reset(s.interval().Duration())
+			continue
 		case <-s.wake:
 		case <-heartbeat.C:
 		}
+		next := s.untilHeartbeat()
 		if err := s.WriteFrame(ctx, s.takePending()); err != nil {
 			return err
 		}
-		heartbeat.Reset(s.timing.HeartbeatInterval.Duration())
+		heartbeat.Reset(next)
 	}
 }
 
+// processStart is the time from which idle intervals are counted.
+var processStart = time.Now()
+
+// untilHeartbeat returns the time until the next heartbeat. The idle sessions of a process
+// send their heartbeats at the same time, so that the process wakes up once for all of
+// them.
+func (s *Session) untilHeartbeat() time.Duration {
+	interval := s.interval().Duration()
+	if s.timing.IdleInterval == 0 || interval != s.timing.IdleInterval.Duration() {
+		return interval
+	}
+	return interval - time.Since(processStart)%interval
+}
+
 // takePending returns the frame with the messages added since the last write, or an empty
 // frame as a heartbeat.
 func (s *Session) takePending() *Frame {
@@ -241,6 +304,9 @@
 func (s *Session) WriteFrame(ctx context.Context, f *Frame) error {
 	f.Clock = s.clock.Now()
 	f.AcknowledgedReport = s.acknowledgedReport.Load()
+	if next := s.interval(); next > s.timing.HeartbeatInterval {
+		f.NextWithin = next
+	}
 	data, err := Marshal(f)
 	if err != nil {
 		return err
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -239,3 +239,47 @@
 		}
 	})
 }
+
+// Guards against an idle session that is closed although the peer announced its interval,
+// and against a busy one whose loss is noticed as late as that of an idle one.
+func TestIdleInterval(t *testing.T) {
+	timing := Timing{HeartbeatInterval: 20, IdleInterval: 400, ReceiveTimeout: 100}
+	run := func(idle bool) (client, server *endpoint, stop func()) {
+		client, server = newPair(t, timing)
+		ctx, cancel := context.WithCancel(context.Background())
+		client.SetIdle(idle)
+		client.run(ctx)
+		server.run(ctx)
+		return client, server, cancel
+	}
+	Convey("An idle session stays open although its frames are further apart than the timeout", t, func() {
+		client, server, stop := run(true)
+		defer stop()
+		f := server.waitForFrame(t, func(f *Frame) bool { return f.NextWithin > 0 })
+		So(f.NextWithin, ShouldEqual, timing.IdleInterval)
+		time.Sleep(900 * time.Millisecond)
+		So(server.Update(addResults(1)), ShouldBeTrue)
+		So(client.counters.FramesSent(), ShouldBeLessThan, 8)
+		So(server.receiveTimeout(), ShouldEqual, 480)
+	})
+	Convey("A session that is not idle any more has the shorter timeout again with the next frame", t, func() {
+		client, server, stop := run(true)
+		defer stop()
+		server.waitForFrame(t, func(f *Frame) bool { return f.NextWithin > 0 })
+		client.SetIdle(false)
+		for range 200 {
+			if server.receiveTimeout() == timing.ReceiveTimeout {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		So(server.receiveTimeout(), ShouldEqual, timing.ReceiveTimeout)
+	})
+	Convey("A peer cannot announce an interval for which its loss would not be noticed", t, func() {
+		client, server, stop := run(false)
+		defer stop()
+		client.Update(func(f *Frame) { f.NextWithin = 1 << 40 })
+		server.waitForFrame(t, func(f *Frame) bool { return f.NextWithin == 1<<40 })
+		So(server.receiveTimeout(), ShouldBeLessThanOrEqualTo, maxIdleInterval+timing.ReceiveTimeout)
+	})
+}
