Do not use a worker again that deregistered before the agent was restarted

Reported by operators of similar systems: after a restart, a server that had left was in use again. It could happen here: a restarted agent restores the worker that was saved last. The save of a draining worker is caused by its heartbeats; if those are lost and only the deregistration arrives, the saved worker is ready, and one that still answers for some seconds gets tasks.

Change: a deregistration saves the worker as draining. TestRestartAfterDeregistration failed before.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -249,6 +249,10 @@
 			a.log.Decision("worker-left", "life", incarnation)
 			a.deregistered = append(a.deregistered, incarnation)
 			a.deregistered = a.deregistered[max(0, len(a.deregistered)-maxDeregistered):]
+			// A restarted agent must not use the worker, even if it never said that it drains.
+			left := a.state.Info()
+			left.Draining = true
+			a.queueWorkerSave(left)
 			a.state.WorkerDeregistered(now, id)
 		}
 	})
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -333,6 +333,9 @@
 // none.
 func (s *State) Incarnation() gypsumtide.Incarnation { return s.incarnation }
 
+// Info returns the last description of the worker by itself.
+func (s *State) Info() gypsumtide.WorkerInfo { return s.info }
+
 // Address returns the last known address of the worker, or "" if there has been none.
 func (s *State) Address() string { return s.info.Address }
 
