--- a/internal/dispatch/agent_session.go
+++ b/internal/dispatch/agent_session.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 
 	"gypsumtide"
@@ -12,37 +13,50 @@
 // to every agent each time.
 type agentSession struct {
 	*wire.Session
-	entries        []string
+	sent   agentNotice
+	sentAt gypsumtide.Millis
+}
+
+// agentNotice is what an agent is told about the entries.
+type agentNotice struct {
+	// entries are the addresses of all entries.
+	entries []string
+	// reportInterval is the minimum interval of the agent's load broadcasts, or 0 if the
+	// agent decides.
 	reportInterval gypsumtide.Millis
-	sentAt         gypsumtide.Millis
+	// workers is the number of workers of the agent's service that take orders from this
+	// entry, or 0 if it is not known yet.
+	workers int
 }
 
 const (
-	// resendEntriesInterval is the time after which an unchanged list of entries is sent
-	// again, since an agent forgets addresses that it does not use.
-	resendEntriesInterval gypsumtide.Millis = 60_000
-	// reportIntervalTolerance is the relative change of the report interval that agents
-	// need not be told.
-	reportIntervalTolerance = 0.2
+	// resendNoticeInterval is the time after which an unchanged notice is sent again, since
+	// an agent forgets addresses that it does not use.
+	resendNoticeInterval gypsumtide.Millis = 60_000
+	// noticeTolerance is the relative change of a number that agents need not be told.
+	noticeTolerance = 0.2
 )
 
-// sendEntries sends the agent the addresses of the entries and the minimum interval of its
-// load broadcasts, if they have changed or were sent long ago. An interval of 0 means that
-// the agent decides.
-func (s *agentSession) sendEntries(now gypsumtide.Millis, entries []string, reportInterval gypsumtide.Millis) {
-	unchanged := slices.Equal(entries, s.entries) && !s.differs(reportInterval)
-	if unchanged && now-s.sentAt < resendEntriesInterval {
+// notify sends the agent a notice if it differs from the last one, or that one was sent long
+// ago.
+func (s *agentSession) notify(now gypsumtide.Millis, n agentNotice) {
+	if n.similar(&s.sent) && now-s.sentAt < resendNoticeInterval {
 		return
 	}
-	s.entries, s.reportInterval, s.sentAt = entries, reportInterval, now
+	s.sent, s.sentAt = n, now
 	s.Update(func(f *wire.Frame) {
-		f.Entries = entries
-		f.ReportInterval = reportInterval
+		f.Entries = n.entries
+		f.ReportInterval = n.reportInterval
+		f.Workers = n.workers
 	})
 }
 
-// differs reports whether the interval differs noticeably from the last one sent.
-func (s *agentSession) differs(interval gypsumtide.Millis) bool {
-	change := float64(interval - s.reportInterval)
-	return max(change, -change) > reportIntervalTolerance*float64(s.reportInterval)
+// similar reports whether the notices have the same entries and nearly the same numbers.
+func (n *agentNotice) similar(o *agentNotice) bool {
+	return slices.Equal(n.entries, o.entries) && similarNumbers(float64(n.reportInterval), float64(o.reportInterval)) &&
+		similarNumbers(float64(n.workers), float64(o.workers))
+}
+
+func similarNumbers(a, b float64) bool {
+	return math.Abs(a-b) <= noticeTolerance*math.Min(a, b)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -33,8 +33,8 @@
 const (
 	// tickInterval is the interval of State.Tick.
 	tickInterval gypsumtide.Millis = 10
-	// sendEntriesInterval is how often the agents are sent the list of entries.
-	sendEntriesInterval gypsumtide.Millis = 500
+	// noticeInterval is how often the notices to the agents are checked for changes.
+	noticeInterval gypsumtide.Millis = 500
 	// reconnectGrace is enough time for an agent to reconnect.
 	reconnectGrace gypsumtide.Millis = 450
 )
@@ -232,14 +232,14 @@
 	d.update(func(gypsumtide.Millis) { d.state.UpdateRoutes(t) })
 }
 
-// Run performs the periodic work of the state, and regularly sends the agents the
-// addresses of the entries, until ctx is done.
+// Run performs the periodic work of the state, and keeps the agents informed about the
+// entries, until ctx is done.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	g := group.New(ctx)
 	g.Add("tick", d.tickLoop)
-	g.Add("entries", func(ctx context.Context) error {
-		for gypsumtide.Sleep(ctx, sendEntriesInterval) {
-			d.sendEntries()
+	g.Add("notices", func(ctx context.Context) error {
+		for gypsumtide.Sleep(ctx, noticeInterval) {
+			d.notifyAgents()
 		}
 		return ctx.Err()
 	})
@@ -277,7 +277,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	as := &agentSession{Session: s}
-	as.sendEntries(d.clock.Now(), d.addresses.Shareable(), 0)
+	as.notify(d.clock.Now(), agentNotice{entries: d.addresses.Shareable()})
 	err = s.Run(ctx, func(f *wire.Frame) error { return d.receive(id, as, f) })
 	d.disconnect(id, as, err)
 }
@@ -340,16 +340,16 @@
 	return nil
 }
 
-// sendEntries tells the connected agents the shareable addresses of entries and the minimum
-// interval of their load broadcasts.
-func (d *Dispatcher) sendEntries() {
+// notifyAgents sends each connected agent its notice.
+func (d *Dispatcher) notifyAgents() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	entries := d.addresses.Shareable()
-	interval := d.reportInterval()
-	for _, s := range d.sessions {
-		s.sendEntries(now, entries, interval)
+	workers := d.state.WorkersByService(now)
+	notice := agentNotice{entries: d.addresses.Shareable(), reportInterval: d.reportInterval()}
+	for id, s := range d.sessions {
+		notice.workers = workers[d.state.Service(id)]
+		s.notify(now, notice)
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -97,6 +97,29 @@
 	return n
 }
 
+// WorkersByService returns the number of workers of each service that accept orders. It
+// returns nil while agents are still expected to connect after the start of the entry.
+func (s *State) WorkersByService(now gypsumtide.Millis) map[string]int {
+	if s.startingUp(now) {
+		return nil
+	}
+	n := make(map[string]int)
+	for _, w := range s.workerList {
+		if w.usable() {
+			n[w.report.Service]++
+		}
+	}
+	return n
+}
+
+// Service returns the service of a worker, or "" if it is not known.
+func (s *State) Service(id WorkerID) string {
+	if w, ok := s.workers[id]; ok {
+		return w.report.Service
+	}
+	return ""
+}
+
 // HasEphemeral reports whether an ephemeral job with the id is in progress.
 func (s *State) HasEphemeral(id string) bool {
 	j, ok := s.jobs[id]
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -124,6 +124,10 @@
 	// prefers them.
 	knownEntries  []string
 	rankedEntries []string
+	// sessionsWanted is the number of sessions to keep, last changed or confirmed at
+	// resizedAt.
+	sessionsWanted int
+	resizedAt      gypsumtide.Millis
 	// sessionCount is the number of sessions opened.
 	sessionCount uint64
 	loadChanged  bool
@@ -154,6 +158,8 @@
 		sessions:            make(map[Owner]*wire.Session),
 		outboxes:            make(map[Owner]*outbox),
 		links:               make(map[string]*entryLink),
+		sessionsWanted:      sessionsPerAgent,
+		resizedAt:           clock.Now(),
 		starts:              make(chan StartCall, callQueueSize),
 		stops:               make(chan StopCall, callQueueSize),
 		syncs:               make(chan RenewCall, 1),
--- a/internal/runner/outbox.go
+++ b/internal/runner/outbox.go
@@ -15,6 +15,8 @@
 	pending []wire.RunReport
 	// minInterval is the minimum time between load broadcasts to the entry.
 	minInterval gypsumtide.Millis
+	// workers is the number of workers of the agent's service that the entry sees, or 0.
+	workers int
 	// reportedAt is the time of the last frame with a load report.
 	reportedAt gypsumtide.Millis
 	// worker and load are the last reports that were sent on session.
--- a/internal/runner/selection.go
+++ b/internal/runner/selection.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,13 +11,18 @@
 	"gypsumtide"
 )
 
-// sessionsPerAgent is the number of entries to which an agent keeps sessions. If each agent
-// had a session to every entry, the cost of a fleet without work would grow with the
-// product of the numbers of entries and agents. An entry that sees a part of the workers
-// places about as well as one that sees all of them, as long as the part is not tiny.
-const sessionsPerAgent = 10
-
 const (
+	// sessionsPerAgent is the number of entries to which an agent keeps sessions. If each
+	// agent had a session to every entry, the cost of a fleet without work would grow with the
+	// product of the numbers of entries and agents. An entry that sees a part of the workers
+	// places about as well as one that sees all of them, as long as the part is not tiny.
+	sessionsPerAgent = 10
+	// workersPerEntry is the number of workers of a service that an entry should see. The
+	// agents of a service with few workers keep more sessions for that.
+	workersPerEntry = 16
+	// resizeInterval is the time between two changes of the number of sessions. The entries
+	// count the sessions of the last change by then.
+	resizeInterval gypsumtide.Millis = 5000
 	// unreachableAfter is the time without a session from which another entry takes the
 	// place of one that does not answer.
 	unreachableAfter gypsumtide.Millis = 400
@@ -77,6 +83,40 @@
 	return ranked
 }
 
+// neededSessions returns the number of sessions that lets each of the entries see enough
+// workers of the agent's service. workers has the numbers that connected entries see while the
+// agents of the service keep n sessions each.
+func neededSessions(entries, n int, workers []int) int {
+	if len(workers) == 0 {
+		return n
+	}
+	slices.Sort(workers)
+	// A restarted entry sees few workers for a while.
+	seen := workers[len(workers)/2]
+	all := float64(seen) * float64(entries) / float64(min(n, entries))
+	needed := int(math.Ceil(workersPerEntry * float64(entries) / max(all, 1)))
+	return min(max(needed, sessionsPerAgent), max(entries, sessionsPerAgent))
+}
+
+// resizeSelection changes the number of sessions to keep, if it is time to. The caller holds
+// a.mu.
+func (a *Agent) resizeSelection(now gypsumtide.Millis) {
+	if now-a.resizedAt < resizeInterval {
+		return
+	}
+	var workers []int
+	for owner := range a.sessions {
+		if o := a.outbox(owner); o.workers > 0 {
+			workers = append(workers, o.workers)
+		}
+	}
+	a.resizedAt = now
+	if n := neededSessions(len(a.rankedEntries), a.sessionsWanted, workers); n != a.sessionsWanted {
+		a.log.Decision("sessions-resized", "before", a.sessionsWanted, "after", n, "entries", len(a.rankedEntries))
+		a.sessionsWanted = n
+	}
+}
+
 // selectEntries returns the addresses to which the agent keeps sessions: the shortest
 // beginning of the ranked ones with n that are not unreachable. The unreachable ones among them are
 // dialled as well, and take their place again once they answer.
@@ -99,7 +139,8 @@
 	if known := a.entries.List(); !slices.Equal(known, a.knownEntries) {
 		a.knownEntries, a.rankedEntries = known, rankEntries(a.cfg.Name, known)
 	}
-	selected := selectEntries(a.rankedEntries, sessionsPerAgent, func(address string) bool {
+	a.resizeSelection(now)
+	selected := selectEntries(a.rankedEntries, a.sessionsWanted, func(address string) bool {
 		l, ok := a.links[address]
 		return ok && l.unreachable(now)
 	})
--- a/internal/runner/selection_test.go
+++ b/internal/runner/selection_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -115,19 +116,17 @@
 			}
 			return n
 		}
-		agent := NewAgent(Config{Name: "agent", Incarnation: "1", Lease: 1000, Seeds: []string{entries[0].address()}}, clock, discardLogger{}, metrics.NewSet())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := group.Go(ctx, agent.Run)
 		ranked := rankEntries("agent", addresses())
 		preferred := func(n int) *testEntry {
-			for _, e := range entries {
-				if e.address() == ranked[n] {
-					return e
-				}
-			}
-			return nil
+			i := slices.Index(addresses(), ranked[n])
+			return entries[i]
 		}
-		So(eventually(func() bool { return preferred(sessionsPerAgent-1).openSessions() == 1 }), ShouldBeTrue)
+		least := len(entries) - 1
+		agent := NewAgent(Config{Name: "agent", Incarnation: "1", Lease: 1000, Seeds: []string{ranked[least]}}, clock, discardLogger{}, metrics.NewSet())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := group.Go(ctx, agent.Run)
+		connected := func(n int) bool { return preferred(n).openSessions() == 1 }
+		So(eventually(func() bool { return connected(sessionsPerAgent - 1) }), ShouldBeTrue)
 
 		Convey("It keeps sessions to those that it prefers, and replaces one that is lost", func() {
 			So(eventually(func() bool { return open() == sessionsPerAgent }), ShouldBeTrue)
@@ -202,6 +201,31 @@
 	})
 }
 
+// Guards against entries that see hardly any worker of a service with few workers, and
+// against numbers of sessions that go up and down.
+func TestNeededSessions(t *testing.T) {
+	// settle returns the number of sessions of each agent after some changes.
+	settle := func(entries, agents int) int {
+		n := sessionsPerAgent
+		for range 20 {
+			seen := max(1, agents*min(n, entries)/entries)
+			n = neededSessions(entries, n, []int{seen, seen, 1})
+		}
+		return min(n, entries)
+	}
+	Convey("Each entry sees enough workers of a service, or all of them", t, func() {
+		for _, c := range []struct{ entries, agents, want int }{
+			{3, 11, 3}, {10, 60, 10}, {14, 74, 10}, {35, 160, 10}, {35, 40, 14}, {35, 16, 35}, {35, 5, 35}, {200, 3000, 10},
+		} {
+			So(settle(c.entries, c.agents), ShouldBeBetweenOrEqual, c.want, c.want+1)
+		}
+	})
+	Convey("An agent that was told nothing keeps the number", t, func() {
+		So(neededSessions(35, 12, nil), ShouldEqual, 12)
+		So(neededSessions(0, sessionsPerAgent, []int{1}), ShouldEqual, sessionsPerAgent)
+	})
+}
+
 // Guards against a session that ends while runs depend on it, and against orders that are
 // sent to an agent that is about to end the session.
 func TestRetireSession(t *testing.T) {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -186,6 +186,9 @@
 		if f.ReportInterval > 0 {
 			o.minInterval = f.ReportInterval
 		}
+		if f.Workers > 0 {
+			o.workers = f.Workers
+		}
 	}
 	a.mu.Unlock()
 	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && len(f.Recorded) == 0 && len(f.RecordDeclined) == 0 && !f.Resumed {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -92,6 +92,9 @@
 	// ReportInterval is the minimum time between two load broadcasts that the sender
 	// requests from the agent. RunReports are not delayed by it, and carry the load too.
 	ReportInterval gypsumtide.Millis `cbor:"48,keyasint,omitempty"`
+	// Workers is the number of workers of the receiver's service, its own included, that take
+	// orders from the sender. 0 means that the sender does not know it yet.
+	Workers int `cbor:"55,keyasint,omitempty"`
 	// RecallRuns asks the agent to return orders that still wait; other orders are not
 	// affected.
 	RecallRuns []gypsumtide.RunRef `cbor:"46,keyasint,omitempty"`
