Give up the transfer of a route table when no data arrives, not after a fixed time

With 1,092 routes more the table takes longer than the 1.2 s (long poll) and 0.9 s (first read) that a read of the store was given, so that each read was given up and begun again: "store-lost ... log-read ... context deadline exceeded" on every entry, and after the restart "log-newest ... context deadline exceeded" with version 0. Tables of peers were not better off: a transfer had 400 ms, and up to all peers sent theirs at a time.

A table from a peer is compressed (once a version), has 1.5 s, and one is fetched at a time.

Ruled out: longer fixed limits (a silent connection would be noticed as late); differences between versions (the store keeps whole configurations; compression leaves less than a quarter).

--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -62,11 +62,15 @@
 	return 0
 }
 
-// Encoded returns the newest table in the encoded form in which it was published, or nil.
-func (h *TableHolder) Encoded() []byte {
+// Encoded returns the newest table in the encoded form in which it was published, and its
+// version, or nil and 0.
+func (h *TableHolder) Encoded() ([]byte, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.encoded
+	if h.table == nil {
+		return nil, 0
+	}
+	return h.encoded, h.table.Version()
 }
 
 // Offer replaces the table if t is newer or the first one, and reports whether it did. raw
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -24,6 +24,8 @@
 const (
 	exchangeInterval gypsumtide.Millis = 500
 	exchangeTimeout  gypsumtide.Millis = 400
+	// fetchTimeout limits the transfer of a compressed table.
+	fetchTimeout gypsumtide.Millis = 1500
 	// peerTableDelay is how long a starting entry without a table waits for the store before
 	// it accepts a table from a peer, since the peer may have lost the store as well.
 	peerTableDelay gypsumtide.Millis = 1000
@@ -78,6 +80,12 @@
 	// Only the goroutine of syncDirectory accesses it.
 	unreadable string
 
+	// fetching is locked while a table is fetched, since several transfers at a time would
+	// delay each other on a thin link.
+	fetching sync.Mutex
+	// tables compresses the table for other entries.
+	tables tableCompressor
+
 	// ahead receives the address of an entry whose message named a newer table.
 	ahead chan string
 
@@ -231,10 +239,13 @@
 		return
 	}
 	p.applyMessage(address, &m)
-	if m.Version <= p.holder.Version() || !p.acceptsPeerTables() {
+	if m.Version <= p.holder.Version() || !p.acceptsPeerTables() || !p.fetching.TryLock() {
 		return
 	}
-	if err := p.fetch(callCtx, address); err != nil {
+	defer p.fetching.Unlock()
+	fetchCtx, cancelFetch := context.WithTimeout(ctx, fetchTimeout.Duration())
+	defer cancelFetch()
+	if err := p.fetch(fetchCtx, address); err != nil {
 		p.log.Decision("peer-table-failed", "peer", address, "version", m.Version, "error", err.Error())
 	}
 }
@@ -313,13 +324,21 @@
 	}
 }
 
+// serveTable serves the route table to other entries, which all accept gzip.
 func (p *Peers) serveTable(w http.ResponseWriter, _ *http.Request) {
-	raw := p.holder.Encoded()
+	raw, version := p.holder.Encoded()
 	if raw == nil {
 		http.Error(w, "no route table", http.StatusNotFound)
 		return
 	}
-	p.write(w, raw)
+	compressed, err := p.tables.compress(raw, version)
+	if err != nil {
+		p.log.Decision("table-not-compressed", "version", version, "error", err.Error())
+		p.write(w, raw)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	p.write(w, compressed)
 }
 
 func (p *Peers) write(w http.ResponseWriter, data []byte) {
--- a/internal/routing/poller.go
+++ b/internal/routing/poller.go
@@ -10,12 +10,13 @@
 // Time limits and intervals of the poller.
 const (
 	// longPollTimeout is how long the store may delay its answer to a read if there is
-	// no new table. A connection that no longer answers is noticed after the sum of
-	// longPollTimeout and longPollMargin.
+	// no new table.
 	longPollTimeout gypsumtide.Millis = 800
-	longPollMargin  gypsumtide.Millis = 400
-	// readTimeout is the time limit of a read of the newest table, of a write to the
-	// directory, and of a read of the directory together with the write that follows it.
+	// transferTimeout limits the transfer of a table. The source notices earlier that no
+	// data arrives any more.
+	transferTimeout gypsumtide.Millis = 10_000
+	// readTimeout is the time limit of a write to the directory, and of a read of the
+	// directory together with the write that follows it.
 	readTimeout gypsumtide.Millis = 900
 	// retryDelay is the delay after a failed read.
 	retryDelay gypsumtide.Millis = 150
@@ -55,7 +56,7 @@
 }
 
 func (p *Poller) readNewest(ctx context.Context) (uint64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, transferTimeout.Duration())
 	defer cancel()
 	raw, position, err := p.source.Newest(callCtx)
 	if err != nil {
@@ -70,7 +71,7 @@
 func (p *Poller) follow(ctx context.Context, position uint64) error {
 	begin := p.clock.Now()
 	for ctx.Err() == nil && p.clock.Now()-begin < rereadInterval {
-		callCtx, cancel := context.WithTimeout(ctx, (longPollTimeout + longPollMargin).Duration())
+		callCtx, cancel := context.WithTimeout(ctx, (longPollTimeout + transferTimeout).Duration())
 		raw, next, err := p.source.Next(callCtx, position, longPollTimeout)
 		cancel()
 		var trimmed *gypsumtide.TrimmedError
--- a/route.go
+++ b/route.go
@@ -78,7 +78,9 @@
 	return best
 }
 
-// TableSource provides the published route tables.
+// TableSource provides the published route tables. Its calls fail when the source stops
+// answering. How long they take otherwise depends on the size of the table and the
+// bandwidth.
 type TableSource interface {
 	// Newest returns the newest table, or nil if none has been published, and the
 	// position from which Next continues.
