--- a/internal/runner/owner_silence_test.go
+++ b/internal/runner/owner_silence_test.go
@@ -9,6 +9,9 @@
 	"gypsumtide/internal/wire"
 )
 
+// testStopCall is the time within which a worker carries out a stop.
+const testStopCall gypsumtide.Millis = 50
+
 // Guards against a run that goes on after its entry has retried it, because the agent noticed
 // the loss of the session late.
 func TestOwnerLossNoticedLate(t *testing.T) {
@@ -57,6 +60,15 @@
 		})
 	})
 
+	// docs/platform.md, "The bound on a job that is submitted again".
+	Convey("A run ends before its caller may have submitted the job to another entry", t, func() {
+		const resubmitted gypsumtide.Millis = 1300
+		timing := NewTiming(1000)
+		So(max(timing.MaxOwnerLag, timing.MaxOwnerSilence)+stopTime, ShouldBeLessThan, resubmitted)
+		So(timing.MaxEchoAge, ShouldBeLessThan, timing.MaxOwnerLag)
+		So(stopTime, ShouldBeGreaterThanOrEqualTo, idleTickInterval+testStopCall)
+	})
+
 	Convey("An entry does not retry a lost run before the agent must have stopped it, however short the lease is", t, func() {
 		for _, lease := range []gypsumtide.Millis{100, 500, 1000, 5000} {
 			So(LostRunTimeout(lease), ShouldBeGreaterThanOrEqualTo, maxOwnerSilence+stopTime)
