dispatch: simulate fleets whose entries see a part of the workers

Whether entries place worse when each sees a part of the workers was not known. TestPartOfWorkers compares the same overload with all and with a third of the sessions.

--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -32,6 +32,21 @@
 	})
 }
 
+// simulateFleet simulates a larger fleet whose agents are connected to some of the entries.
+func simulateFleet(entries, workers, sessions int, load float64, seed uint64) simResult {
+	return newSimulation(simConfig{seed: seed, entries: entries, workers: workers, sessions: sessions, seconds: 3, load: constantLoad(load)}).run()
+}
+
+// Guards against entries that place worse because each sees a part of the workers only: the
+// same load is served as well as by entries that see all of them.
+func TestPartOfWorkers(t *testing.T) {
+	Convey("At 1.2 times the capacity, entries that see a third of the workers lose little", t, func() {
+		all, part := simulateFleet(12, 48, 0, 1.2, 1), simulateFleet(12, 48, 4, 1.2, 1)
+		So(part.valueShare(), ShouldBeGreaterThan, all.valueShare()-0.02)
+		So(float64(part.refused)/float64(part.jobs), ShouldBeLessThan, float64(all.refused)/float64(all.jobs)+0.02)
+	})
+}
+
 // Guards against a slack share that stays reduced after an overload has ended.
 func TestBacklog(t *testing.T) {
 	Convey("The slack share stays high in a short burst, falls under overload and recovers", t, func() {
@@ -68,3 +83,23 @@
 		})
 	}
 }
+
+// BenchmarkFleet reports the results of a large fleet by the number of sessions of an agent.
+func BenchmarkFleet(b *testing.B) {
+	for _, load := range []float64{0.85, 1.2} {
+		for _, sessions := range []int{35, 10, 6} {
+			b.Run(fmt.Sprint("load-", load, "/sessions-", sessions), func(b *testing.B) {
+				var sum simResult
+				for i := range b.N {
+					r := simulateFleet(35, 160, sessions, load, uint64(i))
+					sum.jobs += r.jobs
+					sum.refused += r.refused
+					sum.value += r.value
+					sum.earned += r.earned
+				}
+				b.ReportMetric(sum.valueShare(), "value-share")
+				b.ReportMetric(float64(sum.refused)/float64(sum.jobs), "refused")
+			})
+		}
+	}
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -107,7 +107,9 @@
 type simConfig struct {
 	seed             uint64
 	entries, workers int
-	seconds          float64
+	// sessions is the number of entries to which each agent is connected, or 0 for all.
+	sessions int
+	seconds  float64
 	// load is the offered work relative to the capacity, over time.
 	load func(second float64) float64
 	// slow returns the factor by which a worker is slowed down, over time. It may be nil.
@@ -129,9 +131,11 @@
 
 // simAgent is an agent and its worker.
 type simAgent struct {
-	sim         *simulation
-	id          WorkerID
-	state       *runner.State
+	sim   *simulation
+	id    WorkerID
+	state *runner.State
+	// entries are the numbers of the entries to which the agent is connected.
+	entries     []int
 	slowness    float64
 	capacity    int64
 	running     map[gypsumtide.RunRef]*simRun
@@ -175,10 +179,14 @@
 		state: runner.NewState(runner.Timing{Lease: 1000, OwnerGrace: 400, MaxOwnerSilence: 900, MaxOwnerLag: 1 << 40, MaxEchoAge: 1 << 40, StopRetry: 80, SyncRetry: 10}, 1, discardLogger{}),
 	}
 	sim.agents = append(sim.agents, a)
-	for k, e := range sim.entries {
+	a.entries = sim.random.Perm(len(sim.entries))
+	if sim.cfg.sessions > 0 {
+		a.entries = a.entries[:sim.cfg.sessions]
+	}
+	for _, k := range a.entries {
 		a.state.SessionOpened(runner.Owner(fmt.Sprint(k)))
 		a.state.SessionResumed(0, runner.Owner(fmt.Sprint(k)))
-		e.Connected(0, a.id, wire.Resume{Complete: true})
+		sim.entries[k].Connected(0, a.id, wire.Resume{Complete: true})
 	}
 	a.update(func(now gypsumtide.Millis) {
 		a.state.Heartbeat(now, gypsumtide.WorkerInfo{
@@ -385,7 +393,7 @@
 		return
 	}
 	a.loadChanged, a.reportedAt = false, a.sim.millis()
-	for n := range a.sim.entries {
+	for _, n := range a.entries {
 		a.sendReports(runner.Owner(fmt.Sprint(n)), nil)
 	}
 }
