--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -314,7 +314,8 @@
 
 // noteVersion requests an exchange with the sender of a message that names a newer table.
 func (p *Peers) noteVersion(m *peerMessage) {
-	if m.Version <= p.holder.Version() || gypsumtide.ValidateAddress(m.Address) != nil {
+	newer := m.Version > p.holder.Version()
+	if !newer || gypsumtide.ValidateAddress(m.Address) != nil {
 		return
 	}
 	select {
