--- a/internal/runner/selection.go
+++ b/internal/runner/selection.go
@@ -16,7 +16,7 @@
 	// agent had a session to every entry, the cost of a fleet without work would grow with the
 	// product of the numbers of entries and agents. An entry that sees a part of the workers
 	// places about as well as one that sees all of them, as long as the part is not tiny.
-	sessionsPerAgent = 10
+	sessionsPerAgent = 8
 	// workersPerEntry is the number of workers of a service that an entry should see. The
 	// agents of a service with few workers keep more sessions for that.
 	workersPerEntry = 16
