stored: deny a job only as the owner, and only if stored jobs are not in use anywhere

Two causes were traced. An owner learns that the log has reassigned its partition with its next join (every 0.7 s, later if joins are not answered), and denied jobs that the next owner had accepted meanwhile: it acted on a permission that had run out. And an entry that had not heard of the first stored job (up to 500 ms) denied it.

Change: before an owner answers that there is no such job it writes the owner's record again, which the log rejects for a superseded epoch; the request then goes to the next owner. An entry that believes stored jobs unused reads the directory before it denies one; concurrent requests share a read that began after them. If the store refuses either, the request is refused (503), not denied.

The new cases of TestPartitionManager failed before (without the check: nil instead of ErrNotOwner); those of TestRouter and TestStoredUsage use a method that did not exist.

--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -75,6 +75,7 @@
 	// has started. It is set before Run.
 	queued func() map[string]int
 	usage  *storedUsage
+	check  usageCheck
 
 	// unreadable is the last logged text about directory records that cannot be decoded.
 	// Only the goroutine of syncDirectory accesses it.
--- a/internal/routing/usage.go
+++ b/internal/routing/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -56,6 +57,43 @@
 // messages or read of the directory.
 func (p *Peers) StoredJobsActive() (active, known bool) { return p.usage.Active() }
 
+// CheckStoredJobs reads the directory, unless stored jobs are known to be in use, and reports
+// whether they are. Concurrent calls share a read that began after them.
+func (p *Peers) CheckStoredJobs(ctx context.Context) (bool, error) {
+	if active, _ := p.usage.Active(); active {
+		return true, nil
+	}
+	calledAt := p.clock.Now()
+	p.check.mu.Lock()
+	defer p.check.mu.Unlock()
+	if p.check.beganAt <= calledAt {
+		p.check.beganAt = p.clock.Now()
+		p.check.err = p.readUsage(ctx)
+	}
+	active, _ := p.usage.Active()
+	return active, p.check.err
+}
+
+// usageCheck is the last read of the directory by CheckStoredJobs.
+type usageCheck struct {
+	mu      sync.Mutex
+	beganAt gypsumtide.Millis
+	err     error
+}
+
+// readUsage reads from the directory whether stored jobs are in use.
+func (p *Peers) readUsage(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout.Duration())
+	defer cancel()
+	records, err := p.directory.Records(callCtx)
+	var unreadable *gypsumtide.UnreadableRecordsError
+	if err != nil && !errors.As(err, &unreadable) {
+		return fmt.Errorf("check stored jobs: %w", err)
+	}
+	p.usage.updateFromDirectory(records)
+	return nil
+}
+
 // StoredJobsActivated returns a channel that is closed once this entry knows that stored
 // jobs are in use.
 func (p *Peers) StoredJobsActivated() <-chan struct{} { return p.usage.activated }
--- a/internal/routing/usage_test.go
+++ b/internal/routing/usage_test.go
@@ -92,6 +92,31 @@
 		}
 	})
 
+	// Guards against an entry that denies a job which another entry has just accepted as the
+	// first stored one (TestSoak, seeds 2 and 202).
+	Convey("A check sees at once that another entry has activated stored jobs", t, func() {
+		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord)}
+		p, other := newPeers("a", d), newPeers("b", d)
+		So(p.readAndAnnounce(ctx), ShouldBeNil)
+		active, err := p.CheckStoredJobs(ctx)
+		So(err, ShouldBeNil)
+		So(active, ShouldBeFalse)
+		So(other.ActivateStoredJobs(ctx), ShouldBeNil)
+		So(usage(p), ShouldResemble, [2]bool{false, true})
+		active, err = p.CheckStoredJobs(ctx)
+		So(err, ShouldBeNil)
+		So(active, ShouldBeTrue)
+		So(usage(p), ShouldResemble, [2]bool{true, true})
+	})
+	Convey("A check fails if the directory cannot be read", t, func() {
+		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord)}
+		p := newPeers("a", d)
+		So(p.readAndAnnounce(ctx), ShouldBeNil)
+		d.fail = true
+		_, err := p.CheckStoredJobs(ctx)
+		So(err, ShouldNotBeNil)
+	})
+
 	Convey("Messages of peers tell that stored jobs are in use, and their queue counts are added up", t, func() {
 		d := &memoryDirectory{records: make(map[string]gypsumtide.DirectoryRecord)}
 		p := newPeers("a", d)
--- a/internal/stored/partition_manager_test.go
+++ b/internal/stored/partition_manager_test.go
@@ -86,18 +86,18 @@
 		So(ok, ShouldBeTrue)
 		So(m.submit("a"), ShouldBeNil)
 		So(m.QueuedByRoute(), ShouldResemble, map[string]int{"r": 1})
-		state, err := m.State("a")
+		state, err := m.knownState("a")
 		So(state, ShouldEqual, gypsumtide.JobPending)
 		So(err, ShouldBeNil)
 
 		Convey("It is complete when the ends of all its tasks are recorded", func() {
 			m.end("a", 0)
 			m.waitFor("the record", func() bool { n, _, _ := m.executor.counts(); return n == 1 })
-			state, _ = m.State("a")
+			state, _ = m.knownState("a")
 			So(state, ShouldEqual, gypsumtide.JobRunning)
 			So(m.QueuedByRoute(), ShouldBeEmpty)
 			m.end("a", 1)
-			m.waitFor("the final state", func() bool { s, _ := m.State("a"); return s == gypsumtide.JobComplete })
+			m.waitFor("the final state", func() bool { s, _ := m.knownState("a"); return s == gypsumtide.JobComplete })
 			// The job can no longer be cancelled.
 			state, err = m.Cancel(context.Background(), "a")
 			So(state, ShouldEqual, gypsumtide.JobComplete)
@@ -123,7 +123,7 @@
 		log.setAppendFailure(func() (error, bool) { return gypsumtide.ErrNotAppended, false })
 		So(errors.Is(m.submit("a"), gypsumtide.ErrNotAppended), ShouldBeTrue)
 		log.setAppendFailure(func() (error, bool) { return nil, true })
-		state, err := m.State("a")
+		state, err := m.knownState("a")
 		So(state, ShouldBeEmpty)
 		So(err, ShouldBeNil)
 		So(m.submit("b"), ShouldBeNil)
@@ -182,10 +182,42 @@
 		// The former owner may act until the TTL of its membership is over, and its runs
 		// end later.
 		So(j.NotBefore-two.clock.Now(), ShouldBeGreaterThan, membershipTTL)
-		state, _ := two.State("a")
+		state, _ := two.State(context.Background(), "a")
 		So(state, ShouldEqual, gypsumtide.JobRunning)
 	})
 
+	// Guards against an owner that does not know yet that the log has reassigned its partition,
+	// and denies a job that the next owner has accepted (TestSoak, seeds 2 and 202).
+	Convey("A former owner whose joins are not answered does not deny a job of the next owner", t, func() {
+		log := newMemoryLog()
+		one := startOwner(t, log, "one")
+		state, err := one.State(context.Background(), "a")
+		So(err, ShouldBeNil)
+		So(state, ShouldBeEmpty)
+		log.setJoinError(errors.New("no answer"))
+		gypsumtide.Sleep(context.Background(), 50)
+		log.assign("two")
+		log.setJoinError(nil)
+		two := startManager(t, log, "two")
+		two.waitFor("partitions", func() bool { return len(two.ServedPartitions()) == log.partitionCount })
+		log.setJoinError(errors.New("no answer"))
+		So(two.submit("a"), ShouldBeNil)
+		for _, ask := range []func() (gypsumtide.JobState, error){
+			func() (gypsumtide.JobState, error) { return one.State(context.Background(), "a") },
+			func() (gypsumtide.JobState, error) { return one.Cancel(context.Background(), "a") },
+		} {
+			_, err := ask()
+			So(err, ShouldEqual, ErrNotOwner)
+		}
+	})
+	Convey("If the log refuses the check, the request is refused and nothing is denied", t, func() {
+		log := newMemoryLog()
+		one := startOwner(t, log, "one")
+		log.setAppendFailure(func() (error, bool) { return gypsumtide.ErrNotAppended, false })
+		_, err := one.State(context.Background(), "a")
+		So(errors.Is(err, gypsumtide.ErrNotAppended), ShouldBeTrue)
+	})
+
 	// Guards against two owners running a job because its acceptance is written while the
 	// partition is being released.
 	Convey("A job accepted during the release of its partition is left to the next owner", t, func() {
--- a/internal/stored/request.go
+++ b/internal/stored/request.go
@@ -147,9 +147,22 @@
 	return o != nil && m.isServing(o)
 }
 
-// State returns the state of a job, or "" if there is no such job or its acceptance is not
-// recorded yet.
-func (m *PartitionManager) State(id string) (gypsumtide.JobState, error) {
+// State returns the state of a job, or "" if there is no such job. After any error the
+// request may be repeated.
+func (m *PartitionManager) State(ctx context.Context, id string) (gypsumtide.JobState, error) {
+	state, err := m.knownState(id)
+	if err != nil || state != "" {
+		return state, err
+	}
+	if err := m.confirmOwnership(ctx, id); err != nil {
+		return "", err
+	}
+	return m.knownState(id)
+}
+
+// knownState returns the state of a job, or "" if this entry knows no such job or its
+// acceptance is not recorded yet.
+func (m *PartitionManager) knownState(id string) (gypsumtide.JobState, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, j := m.findJob(id)
@@ -162,6 +175,35 @@
 	return j.state, nil
 }
 
+// confirmOwnership returns nil if this entry still owned the job's partition after the call
+// began. Before an entry says that there is no such job, it must know that no other one has
+// opened the partition and accepted the job: it learns of a reassignment with its next join only.
+// Writing the record of the owner again tells, since the log rejects a superseded epoch.
+func (m *PartitionManager) confirmOwnership(ctx context.Context, id string) error {
+	done := make(chan error, 1)
+	m.mu.Lock()
+	o, _ := m.findJob(id)
+	if o == nil || !m.isServing(o) {
+		m.mu.Unlock()
+		return ErrNotOwner
+	}
+	o.enqueue(pendingWrite{
+		records: []gypsumtide.KeyedRecord{m.ownerRecord()}, failIfRefused: true,
+		onCommitted: func() { done <- nil }, onFailed: func(err error) { done <- err },
+	})
+	m.mu.Unlock()
+	err := awaitWrite(ctx, done)
+	if errors.Is(err, ErrOwnershipLost) {
+		return ErrNotOwner
+	}
+	return err
+}
+
+// ownerRecord returns the record that names this entry as the owner of a partition.
+func (m *PartitionManager) ownerRecord() gypsumtide.KeyedRecord {
+	return gypsumtide.KeyedRecord{Key: ownerKey, Value: []byte(m.cfg.Member)}
+}
+
 // Cancel cancels a job unless it has a final state. It returns the state of the job
 // after that, or "" if there is no such job. After ErrNotOwner, ErrOwnershipLost or a
 // context error the job may have been cancelled.
@@ -175,7 +217,7 @@
 		return "", ErrNotOwner
 	case j == nil:
 		m.mu.Unlock()
-		return "", nil
+		return "", m.confirmOwnership(ctx, id)
 	case j.isFinal():
 		defer m.mu.Unlock()
 		return j.state, nil
@@ -196,7 +238,7 @@
 	if err := awaitWrite(ctx, done); err != nil {
 		return "", err
 	}
-	return m.State(id)
+	return m.knownState(id)
 }
 
 // cancelAfterAcceptance cancels a job once its acceptance is recorded.
--- a/internal/stored/router.go
+++ b/internal/stored/router.go
@@ -99,6 +99,9 @@
 	// tell, known is false. It may take some time until a flag that another entry has set is
 	// seen.
 	StoredJobsActive() (active, known bool)
+	// CheckStoredJobs reports whether stored jobs were in use when it was called. Unlike
+	// StoredJobsActive it sees a flag that another entry has just set.
+	CheckStoredJobs(ctx context.Context) (bool, error)
 	// ActivateStoredJobs sets the flag durably.
 	ActivateStoredJobs(ctx context.Context) error
 }
@@ -158,11 +161,16 @@
 	return r.callIfActive(ctx, opCancel, id)
 }
 
-// callIfActive sends a request to the owner if stored jobs are in use. If they are not, as
-// far as this entry knows, no stored job exists and it returns "". As long as the entry
-// cannot tell, the request is refused.
+// callIfActive sends a request to the owner if stored jobs are in use. If they are not, no
+// stored job exists and it returns "". If the entry cannot tell, the request is refused.
 func (r *Router) callIfActive(ctx context.Context, op operation, id string) (gypsumtide.JobState, error) {
 	active, known := r.activator.StoredJobsActive()
+	if !active && known {
+		// Another entry may have accepted the first job since this one has last heard of it.
+		var err error
+		active, err = r.activator.CheckStoredJobs(ctx)
+		known = err == nil
+	}
 	switch {
 	case active:
 		return r.callOwner(ctx, &forwardRequest{Operation: op, Job: gypsumtide.JobRequest{ID: id}})
@@ -276,7 +284,7 @@
 	case opCancel:
 		state, err = r.manager.Cancel(ctx, f.Job.ID)
 	default:
-		state, err = r.manager.State(f.Job.ID)
+		state, err = r.manager.State(ctx, f.Job.ID)
 	}
 	switch {
 	case err == nil:
--- a/internal/stored/router_test.go
+++ b/internal/stored/router_test.go
@@ -20,10 +20,17 @@
 type fakeActivator struct {
 	active, known bool
 	err           error
+	// activatedElsewhere is set if another entry has just activated stored jobs.
+	activatedElsewhere bool
 }
 
 func (a *fakeActivator) StoredJobsActive() (active, known bool) { return a.active, a.known }
 
+func (a *fakeActivator) CheckStoredJobs(context.Context) (bool, error) {
+	a.active = a.active || a.activatedElsewhere
+	return a.active, a.err
+}
+
 func (a *fakeActivator) ActivateStoredJobs(context.Context) error {
 	a.active = a.err == nil
 	return a.err
@@ -95,6 +102,20 @@
 		So(submit(r, "a"), ShouldEqual, ErrOutcomeUnknown)
 	})
 
+	// Guards against denying the first stored job, which another entry has just accepted.
+	Convey("An entry that has not heard of stored jobs checks before it denies one", t, func() {
+		r, owner, _ := startRouter(t, &fakeActivator{known: true, activatedElsewhere: true})
+		So(owner.submit("a"), ShouldBeNil)
+		state, err := r.State(context.Background(), "a")
+		So(err, ShouldBeNil)
+		So(state, ShouldEqual, gypsumtide.JobPending)
+	})
+	Convey("If it cannot check, the request is refused", t, func() {
+		r, _, _ := startRouter(t, &fakeActivator{known: true, err: errTest})
+		_, err := r.State(context.Background(), "a")
+		So(errors.As(err, &refused), ShouldBeTrue)
+	})
+
 	Convey("Before the first stored job, requests find no job or are refused", t, func() {
 		log := newMemoryLog()
 		m := NewPartitionManager(Config{}, log, newFakeExecutor(), gypsumtide.NewSystemClock(), discardLogger{}, metrics.NewSet())
--- a/internal/stored/writer.go
+++ b/internal/stored/writer.go
@@ -135,7 +135,7 @@
 
 // openPartition begins the epoch, loads the partition and adopts its jobs.
 func (m *PartitionManager) openPartition(ctx context.Context, o *ownedPartition, w *partitionWriter) error {
-	if err := w.appendUntilAccepted(ctx, []gypsumtide.KeyedRecord{{Key: ownerKey, Value: []byte(m.cfg.Member)}}); err != nil {
+	if err := w.appendUntilAccepted(ctx, []gypsumtide.KeyedRecord{m.ownerRecord()}); err != nil {
 		return err
 	}
 	values, err := m.loadPartition(ctx, o.partition)
