--- a/internal/runner/outbox.go
+++ b/internal/runner/outbox.go
@@ -72,14 +72,15 @@
 	return reportNow
 }
 
-// roomShare is the free part of a worker's processors and memory with which it has room for a few tasks.
+// roomShare is the free part of a worker's capacity with which it has room for a few tasks.
 const roomShare = 0.35
 
 // hasRoom reports whether a worker with the load could start a few more tasks at once.
 func hasRoom(worker *wire.WorkerReport, load *wire.LoadReport) bool {
-	booked := load.Booked.Size()
-	return len(load.Waiting) == 0 &&
-		float64(booked.Processors) <= (1-roomShare)*float64(worker.Capacity.Processors) &&
-		float64(booked.Memory) <= (1-roomShare)*float64(worker.Capacity.Memory) &&
-		(worker.Capacity.Accelerators == 0 || float64(booked.Accelerators) <= (1-roomShare)*float64(worker.Capacity.Accelerators))
+	free := func(booked, capacity int64) bool {
+		return float64(booked) <= (1-roomShare)*float64(capacity)
+	}
+	booked, capacity := load.Booked.Size(), worker.Capacity
+	return len(load.Waiting) == 0 && free(booked.Processors, capacity.Processors) &&
+		free(booked.Memory, capacity.Memory) && free(booked.Accelerators, capacity.Accelerators)
 }
--- a/internal/runner/selection.go
+++ b/internal/runner/selection.go
@@ -38,7 +38,8 @@
 type entryLink struct {
 	// owner is the connected entry, or empty.
 	owner Owner
-	// failed is set while the entry does not answer, which it last did at failedAt.
+	// failed is set from the end of a session, or of the first attempt to open one, to the
+	// start of the next session. failedAt is when it was set.
 	failed   bool
 	failedAt gypsumtide.Millis
 	// surplusAt is the time since which the session is not selected, or 0.
@@ -118,8 +119,8 @@
 }
 
 // selectEntries returns the addresses to which the agent keeps sessions: the shortest
-// beginning of the ranked ones with n that are not unreachable. The unreachable ones among them are
-// dialled as well, and take their place again once they answer.
+// beginning of the ranked ones with n that are not unreachable. The unreachable ones among
+// them are dialled as well, and take their place again once they answer.
 func selectEntries(ranked []string, n int, unreachable func(address string) bool) []string {
 	for i, address := range ranked {
 		if n == 0 {
