--- /dev/null
+++ b/review/harness2/case_route.go
@@ -0,0 +1,54 @@
+//go:build review
+
+package main
+
+import (
+	"syscall"
+	"time"
+)
+
+func init() { cases["route"] = testCase{entries: 2, agents: 2, run: runRoute} }
+
+// runRoute moves a queue to another service while its jobs are under way, takes the worker of
+// the old service away, and then stops and starts the entries in turn.
+func runRoute(s *System, trouble bool) error {
+	workers := []WorkerConfig{
+		{ID: "i-1", Service: "orders", Labels: []string{"a", "r1-1"}, CPU: 16000, MemoryMB: 65536},
+		{ID: "i-2", Service: "spares", Labels: []string{"a", "r1-2"}, CPU: 16000, MemoryMB: 65536},
+	}
+	if err := s.startAll(route("quotes", "orders", 3), workers); err != nil {
+		return err
+	}
+	if err := s.settle("quotes"); err != nil {
+		return err
+	}
+	var jobs jobList
+	const cpu, ms = 1600, 900
+	body := jobBody(false, step{count: 16, cpu: cpu, ms: ms})
+	if err := submitAll(s, &jobs, "quotes", 12, 1, body, storedJob{tasks: 16, cpu: cpu}); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	s.publish(route("quotes", "spares", 3))
+	time.Sleep(2 * time.Second)
+	s.workers[0].Drain(3 * time.Second)
+	if trouble {
+		for _, p := range s.entries {
+			p.signal(syscall.SIGTERM)
+			p.wait()
+			s.rec.Log("%s has ended", p.name)
+			if err := p.start(); err != nil {
+				return err
+			}
+			if err := s.awaitReady(10 * time.Second); err != nil {
+				return err
+			}
+			time.Sleep(time.Second)
+		}
+	}
+	time.Sleep(14 * time.Second)
+	spares := func() []*Worker { return s.workers[1:2] }
+	checkIdle(s, &jobs, 10*time.Second, func(*storedJob) []*Worker { return spares() }, spares)
+	askAll(s, &jobs)
+	return nil
+}
