--- a/review/harness2/explore.go
+++ b/review/harness2/explore.go
@@ -271,7 +271,7 @@
 // fault plays one fault of the kind k, and returns when it is over.
 func (s *System) fault(k string, n, x int, y time.Duration, how string) {
 	restart := func(p *Process, d time.Duration) {
-		p.wait()
+		p.waitFor(8 * time.Second)
 		time.Sleep(d)
 		_ = p.start()
 	}
