review: case 9, waiting orders start on a worker of another kind (ROUTE)

A worker is back 0.1 s after a crash as one of another kind, and gets orders that wait for the former one.

--- a/review/harness2/case_kind_change.go
+++ b/review/harness2/case_kind_change.go
@@ -10,15 +10,19 @@
 	"time"
 )
 
-func init() { cases["kind-change"] = testCase{entries: 2, agents: 2, run: runKindChange} }
+func init() { cases["kind-change"] = testCase{entries: 2, agents: 8, run: runKindChange} }
 
 // runKindChange hands in jobs that need a worker of the kind "b". The worker of that kind
 // crashes while orders wait at its agent, and starts again as one of the kind "a" at the same
 // address.
 func runKindChange(s *System, trouble bool) error {
-	workers := []WorkerConfig{
-		{ID: "i-1", Service: "orders", Labels: []string{"b", "r1-1"}, CPU: 16000, MemoryMB: 65536},
-		{ID: "i-2", Service: "orders", Labels: []string{"b", "r1-1"}, CPU: 16000, MemoryMB: 65536},
+	workers := make([]WorkerConfig, 8)
+	for i := range workers {
+		kind := "a"
+		if i < 2 {
+			kind = "b"
+		}
+		workers[i] = WorkerConfig{ID: fmt.Sprintf("i-%d", i+1), Service: "orders", Labels: []string{kind, fmt.Sprintf("r1-%d", i/3+1)}, CPU: 16000, MemoryMB: 65536}
 	}
 	if err := s.startAll(route("orders", "orders", 3), workers); err != nil {
 		return err
