--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -232,6 +232,11 @@
 	d.update(func(gypsumtide.Millis) { d.state.UpdateRoutes(t) })
 }
 
+// SetEvacuations replaces the set of evacuated availability zones if e is newer.
+func (d *Dispatcher) SetEvacuations(e gypsumtide.Evacuations) {
+	d.update(func(now gypsumtide.Millis) { d.state.SetEvacuations(now, e) })
+}
+
 // Run performs the periodic work of the state, and keeps the agents informed about the
 // entries, until ctx is done.
 func (d *Dispatcher) Run(ctx context.Context) error {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -64,6 +64,8 @@
 	estimator  *estimator
 	effects    Effects
 	backlog    backlog
+	// evacuations is the newest set of evacuated availability zones.
+	evacuations gypsumtide.Evacuations
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -95,6 +95,9 @@
 	// Workers is the number of workers of the receiver's service, its own included, that take
 	// orders from the sender. 0 means that the sender does not know it yet.
 	Workers int `cbor:"55,keyasint,omitempty"`
+	// Evacuations is the newest set of evacuated availability zones that the sender knows.
+	// An agent starts nothing while the zone of its worker is evacuated.
+	Evacuations *gypsumtide.Evacuations `cbor:"56,keyasint,omitempty"`
 	// RecallRuns asks the agent to return orders that still wait; other orders are not
 	// affected.
 	RecallRuns []gypsumtide.RunRef `cbor:"46,keyasint,omitempty"`
