--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -63,7 +63,10 @@
 			{Name: "trace", Usage: "print the decision lines of a job from the logs of several processes; ID is that of the job or of its request", ArgsUsage: "ID FILE...", Action: traceJob},
 			{
 				Name: "log-summary", Usage: "count the jobs that ended in each second, by outcome and reason", ArgsUsage: "FILE...", Action: summarizeLogs,
-				Flags: []cli.Flag{&cli.StringFlag{Name: "plot", Usage: "also plot the counts as SVG to `FILE`"}},
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "plot", Usage: "also plot the counts as SVG to `FILE`"},
+					&cli.BoolFlag{Name: "breakdown", Usage: "print the outcomes by route, number of tasks, availability zone and entry instead"},
+				},
 			},
 			versionCommand("gypsumctl"),
 		},
--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -70,6 +70,9 @@
 			return err
 		}
 	}
+	if cmd.Bool("breakdown") {
+		return eventlog.NewBreakdown(lines).Write(cmd.Root().Writer)
+	}
 	return eventlog.WriteSummary(cmd.Root().Writer, lines)
 }
 
