routing: entries hold, read and exchange the evacuated zones

An entry had no way to learn of evacuate/ZONE records. TableHolder now holds the set with its version, the poller reads it together with the route table (TableSource returns an OperatorRead), and peerMessage carries it. A set is offered before the table of the same read or peer, and a change of zones starts an exchange with other entries at once.

--- a/evacuation.go
+++ b/evacuation.go
@@ -16,3 +16,27 @@
 
 // Newer reports whether e is newer than o.
 func (e Evacuations) Newer(o Evacuations) bool { return e.Version > o.Version }
+
+// EvacuationChange is the begin or the end of the evacuation of a zone.
+type EvacuationChange struct {
+	Zone      string
+	Evacuated bool
+}
+
+// Apply returns the set of the given version that results from the changes to e.
+func (e Evacuations) Apply(changes []EvacuationChange, version uint64) Evacuations {
+	zones := slices.Clone(e.Zones)
+	for _, c := range changes {
+		i, found := slices.BinarySearch(zones, c.Zone)
+		switch {
+		case c.Evacuated && !found:
+			zones = slices.Insert(zones, i, c.Zone)
+		case !c.Evacuated && found:
+			zones = slices.Delete(zones, i, i+1)
+		}
+	}
+	return Evacuations{Version: version, Zones: zones}
+}
+
+// SameZones reports whether the same zones are evacuated in e and o.
+func (e Evacuations) SameZones(o Evacuations) bool { return slices.Equal(e.Zones, o.Zones) }
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -1,6 +1,6 @@
-// Package routing keeps the newest route table of an entry. It reads the tables from the
-// store in which they are published, and newer ones from other entries, so that an entry
-// that cannot reach the store receives them too. The entries also tell each other whether
+// Package routing keeps the newest route table of an entry, and the newest set of evacuated
+// availability zones. It reads both from the store in which they are published, and newer
+// ones from other entries, so that an entry that cannot reach the store receives them too. The entries also tell each other whether
 // stored jobs are in use, and how many of them are queued.
 package routing
 
@@ -12,8 +12,8 @@
 	"gypsumtide"
 )
 
-// TableHolder holds the newest route table received since the start of the process. Its
-// version never decreases.
+// TableHolder holds the newest route table and the newest set of evacuated zones received
+// since the start of the process. Their versions never decrease.
 type TableHolder struct {
 	clock gypsumtide.Clock
 	log   gypsumtide.DecisionLogger
@@ -22,8 +22,15 @@
 	table      *gypsumtide.RouteTable
 	encoded    []byte
 	replacedAt gypsumtide.Millis
+	// evacuations is written with both notifying and mu locked.
+	evacuations gypsumtide.Evacuations
 	// onUpdate is called with each table that Offer accepts, after mu has been unlocked.
 	onUpdate func(t *gypsumtide.RouteTable)
+
+	// notifying is locked while a set is replaced and the functions of OnEvacuations are
+	// called, so that they see the sets in the order of their versions.
+	notifying     sync.Mutex
+	onEvacuations []func(e gypsumtide.Evacuations)
 }
 
 // NewTableHolder returns a TableHolder without a table.
@@ -36,8 +43,9 @@
 // overlap, and a call with an older table may come last.
 func (h *TableHolder) OnUpdate(fn func(t *gypsumtide.RouteTable)) { h.onUpdate = fn }
 
-// Register adds two gauges to set: the version of the table, and the time since the table
-// was received. Until there is a table, the second is the reading of the monotonic clock.
+// Register adds gauges to set: the version of the table, the time since the table was
+// received, the version of the set of evacuated zones and their number. Until there is a
+// table, the second is the reading of the monotonic clock.
 func (h *TableHolder) Register(set *metrics.Set) {
 	set.NewGauge("gypsumtide_entry_table_version", func() float64 { return float64(h.Version()) })
 	set.NewGauge("gypsumtide_entry_table_age_seconds", func() float64 {
@@ -45,6 +53,7 @@
 		defer h.mu.Unlock()
 		return (h.clock.Now() - h.replacedAt).Duration().Seconds()
 	})
+	h.registerEvacuations(set)
 }
 
 // Table returns the newest table, or nil.
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -55,10 +55,13 @@
 	// Queued holds, by route, the number of the sender's stored jobs of which no task has
 	// started.
 	Queued map[string]int `cbor:"5,keyasint,omitempty"`
+	// Evacuations is the newest set of evacuated zones of the sender.
+	Evacuations gypsumtide.Evacuations `cbor:"6,keyasint,omitempty"`
 }
 
 // Peers exchanges messages with the other entries, and fetches their route tables if these
-// are newer, so that an entry receives new tables even if it cannot reach the store.
+// are newer, so that an entry receives new tables and evacuations even if it cannot reach the
+// store.
 type Peers struct {
 	ownAddress string
 	name       string
@@ -90,6 +93,11 @@
 	// ahead receives the address of an entry whose message named a newer table.
 	ahead chan string
 
+	// zonesChanged receives a value when the set of evacuated zones has changed. zones is the
+	// set at the last change. Only noteEvacuations accesses it.
+	zonesChanged chan struct{}
+	zones        gypsumtide.Evacuations
+
 	mu sync.Mutex
 	// inProgress holds the addresses with which an exchange is in progress.
 	inProgress map[string]bool
@@ -101,12 +109,14 @@
 // NewPeers returns the Peers of the entry with the given name and ownAddress. The entry
 // exchanges messages with the addresses in entries, and adds those that it learns of.
 func NewPeers(name, ownAddress string, entries *link.Addresses, holder *TableHolder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log gypsumtide.DecisionLogger) *Peers {
-	return &Peers{
+	p := &Peers{
 		ownAddress: ownAddress, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
-		clock: clock, log: log, startedAt: clock.Now(), ahead: make(chan string, 1), inProgress: make(map[string]bool),
+		clock: clock, log: log, startedAt: clock.Now(), ahead: make(chan string, 1), zonesChanged: make(chan struct{}, 1), inProgress: make(map[string]bool),
 		queued: func() map[string]int { return nil }, usage: newStoredUsage(), queueCounts: make(map[string]peerCounts),
 		client: link.NewClient(exchangeTimeout, maxPeerConnections, maxTableBytes),
 	}
+	holder.OnEvacuations(p.noteEvacuations)
+	return p
 }
 
 // Run exchanges messages with the other entries, reads the directory and renews this entry's
@@ -126,6 +136,10 @@
 				return g.Wait()
 			case address := <-p.ahead:
 				p.startExchange(g, address)
+			case <-p.zonesChanged:
+				// An evacuation must reach all entries within its bound, also those that
+				// cannot reach the store.
+				waiting = false
 			case <-ticker.C:
 				waiting = false
 			}
@@ -225,11 +239,12 @@
 
 func (p *Peers) message() peerMessage {
 	active, _ := p.usage.Active()
-	return peerMessage{Address: p.ownAddress, Version: p.holder.Version(), Entries: p.entries.Shareable(), Stored: active, Queued: p.queued()}
+	return peerMessage{Address: p.ownAddress, Version: p.holder.Version(), Entries: p.entries.Shareable(), Stored: active, Queued: p.queued(), Evacuations: p.holder.Evacuations()}
 }
 
 // exchangeWith exchanges messages with another entry, and fetches the route table of that
-// entry if it is newer than the table of this entry.
+// entry if it is newer than the table of this entry. The evacuations of that entry are
+// adopted before.
 func (p *Peers) exchangeWith(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
 	defer cancel()
@@ -252,8 +267,12 @@
 }
 
 // applyMessage processes a message of the entry at the address: it updates the known
-// addresses, whether stored jobs are in use, and the queue counts of that entry.
+// addresses, the evacuations, whether stored jobs are in use, and the queue counts of that
+// entry.
 func (p *Peers) applyMessage(address string, m *peerMessage) {
+	// Unlike a table, a set is adopted before the store has been read: the entry would
+	// otherwise know of no evacuation at all.
+	p.holder.OfferEvacuations(m.Evacuations, address)
 	p.entries.Confirm(address)
 	for _, a := range m.Entries {
 		p.entries.Add(a)
@@ -271,9 +290,27 @@
 }
 
 // acceptsPeerTables reports whether a table may be fetched from a peer. A starting entry
-// without a table tries the store first, since a peer may have lost the store.
+// without a table tries the store first, since a peer may have lost the store, and takes no
+// table before it knows the evacuations.
 func (p *Peers) acceptsPeerTables() bool {
-	return p.holder.Table() != nil || p.clock.Now()-p.startedAt > peerTableDelay
+	if p.holder.Table() != nil {
+		return true
+	}
+	return p.clock.Now()-p.startedAt > peerTableDelay && p.holder.Evacuations().Version > 0
+}
+
+// noteEvacuations requests exchanges with other entries if the set of evacuated zones has
+// changed. A version that rises without a change waits for the next interval.
+func (p *Peers) noteEvacuations(e gypsumtide.Evacuations) {
+	if e.SameZones(p.zones) {
+		return
+	}
+	p.zones = e
+	select {
+	case p.zonesChanged <- struct{}{}:
+	default:
+		// A request is pending already.
+	}
 }
 
 func (p *Peers) sendMessage(ctx context.Context, address string) (peerMessage, error) {
--- a/internal/routing/poller.go
+++ b/internal/routing/poller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"gypsumtide"
 )
@@ -25,7 +26,7 @@
 	rereadInterval gypsumtide.Millis = 10_000
 )
 
-// Poller reads the published tables from the store.
+// Poller reads the published tables and the evacuations from the store.
 type Poller struct {
 	source gypsumtide.TableSource
 	holder *TableHolder
@@ -33,19 +34,24 @@
 	log    gypsumtide.DecisionLogger
 	// unavailable is set while reads fail. Only the goroutine of Run accesses it.
 	unavailable bool
+	// evacuations is the set at the position from which the next read continues, and
+	// skipped the last logged text about records that name no valid zone. Only the goroutine
+	// of Run accesses them.
+	evacuations gypsumtide.Evacuations
+	skipped     string
 }
 
-// NewPoller returns a Poller that offers tables to holder.
+// NewPoller returns a Poller that offers tables and evacuations to holder.
 func NewPoller(source gypsumtide.TableSource, holder *TableHolder, clock gypsumtide.Clock, log gypsumtide.DecisionLogger) *Poller {
 	return &Poller{source: source, holder: holder, clock: clock, log: log}
 }
 
-// Run reads new tables until ctx is done.
+// Run reads new records until ctx is done.
 func (p *Poller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		position, err := p.readNewest(ctx)
+		err := p.readNewest(ctx)
 		if err == nil {
-			err = p.follow(ctx, position)
+			err = p.follow(ctx)
 		}
 		p.logAvailability(err)
 		if err != nil {
@@ -55,24 +61,26 @@
 	return ctx.Err()
 }
 
-func (p *Poller) readNewest(ctx context.Context) (uint64, error) {
+func (p *Poller) readNewest(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, transferTimeout.Duration())
 	defer cancel()
-	raw, position, err := p.source.Newest(callCtx)
+	read, err := p.source.Newest(callCtx)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	p.offer(raw)
-	return position, nil
+	p.evacuations = gypsumtide.Evacuations{}
+	p.offer(read)
+	return nil
 }
 
-// follow reads the tables from position on, until a read fails or rereadInterval has passed.
-// If the position is no longer retained, it returns nil, so that Run reads the newest table.
-func (p *Poller) follow(ctx context.Context, position uint64) error {
+// follow reads the records after those already read, until a read fails or rereadInterval has
+// passed. If they are no longer retained, it returns nil, so that Run reads the newest ones.
+func (p *Poller) follow(ctx context.Context) error {
 	begin := p.clock.Now()
 	for ctx.Err() == nil && p.clock.Now()-begin < rereadInterval {
 		callCtx, cancel := context.WithTimeout(ctx, (longPollTimeout + transferTimeout).Duration())
-		raw, next, err := p.source.Next(callCtx, position, longPollTimeout)
+		position := p.evacuations.Version
+		read, err := p.source.Next(callCtx, position, longPollTimeout)
 		cancel()
 		var trimmed *gypsumtide.TrimmedError
 		if errors.As(err, &trimmed) {
@@ -83,22 +91,37 @@
 			return err
 		}
 		p.logAvailability(nil)
-		p.offer(raw)
-		position = next
+		p.offer(read)
 	}
 	return nil
 }
 
-func (p *Poller) offer(raw []byte) {
-	if raw == nil {
+// offer offers what a read has returned to the holder: the evacuations first, so that no
+// table is used without them.
+func (p *Poller) offer(read gypsumtide.OperatorRead) {
+	p.evacuations = p.evacuations.Apply(read.Evacuations, read.Next)
+	p.holder.OfferEvacuations(p.evacuations, "store")
+	p.logSkipped(read.Skipped)
+	if read.Table == nil {
 		return
 	}
-	t, err := p.source.Decode(raw)
+	t, err := p.source.Decode(read.Table)
 	if err != nil {
-		p.log.Decision("routes-rejected", "error", err.Error(), "bytes", len(raw))
+		p.log.Decision("routes-rejected", "error", err.Error(), "bytes", len(read.Table))
+		return
+	}
+	p.holder.Offer(t, read.Table, "store")
+}
+
+// logSkipped logs records about evacuations that name no valid zone. Since the newest
+// records are read again and again, the same text is logged once.
+func (p *Poller) logSkipped(skipped []string) {
+	text := strings.Join(skipped, ", ")
+	if text == "" || text == p.skipped {
 		return
 	}
-	p.holder.Offer(t, raw, "store")
+	p.skipped = text
+	p.log.Decision("evacuation-skipped", "records", text)
 }
 
 // logAvailability logs when the store becomes unavailable and when it becomes available
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -25,12 +25,14 @@
 func (discardLogger) Decision(string, ...any) {}
 
 // testSource is a table source whose encoded tables consist of their version. If fail is
-// set, reads fail; if trimmed is set, Next returns a TrimmedError.
+// set, reads fail; if trimmed is set, Next returns a TrimmedError. Each read lists all
+// evacuated zones.
 type testSource struct {
 	mu      sync.Mutex
 	version uint64
 	fail    bool
 	trimmed bool
+	changes []gypsumtide.EvacuationChange
 }
 
 func (s *testSource) set(version uint64, fail, trimmed bool) {
@@ -39,26 +41,25 @@
 	s.version, s.fail, s.trimmed = version, fail, trimmed
 }
 
-func (s *testSource) Newest(context.Context) ([]byte, uint64, error) {
+func (s *testSource) Newest(context.Context) (gypsumtide.OperatorRead, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail {
-		return nil, 0, errors.New("store is down")
+		return gypsumtide.OperatorRead{}, errors.New("store is down")
 	}
 	raw, err := json.Marshal(s.version)
-	return raw, s.version, err
+	return gypsumtide.OperatorRead{Table: raw, Evacuations: s.changes, Next: s.version}, err
 }
 
-func (s *testSource) Next(ctx context.Context, position uint64, _ gypsumtide.Millis) ([]byte, uint64, error) {
+func (s *testSource) Next(ctx context.Context, position uint64, _ gypsumtide.Millis) (gypsumtide.OperatorRead, error) {
 	gypsumtide.Sleep(ctx, 5)
 	s.mu.Lock()
 	trimmed := s.trimmed
 	s.mu.Unlock()
 	if trimmed {
-		return nil, position, &gypsumtide.TrimmedError{First: position + 1}
+		return gypsumtide.OperatorRead{Next: position}, &gypsumtide.TrimmedError{First: position + 1}
 	}
-	raw, next, err := s.Newest(ctx)
-	return raw, next, err
+	return s.Newest(ctx)
 }
 
 func (s *testSource) Decode(raw []byte) (*gypsumtide.RouteTable, error) {
--- a/internal/routing/thin_link_test.go
+++ b/internal/routing/thin_link_test.go
@@ -103,16 +103,16 @@
 	transfer gypsumtide.Millis
 }
 
-func (s *slowSource) Next(ctx context.Context, position uint64, wait gypsumtide.Millis) ([]byte, uint64, error) {
+func (s *slowSource) Next(ctx context.Context, position uint64, wait gypsumtide.Millis) (gypsumtide.OperatorRead, error) {
 	if !gypsumtide.Sleep(ctx, s.transfer) {
-		return nil, position, ctx.Err()
+		return gypsumtide.OperatorRead{Next: position}, ctx.Err()
 	}
 	return s.testSource.Next(ctx, position, wait)
 }
 
-func (s *slowSource) Newest(ctx context.Context) ([]byte, uint64, error) {
+func (s *slowSource) Newest(ctx context.Context) (gypsumtide.OperatorRead, error) {
 	if !gypsumtide.Sleep(ctx, s.transfer) {
-		return nil, 0, ctx.Err()
+		return gypsumtide.OperatorRead{}, ctx.Err()
 	}
 	return s.testSource.Newest(ctx)
 }
--- a/route.go
+++ b/route.go
@@ -78,17 +78,28 @@
 	return best
 }
 
-// TableSource provides the published route tables. Its calls fail when the source stops
-// answering. How long they take otherwise depends on the size of the table and the
-// bandwidth.
+// OperatorRead is the result of a read of the operator's log.
+type OperatorRead struct {
+	// Table is the newest encoded route table among the records read, or nil.
+	Table []byte
+	// Evacuations lists the changes of the evacuated zones in the order of the records.
+	Evacuations []EvacuationChange
+	// Skipped describes the records about evacuations that name no valid zone.
+	Skipped []string
+	// Next is the position from which to continue. The changes lead to the set of evacuated
+	// zones of this version.
+	Next uint64
+}
+
+// TableSource provides the route tables and the evacuations that the operator has
+// published. Its calls fail when the source stops answering. How long they take otherwise
+// depends on the size of the table and the bandwidth.
 type TableSource interface {
-	// Newest returns the newest table, or nil if none has been published, and the
-	// position from which Next continues.
-	Newest(ctx context.Context) (raw []byte, position uint64, err error)
-	// Next waits up to wait for a table published at or after position. It returns
-	// no table if there is none, and a *TrimmedError if the position is no longer
-	// retained.
-	Next(ctx context.Context, position uint64, wait Millis) (raw []byte, next uint64, err error)
+	// Newest returns the newest table and all evacuated zones, as changes of an empty set.
+	Newest(ctx context.Context) (OperatorRead, error)
+	// Next waits up to wait for records at or after position, and returns what they
+	// change. It returns a *TrimmedError if the position is no longer retained.
+	Next(ctx context.Context, position uint64, wait Millis) (OperatorRead, error)
 	// Decode decodes and validates a published table.
 	Decode(raw []byte) (*RouteTable, error)
 }
