runner: no starts while the worker's availability zone is evacuated

The agent makes the final check, because it alone calls its worker: it keeps the newest set of all entries, returns waiting orders with the reason zone-evacuated, rejects new ones, drops start calls that have not been sent, and lets runs end. It reports that the gate is closed and the version of its set, so that an entry with a newer set can correct it.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -448,11 +448,22 @@
 }
 
 func (a *Agent) callStart(ctx context.Context, c StartCall) {
+	if a.dropBlockedStart(c) {
+		return
+	}
 	clock, err := a.client().Start(ctx, c.Incarnation, c.Order)
 	a.metrics.countWorkerCall("start", err)
 	a.update(func(now gypsumtide.Millis) { a.state.StartAnswered(now, c, clock, err) })
 }
 
+// dropBlockedStart reports whether a start call must not be sent because the worker's zone
+// has been evacuated since the call was queued.
+func (a *Agent) dropBlockedStart(c StartCall) bool {
+	drop := false
+	a.update(func(gypsumtide.Millis) { drop = a.state.DropBlockedStart(c) })
+	return drop
+}
+
 func (a *Agent) callStop(ctx context.Context, c StopCall) {
 	err := a.client().Stop(ctx, c.Incarnation, c.Ref, c.Fence)
 	a.metrics.countWorkerCall("stop", err)
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -42,6 +42,21 @@
 		defer a.mu.Unlock()
 		return float64(len(a.sessions))
 	})
+	evacuationGauge := func(name string, value func(s *State) float64) {
+		set.NewGauge(name, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return value(a.state)
+		})
+	}
+	evacuationGauge("gypsumtide_agent_evacuations_version", func(s *State) float64 { return float64(s.Evacuations().Version) })
+	evacuationGauge("gypsumtide_agent_evacuated_zones", func(s *State) float64 { return float64(len(s.Evacuations().Zones)) })
+	evacuationGauge("gypsumtide_agent_starts_blocked", func(s *State) float64 {
+		if s.StartsBlocked() {
+			return 1
+		}
+		return 0
+	})
 	return m
 }
 
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -94,6 +94,8 @@
 		return "no-worker"
 	case s.info.Draining:
 		return "worker-drains"
+	case s.startsBlocked:
+		return ReasonZoneEvacuated
 	case o.Incarnation != s.incarnation:
 		return "other-life"
 	case o.Size.Validate() != nil:
@@ -220,8 +222,12 @@
 }
 
 // expireQueue returns the waiting orders that have expired, or all of them while a sync is
-// overdue.
+// overdue or starts are blocked.
 func (s *State) expireQueue(now gypsumtide.Millis) {
+	if s.startsBlocked {
+		s.returnQueue(ReasonZoneEvacuated)
+		return
+	}
 	if s.syncOverdue(now) {
 		s.returnQueue("worker-silent")
 		return
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -172,11 +172,32 @@
 	a.log.Decision("entry-lost", "entry", owner, "error", gypsumtide.ErrorText(err), "runs", len(a.state.RunsOf(owner)))
 }
 
+// setEvacuations passes a set of evacuated zones to the state, and tells all entries at once
+// if the worker accepts orders no longer, or again. The set counts whichever session it comes
+// from.
+func (a *Agent) setEvacuations(e gypsumtide.Evacuations) {
+	a.update(func(now gypsumtide.Millis) {
+		blocked := a.state.StartsBlocked()
+		a.state.SetEvacuations(now, e)
+		a.loadChanged = true // Entries use the version, see WorkerReport.EvacuationsVersion.
+		if a.state.StartsBlocked() == blocked {
+			return
+		}
+		for owner, s := range a.sessions {
+			a.sendFrame(now, owner, s, func(*wire.Frame) {})
+		}
+	})
+}
+
 // handleFrame processes a frame from an entry.
 func (a *Agent) handleFrame(owner Owner, s *wire.Session, f *wire.Frame) error {
 	for _, address := range f.Entries {
 		a.entries.Add(address)
 	}
+	if f.Evacuations != nil {
+		// An echo permits starts, so the set that comes with it or before it goes first.
+		a.setEvacuations(*f.Evacuations)
+	}
 	a.mu.Lock()
 	if a.sessions[owner] == s {
 		a.state.EchoReceived(owner, f.Echo)
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -142,6 +142,10 @@
 	replacedAt gypsumtide.Millis
 	// known is set when info describes the worker's current incarnation.
 	known bool
+	// evacuations is the newest set of evacuated availability zones that any entry has sent.
+	evacuations gypsumtide.Evacuations
+	// startsBlocked is set while the zone of the known worker is evacuated.
+	startsBlocked bool
 	// leaving is set once the worker has deregistered, until none of its runs is left.
 	leaving bool
 	// fence is the current fencing token.
@@ -326,7 +330,7 @@
 
 // AcceptsStarts reports whether runs may be started on the worker now.
 func (s *State) AcceptsStarts() bool {
-	return s.known && !s.leaving && !s.syncing && !s.withholdLease && !s.draining && !s.info.Draining
+	return s.known && !s.leaving && !s.syncing && !s.withholdLease && !s.draining && !s.info.Draining && !s.startsBlocked
 }
 
 // Incarnation returns the current incarnation of the worker, or a zero value if there is
@@ -354,7 +358,8 @@
 func (s *State) WorkerReport(now gypsumtide.Millis) wire.WorkerReport {
 	r := wire.WorkerReport{
 		Incarnation: s.incarnation, Service: s.info.Service, Zone: s.info.Zone, Labels: s.info.Labels,
-		Accepting: s.known && !s.leaving && !s.withholdLease && !s.draining && !s.info.Draining && !s.syncOverdue(now), EarlierRunsEnded: s.earlierRunsEnded && !s.withholdLease,
+		Accepting:        s.known && !s.leaving && !s.withholdLease && !s.draining && !s.info.Draining && !s.startsBlocked && !s.syncOverdue(now),
+		EarlierRunsEnded: s.earlierRunsEnded && !s.withholdLease, EvacuationsVersion: s.evacuationsVersion(), ZoneEvacuated: s.startsBlocked,
 	}
 	if s.known {
 		r.Capacity = s.info.Capacity
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -68,12 +68,20 @@
 	// EarlierRunsEnded is set once all runs that an earlier incarnation of the agent
 	// has started on the worker have ended.
 	EarlierRunsEnded bool `cbor:"7,keyasint,omitempty"`
+	// EvacuationsVersion is the version of the agent's set of evacuated zones if the set
+	// names any zone, and otherwise 0. An entry with a newer set sends it, so that an agent
+	// does not keep an evacuation that has ended.
+	EvacuationsVersion uint64 `cbor:"8,keyasint,omitempty"`
+	// ZoneEvacuated is set while the agent starts nothing because the worker's zone is
+	// evacuated.
+	ZoneEvacuated bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Equal reports whether r and o have the same content.
 func (r *WorkerReport) Equal(o *WorkerReport) bool {
 	return r.Incarnation == o.Incarnation && r.Service == o.Service && r.Zone == o.Zone && r.Capacity == o.Capacity &&
-		r.Accepting == o.Accepting && r.EarlierRunsEnded == o.EarlierRunsEnded && slices.Equal(r.Labels, o.Labels)
+		r.Accepting == o.Accepting && r.EarlierRunsEnded == o.EarlierRunsEnded && r.EvacuationsVersion == o.EvacuationsVersion &&
+		r.ZoneEvacuated == o.ZoneEvacuated && slices.Equal(r.Labels, o.Labels)
 }
 
 // LoadReport is the load of an agent's worker. It is sent far more often than a
