dispatch: evacuated zones are excluded, and come back by a slow start

A worker in an evacuated zone is not usable, so placement, admission, the counts and the backlog leave it out at once. A job that only such workers could serve is refused, or aborted after its runs have ended if it has started; stored jobs wait. After an evacuation an entry uses a quarter to all of the zone's workers over one second, but delays a task only within its slack. Agents get the set when a session begins and at once on a change, and an agent that reports an older set is corrected.

--- a/internal/dispatch/agent_session.go
+++ b/internal/dispatch/agent_session.go
@@ -15,6 +15,10 @@
 	*wire.Session
 	sent   agentNotice
 	sentAt gypsumtide.Millis
+	// sentEvacuations is the last set of evacuated zones that was sent. reportedEvacuations is
+	// the version of the agent's own set if that names any zone, and otherwise 0.
+	sentEvacuations     gypsumtide.Evacuations
+	reportedEvacuations uint64
 }
 
 // agentNotice is what an agent is told about the entries.
@@ -51,6 +55,19 @@
 	})
 }
 
+// sendEvacuations sends the agent the set of evacuated zones, unless it can do without: no
+// zone is evacuated as far as this entry and the agent know, or the set was sent before. A
+// newer version of the same zones is sent too, since an agent that knows only the old version
+// would believe an entry that has missed the evacuation.
+func (s *agentSession) sendEvacuations(e gypsumtide.Evacuations) {
+	outdated := s.reportedEvacuations > 0 && e.Version > s.reportedEvacuations
+	if !e.Newer(s.sentEvacuations) || len(e.Zones) == 0 && len(s.sentEvacuations.Zones) == 0 && !outdated {
+		return
+	}
+	s.sentEvacuations = e
+	s.Update(func(f *wire.Frame) { f.Evacuations = &e })
+}
+
 // similar reports whether the notices have the same entries and nearly the same numbers.
 func (n *agentNotice) similar(o *agentNotice) bool {
 	return slices.Equal(n.entries, o.entries) && similarNumbers(float64(n.reportInterval), float64(o.reportInterval)) &&
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -234,7 +234,12 @@
 
 // SetEvacuations replaces the set of evacuated availability zones if e is newer.
 func (d *Dispatcher) SetEvacuations(e gypsumtide.Evacuations) {
-	d.update(func(now gypsumtide.Millis) { d.state.SetEvacuations(now, e) })
+	d.update(func(now gypsumtide.Millis) {
+		d.state.SetEvacuations(now, e)
+		for _, s := range d.sessions {
+			s.sendEvacuations(d.state.Evacuations())
+		}
+	})
 }
 
 // Run performs the periodic work of the state, and keeps the agents informed about the
@@ -282,7 +287,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	as := &agentSession{Session: s}
-	as.notify(d.clock.Now(), agentNotice{entries: d.addresses.Shareable()})
+	d.update(func(now gypsumtide.Millis) {
+		as.sendEvacuations(d.state.Evacuations())
+		as.notify(now, agentNotice{entries: d.addresses.Shareable()})
+	})
 	err = s.Run(ctx, func(f *wire.Frame) error { return d.receive(id, as, f) })
 	d.disconnect(id, as, err)
 }
@@ -316,6 +324,9 @@
 				old.Close()
 			}
 			d.sessions[id] = s
+			// The set may have changed since the session was accepted. From now on
+			// SetEvacuations sends changes.
+			s.sendEvacuations(d.state.Evacuations())
 		}
 		if d.sessions[id] != s {
 			return
@@ -331,6 +342,8 @@
 		}
 		if f.Worker != nil {
 			d.state.UpdateWorker(now, id, *f.Worker)
+			s.reportedEvacuations = f.Worker.EvacuationsVersion
+			s.sendEvacuations(d.state.Evacuations())
 		}
 		if f.WorkerLoad != nil {
 			d.state.UpdateLoad(now, id, f.WorkerLoad)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -26,6 +26,11 @@
 		defer d.mu.Unlock()
 		return float64(len(d.sessions))
 	})
+	set.NewGauge("gypsumtide_entry_evacuated_workers", func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(d.state.evacuatedWorkers)
+	})
 	// The metric shows the share of its slack for which a job may currently wait.
 	set.NewGauge("gypsumtide_entry_patience", func() float64 {
 		d.mu.Lock()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -85,6 +85,7 @@
 	j := t.job
 	step := &j.steps[t.step]
 	expected := float64(s.expected(j, t.step))
+	limited := s.limitsShares(t)
 	var c choice
 	for w := range s.candidateWorkers(t) {
 		if !w.usable() || !w.suits(j.route.Service, step) || !s.withinMaxPerWorker(j, t.step, w) {
@@ -92,6 +93,9 @@
 		}
 		c.candidates++
 		e := w.estimateCost(s.zone, step, j.route.Priority, expected, s.remoteFactor)
+		if limited {
+			e = w.limitShare(e, j.route.Priority, step.Size)
+		}
 		e.cost += tieBreak(t, w)
 		if t.avoidWorker == w.id {
 			e.cost += avoidCost
@@ -207,6 +211,9 @@
 // order was returned unstarted, and on each tick while a task is ready. If one of the tasks
 // can no longer start in time, the job is refused.
 func (s *State) replanJob(now gypsumtide.Millis, j *job) {
+	if s.endUnservable(now, j) {
+		return
+	}
 	for _, t := range j.tasks {
 		if t.phase != taskReady {
 			continue
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -82,7 +82,7 @@
 func (s *State) ensureWorker(id WorkerID) *worker {
 	w, ok := s.workers[id]
 	if !ok {
-		w = &worker{id: id, hash: xxhash.Sum64String(id.Agent), slowness: 1, tasks: make(map[gypsumtide.RunRef]*task)}
+		w = &worker{id: id, hash: xxhash.Sum64String(id.Agent), slowness: 1, share: 1, tasks: make(map[gypsumtide.RunRef]*task)}
 		s.workers[id] = w
 		s.workerList = append(s.workerList, w)
 	}
@@ -105,6 +105,7 @@
 			"capacity", r.Capacity.Processors)
 	}
 	w.report = r
+	s.updateEvacuated(now, w)
 	w.updateSlowness()
 	if r.EarlierRunsEnded {
 		s.dropEarlierIncarnations(now, id)
@@ -148,6 +149,9 @@
 func (s *State) removeWorker(now gypsumtide.Millis, w *worker, reason string) {
 	s.endLostRuns(now, w, reason, func(*task) bool { return true })
 	delete(s.workers, w.id)
+	if w.evacuated {
+		s.evacuatedWorkers--
+	}
 	s.workerList = slices.DeleteFunc(s.workerList, func(x *worker) bool { return x == w })
 	s.log.Decision("agent-gone", "worker", w.id, "reason", reason)
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -66,6 +66,12 @@
 	backlog    backlog
 	// evacuations is the newest set of evacuated availability zones.
 	evacuations gypsumtide.Evacuations
+	// evacuatedWorkers is the number of workers in evacuated zones.
+	evacuatedWorkers int
+	// slowStarts holds the times at which the evacuations of zones ended, until their
+	// workers are fully used. slowStartNow is the time of the last update of the shares.
+	slowStarts   map[string]gypsumtide.Millis
+	slowStartNow gypsumtide.Millis
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
 }
@@ -74,7 +80,7 @@
 func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log gypsumtide.DecisionLogger) *State {
 	return &State{
 		startedAt: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
-		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(),
+		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(), slowStarts: make(map[string]gypsumtide.Millis),
 	}
 }
 
@@ -141,6 +147,10 @@
 	expectedTime := j.criticalPath(func(step int) gypsumtide.Millis { return s.expected(j, step) })
 	j.objective = now + j.route.Objective(expectedTime)
 	s.jobs[j.id] = j
+	if s.unservable(now, j) {
+		s.answer(now, j, s.evacuationRefusal(j))
+		return
+	}
 	if refusal, ok := s.admit(now, j); !ok {
 		s.answer(now, j, refusal)
 		return
@@ -246,6 +256,10 @@
 	}
 	s.logInconclusiveEnd(now, t, r)
 	s.removeRun(w, t)
+	if r.Reason == runner.ReasonZoneEvacuated {
+		// The agent's description of its worker may be in the same frame, after this report.
+		w.report.Accepting = false
+	}
 	if t.job.stored && r.End.Conclusive() {
 		s.recordEnd(t, r)
 		return
@@ -428,6 +442,7 @@
 // worker could start at once, and stops stalled runs so that their tasks are retried.
 func (s *State) Tick(now gypsumtide.Millis) {
 	s.expireLostAgents(now)
+	s.updateSlowStarts(now)
 	s.backlog.update(now, s.waitingShare())
 	s.recallBudget = s.countFreeWorkers()
 	for _, j := range s.jobsByUrgency() {
@@ -448,6 +463,7 @@
 		switch {
 		case t.phase == taskReady && !j.started && !j.stored:
 			s.replanJob(now, j)
+		case t.phase == taskReady && s.endUnservable(now, j):
 		case t.phase == taskReady:
 			s.place(now, t)
 		case t.phase == taskOrdered && !j.started && now-t.orderedAt >= presumedStartDelay:
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -30,6 +30,10 @@
 	// priority.
 	ownRunning gypsumtide.Size
 	ownWaiting []queuedLoad
+	// evacuated is set while the worker's availability zone is evacuated. share is the part
+	// of its capacity that is used, which is below 1 for a while after an evacuation.
+	evacuated bool
+	share     float64
 	// learned is the slowness learned from completed steps.
 	learned learnedSlowness
 	// slowness is the expected run time relative to an average worker. 1 is average.
@@ -45,7 +49,7 @@
 }
 
 // usable reports whether the worker accepts orders.
-func (w *worker) usable() bool { return w.connected && w.report.Accepting }
+func (w *worker) usable() bool { return w.connected && w.report.Accepting && !w.evacuated }
 
 // queuedLoad is the size of the queued orders of one priority.
 type queuedLoad struct {
@@ -137,7 +141,12 @@
 // waitBehind returns the expected time in milliseconds until a task of the size fits on the
 // worker if the load goes before it.
 func (w *worker) waitBehind(load, size gypsumtide.Size) float64 {
-	capacity := w.report.Capacity
+	return expectedWait(w.report.Capacity, load, size)
+}
+
+// expectedWait returns the expected time in milliseconds until a task of the size fits into
+// the capacity if the load goes before it.
+func expectedWait(capacity, load, size gypsumtide.Size) float64 {
 	deficit := load.Add(size).Sub(capacity)
 	share := max(
 		ratio(deficit.Processors, capacity.Processors),
