dispatch, runner: tests of the evacuation, benchmark of a placement

The gate of an agent depends on its set and the zone that its worker last reported only, so that it stays closed between two incarnations.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -46,3 +46,33 @@
 		s.UpdateLoad(1, workerID(0), g.WorkerLoad)
 	}
 }
+
+// BenchmarkPlacement measures the choice of a worker among 64 for one task, in ordinary times,
+// while a quarter of them is evacuated, and during the slow start of these.
+func BenchmarkPlacement(b *testing.B) {
+	const workers = 64
+	evacuated := gypsumtide.Evacuations{Version: 1, Zones: []string{"a"}}
+	for name, prepare := range map[string]func(s *State){
+		"ordinary":  func(*State) {},
+		"evacuated": func(s *State) { s.SetEvacuations(0, evacuated) },
+		"slow-start": func(s *State) {
+			s.SetEvacuations(0, evacuated)
+			s.SetEvacuations(0, gypsumtide.Evacuations{Version: 2})
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			s := newTestState(workers)
+			for i := range workers / 4 {
+				s.UpdateWorker(0, workerID(i), zoneReport(i, "a"))
+			}
+			prepare(s)
+			s.Submit(0, submission("a", 1, 50, 0))
+			t := s.jobs["a"].tasks[0]
+			for b.Loop() {
+				if c := s.choose(t); c.worker == nil {
+					b.Fatal("no worker")
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
@@ -104,7 +108,7 @@
 
 		Convey("The agent returns the order and the entry places it in the other zone", func() {
 			s.SetEvacuations(1, evacuated(7, "a"))
-			agent.SetEvacuations(1, evacuated(7, "a"))
+			agent.SetEvacuations(evacuated(7, "a"))
 			agent.Submit(2, "entry", orderOf(first[workerID(0)][0]), 2)
 			e := agent.TakeEffects()
 			So(e.Starts, ShouldBeEmpty)
@@ -268,11 +272,11 @@
 			s.HandleReport(4, workerID(0), back)
 			refused(s.TakeEffects().Answers["a"])
 			agent := newZonedAgent("a")
-			agent.SetEvacuations(2, evacuated(7, "a"))
+			agent.SetEvacuations(evacuated(7, "a"))
 			for _, ref := range orders {
 				agent.Submit(5, "entry", orderOf(ref), 5)
 			}
-			agent.SetEvacuations(100, evacuated(8))
+			agent.SetEvacuations(evacuated(8))
 			agent.Tick(120)
 			So(agent.TakeEffects().Starts, ShouldBeEmpty)
 		})
@@ -338,6 +342,11 @@
 			resume(0)
 			So(sent(), ShouldResemble, &gypsumtide.Evacuations{Version: 7, Zones: []string{"a"}})
 		})
+		Convey("So is one whose first frame does not describe the worker", func() {
+			d.SetEvacuations(evacuated(7, "a"))
+			receive(&wire.Frame{Resume: &wire.Resume{Complete: true, Session: 1}})
+			So(sent().Version, ShouldEqual, 7)
+		})
 		Convey("A change is sent at once, and so is its end, once", func() {
 			resume(0)
 			So(sent(), ShouldBeNil)
@@ -382,6 +391,28 @@
 	})
 }
 
+// Guards against orders that an agent starts because the set reaches it only after the session
+// has been resumed.
+func TestSetInFirstFrame(t *testing.T) {
+	Convey("The first frame after the handshake has the set", t, func() {
+		clock := &fixedClock{}
+		d := New(Config{Name: "entry", Zone: "z", Lease: 1000}, clock, discardLogger{}, metrics.NewSet(), link.NewAddresses(nil, clock))
+		d.SetEvacuations(evacuated(7, "a"))
+		server := httptest.NewServer(http.HandlerFunc(d.ServeAgent))
+		defer server.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		s, err := link.Dial(ctx, server.Listener.Addr().String(), clock)
+		So(err, ShouldBeNil)
+		defer s.Close()
+		_, err = link.ClientHandshake(ctx, s, wire.Hello{Kind: "agent", Name: "agent-0", Incarnation: "a"})
+		So(err, ShouldBeNil)
+		f, err := s.ReadFrame(ctx)
+		So(err, ShouldBeNil)
+		So(f.Evacuations, ShouldResemble, &gypsumtide.Evacuations{Version: 7, Zones: []string{"a"}})
+	})
+}
+
 // fixedClock is a clock that stands still.
 type fixedClock struct{}
 
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -7,12 +7,12 @@
 
 // SetEvacuations replaces the set of evacuated availability zones if e is newer. The set
 // belongs to no session: it stays when the one that brought it ends.
-func (s *State) SetEvacuations(now gypsumtide.Millis, e gypsumtide.Evacuations) {
+func (s *State) SetEvacuations(e gypsumtide.Evacuations) {
 	if !e.Newer(s.evacuations) {
 		return
 	}
 	s.evacuations = e
-	s.updateStartsBlocked(now)
+	s.updateStartsBlocked()
 }
 
 // Evacuations returns the newest set of evacuated availability zones.
@@ -23,9 +23,11 @@
 func (s *State) StartsBlocked() bool { return s.startsBlocked }
 
 // updateStartsBlocked blocks starts if the worker's zone is evacuated, and returns the
-// waiting orders, or unblocks them. It is called when the set or the worker changes.
-func (s *State) updateStartsBlocked(now gypsumtide.Millis) {
-	blocked := s.known && s.evacuations.Contains(s.info.Zone)
+// waiting orders, or unblocks them. It is called when the set or the worker changes. Between
+// two incarnations of the worker the zone of the former one counts, since calls to it may
+// remain.
+func (s *State) updateStartsBlocked() {
+	blocked := s.evacuations.Contains(s.info.Zone)
 	if blocked == s.startsBlocked {
 		return
 	}
@@ -37,15 +39,13 @@
 		return
 	}
 	s.log.Decision("starts-unblocked", "zone", s.info.Zone, "version", s.evacuations.Version, "life", s.incarnation)
-	s.startWaiting(now)
 }
 
 // DropBlockedStart reports whether a start call that has not been sent yet must not be sent
 // any more because starts are blocked, and returns its order. Calls may wait for their turn
 // while the worker answers slowly.
 func (s *State) DropBlockedStart(call StartCall) bool {
-	// Not startsBlocked: between two incarnations of a worker, calls to the old one remain.
-	if !s.evacuations.Contains(s.info.Zone) {
+	if !s.startsBlocked {
 		return false
 	}
 	r, ok := s.runs[call.Order.Ref]
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -51,7 +51,7 @@
 		Convey("Its zone's evacuation returns the waiting order, rejects new ones, and lets the runs end", func() {
 			s.StartAnswered(4, starts[0], 5001, nil)
 			s.StartAnswered(4, starts[1], 5001, nil)
-			s.SetEvacuations(5, evacuated(7, "a"))
+			s.SetEvacuations(evacuated(7, "a"))
 			e := s.TakeEffects()
 			So(reportTexts(e), ShouldResemble, []string{"2 not-started zone-evacuated"})
 			So(e.Stops, ShouldBeEmpty)
@@ -73,7 +73,7 @@
 			So(reportTexts(e), ShouldResemble, []string{"0 done "})
 
 			Convey("and its end lets orders start again", func() {
-				s.SetEvacuations(90, evacuated(8))
+				s.SetEvacuations(evacuated(8))
 				So(s.WorkerReport(90).Accepting, ShouldBeTrue)
 				So(s.WorkerReport(90).EvacuationsVersion, ShouldEqual, 0)
 				s.EchoReceived("entry", 90)
@@ -83,23 +83,36 @@
 		})
 
 		Convey("The evacuation of another zone changes nothing", func() {
-			s.SetEvacuations(5, evacuated(7, "b"))
+			s.SetEvacuations(evacuated(7, "b"))
 			So(reportTexts(s.TakeEffects()), ShouldBeEmpty)
 			So(s.WorkerReport(5).Accepting, ShouldBeTrue)
 			So(s.WorkerReport(5).EvacuationsVersion, ShouldEqual, 7)
 		})
 
 		Convey("Each of two evacuated zones follows its own record", func() {
-			s.SetEvacuations(5, evacuated(7, "a", "b"))
-			s.SetEvacuations(6, evacuated(8, "a"))
+			s.SetEvacuations(evacuated(7, "a", "b"))
+			s.SetEvacuations(evacuated(8, "a"))
 			So(s.StartsBlocked(), ShouldBeTrue)
-			s.SetEvacuations(7, evacuated(9, "b"))
+			s.SetEvacuations(evacuated(9, "b"))
 			So(s.StartsBlocked(), ShouldBeFalse)
 		})
 
+		// A sync that finds that a start call has not arrived queues the order again.
+		Convey("An order whose start call was lost is not sent again", func() {
+			s.StartAnswered(4, starts[0], 0, errTimeout)
+			sync := s.TakeEffects().Sync
+			s.SetEvacuations(evacuated(7, "a"))
+			s.TakeEffects()
+			s.EchoReceived("entry", 6)
+			s.SyncAnswered(6, *sync, gypsumtide.RenewResponse{StartTime: 1000, Clock: 5006}, nil)
+			So(s.TakeEffects().Starts, ShouldBeEmpty)
+			s.Tick(20)
+			So(reportTexts(s.TakeEffects()), ShouldHaveLength, 2)
+		})
+
 		// An order whose start call the worker has rejected waits again.
 		Convey("An order that must be sent again is returned", func() {
-			s.SetEvacuations(5, evacuated(7, "a"))
+			s.SetEvacuations(evacuated(7, "a"))
 			s.TakeEffects()
 			s.StartAnswered(6, starts[0], 5001, gypsumtide.ErrLeaseExpired)
 			s.Tick(20)
@@ -115,12 +128,12 @@
 func TestNewestSetCounts(t *testing.T) {
 	Convey("Given an agent in an evacuated zone", t, func() {
 		s, _ := newZonedState()
-		s.SetEvacuations(5, evacuated(7, "a"))
+		s.SetEvacuations(evacuated(7, "a"))
 		So(s.StartsBlocked(), ShouldBeTrue)
 
 		Convey("A set with a lower or the same version is ignored", func() {
-			s.SetEvacuations(6, evacuated(6))
-			s.SetEvacuations(6, evacuated(7))
+			s.SetEvacuations(evacuated(6))
+			s.SetEvacuations(evacuated(7))
 			So(s.StartsBlocked(), ShouldBeTrue)
 		})
 		Convey("Starts stay blocked when all sessions are lost and others are opened", func() {
@@ -132,8 +145,8 @@
 			s.EchoReceived("other", 1010)
 			s.Submit(1010, "other", testOrder(9), 1010)
 			So(s.TakeEffects().Starts, ShouldBeEmpty)
-			s.SetEvacuations(1020, evacuated(8))
-			s.SetEvacuations(1030, evacuated(7, "a"))
+			s.SetEvacuations(evacuated(8))
+			s.SetEvacuations(evacuated(7, "a"))
 			So(s.StartsBlocked(), ShouldBeFalse)
 		})
 	})
@@ -144,7 +157,7 @@
 func TestZoneOfNextWorker(t *testing.T) {
 	Convey("The zone of the worker that announces itself decides", t, func() {
 		s, _ := newZonedState()
-		s.SetEvacuations(5, evacuated(7, "a"))
+		s.SetEvacuations(evacuated(7, "a"))
 		next := testInfo(gypsumtide.Incarnation{ID: "w-2", StartTime: 2000})
 		next.Zone = "b"
 		s.Heartbeat(10, next)
@@ -153,9 +166,15 @@
 		s.Heartbeat(20, next)
 		So(s.StartsBlocked(), ShouldBeTrue)
 	})
+	Convey("A start call for the former incarnation is dropped too", t, func() {
+		s, starts := newZonedState()
+		s.SetEvacuations(evacuated(7, "a"))
+		s.setIncarnation(gypsumtide.Incarnation{ID: testIncarnation.ID, StartTime: 2000})
+		So(s.DropBlockedStart(starts[0]), ShouldBeTrue)
+	})
 	Convey("A restarted agent that has heard the set first starts nothing on the worker that it restores", t, func() {
 		s := NewState(testTiming, 10, discardLogger{})
-		s.SetEvacuations(0, evacuated(7, "a"))
+		s.SetEvacuations(evacuated(7, "a"))
 		info := testInfo(testIncarnation)
 		info.Zone = "a"
 		s.RestoreWorker(1, info)
@@ -178,8 +197,7 @@
 		a.Heartbeat(info)
 		set := evacuated(7, "a")
 
-		Convey("An order in the frame that brings the set is returned, also by an ended session", func() {
-			a.sessions["entry"] = session
+		Convey("An order in the frame that brings the set is returned", func() {
 			frame := &wire.Frame{Echo: clock.now, Evacuations: &set, Orders: []wire.Order{testOrder(0)}, Resumed: true}
 			So(a.handleFrame("entry", session, frame), ShouldBeNil)
 			So(a.starts, ShouldBeEmpty)
@@ -189,7 +207,7 @@
 			So(a.handleFrame("entry", &wire.Session{}, &wire.Frame{Evacuations: &set}), ShouldBeNil)
 			So(a.state.StartsBlocked(), ShouldBeTrue)
 		})
-		Convey("An order without a recent echo does not start with the frame that brings the set", func() {
+		Convey("Orders that wait are returned before the echo of the frame counts", func() {
 			So(a.handleFrame("entry", session, &wire.Frame{Echo: clock.now, Orders: []wire.Order{testOrder(0), testOrder(1), testOrder(2)}}), ShouldBeNil)
 			So(a.handleFrame("entry", session, &wire.Frame{Echo: clock.now, Evacuations: &set}), ShouldBeNil)
 			So(a.state.Waiting(), ShouldEqual, 0)
@@ -203,6 +221,14 @@
 			So(a.running(), ShouldEqual, 0)
 			So(a.outbox("entry").pending[0].Reason, ShouldEqual, ReasonZoneEvacuated)
 		})
+		Convey("Entries are told the version of the set that evacuates another zone", func() {
+			other := evacuated(7, "b")
+			So(a.handleFrame("entry", session, &wire.Frame{Echo: clock.now, Resumed: true}), ShouldBeNil)
+			a.sendFrame(clock.now, "entry", session, func(*wire.Frame) {})
+			So(a.handleFrame("entry", session, &wire.Frame{Echo: clock.now, Evacuations: &other}), ShouldBeNil)
+			a.broadcastLoad(clock.now + 10)
+			So(a.outbox("entry").worker.EvacuationsVersion, ShouldEqual, 7)
+		})
 		Convey("Entries are told at once that the worker accepts nothing", func() {
 			So(a.handleFrame("entry", session, &wire.Frame{Echo: clock.now, Evacuations: &set}), ShouldBeNil)
 			So(a.outbox("entry").worker.Accepting, ShouldBeFalse)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -178,7 +178,7 @@
 func (a *Agent) setEvacuations(e gypsumtide.Evacuations) {
 	a.update(func(now gypsumtide.Millis) {
 		blocked := a.state.StartsBlocked()
-		a.state.SetEvacuations(now, e)
+		a.state.SetEvacuations(e)
 		a.loadChanged = true // Entries use the version, see WorkerReport.EvacuationsVersion.
 		if a.state.StartsBlocked() == blocked {
 			return
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -144,7 +144,7 @@
 	known bool
 	// evacuations is the newest set of evacuated availability zones that any entry has sent.
 	evacuations gypsumtide.Evacuations
-	// startsBlocked is set while the zone of the known worker is evacuated.
+	// startsBlocked is set while the zone that the worker last reported is evacuated.
 	startsBlocked bool
 	// leaving is set once the worker has deregistered, until none of its runs is left.
 	leaving bool
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -56,7 +56,6 @@
 func (s *State) setIncarnation(incarnation gypsumtide.Incarnation) {
 	s.incarnation = incarnation
 	s.known = false
-	s.startsBlocked = false
 	s.leaving = false
 	s.earlierRunsEnded = false
 	s.info.Seq = 0
@@ -75,7 +74,7 @@
 	s.info = info
 	s.known = true
 	s.reservations.SetCapacity(info.Capacity)
-	s.updateStartsBlocked(now)
+	s.updateStartsBlocked()
 	if info.Draining {
 		s.returnQueue("worker-drains")
 	}
