routing: a starting entry that the store rejects takes a peer's table at once

Change: the delay ends once the store has rejected a read, and such an entry asks its peers every 100 ms until it has a table.

--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -24,6 +24,8 @@
 	replacedAt gypsumtide.Millis
 	// evacuations is written with both notifying and mu locked.
 	evacuations gypsumtide.Evacuations
+	// storeUnavailable is set while reads of the store fail.
+	storeUnavailable bool
 	// onUpdate is called with each table that Offer accepts, after mu has been unlocked.
 	onUpdate func(t *gypsumtide.RouteTable)
 
@@ -56,6 +58,20 @@
 	h.registerEvacuations(set)
 }
 
+// setStoreUnavailable records whether reads of the store fail.
+func (h *TableHolder) setStoreUnavailable(unavailable bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.storeUnavailable = unavailable
+}
+
+// awaitsPeerTable reports whether there is no table and the store does not provide one.
+func (h *TableHolder) awaitsPeerTable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table == nil && h.storeUnavailable
+}
+
 // Table returns the newest table, or nil.
 func (h *TableHolder) Table() *gypsumtide.RouteTable {
 	h.mu.Lock()
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -26,8 +26,12 @@
 	exchangeTimeout  gypsumtide.Millis = 400
 	// fetchTimeout limits the transfer of a compressed table.
 	fetchTimeout gypsumtide.Millis = 1500
-	// peerTableDelay is how long a starting entry without a table waits for the store before
-	// it accepts a table from a peer, since the peer may have lost the store as well.
+	// startExchangeInterval replaces exchangeInterval while an entry without a table cannot
+	// reach the store, since it refuses all requests until a peer has provided a table.
+	startExchangeInterval gypsumtide.Millis = 100
+	// peerTableDelay is how long a starting entry without a table waits for an answer of the
+	// store before it accepts a table from a peer, since the peer may have lost the store as
+	// well. It waits no longer once the store has rejected a read.
 	peerTableDelay gypsumtide.Millis = 1000
 	// announceInterval is the time after which an entry reads the directory again and renews
 	// its record.
@@ -130,6 +134,7 @@
 		for _, address := range p.choosePeers() {
 			p.startExchange(g, address)
 		}
+		ticker.Reset(p.untilNextExchange().Duration())
 		for waiting := true; waiting; {
 			select {
 			case <-g.Context().Done():
@@ -147,6 +152,14 @@
 	}
 }
 
+// untilNextExchange returns the time until the next exchanges with other entries.
+func (p *Peers) untilNextExchange() gypsumtide.Millis {
+	if p.holder.awaitsPeerTable() {
+		return startExchangeInterval
+	}
+	return exchangeInterval
+}
+
 // startExchange starts an exchange with the entry at the address, unless one is in progress.
 func (p *Peers) startExchange(g *group.Group, address string) {
 	if !p.beginExchange(address) {
@@ -296,7 +309,8 @@
 	if p.holder.Table() != nil {
 		return true
 	}
-	return p.clock.Now()-p.startedAt > peerTableDelay && p.holder.Evacuations().Version > 0
+	storeTried := p.holder.awaitsPeerTable() || p.clock.Now()-p.startedAt > peerTableDelay
+	return storeTried && p.holder.Evacuations().Version > 0
 }
 
 // noteEvacuations requests exchanges with other entries if the set of evacuated zones has
--- a/internal/routing/poller.go
+++ b/internal/routing/poller.go
@@ -131,6 +131,7 @@
 		return
 	}
 	p.unavailable = err != nil
+	p.holder.setStoreUnavailable(p.unavailable)
 	if p.unavailable {
 		p.log.Decision("store-lost", "error", err.Error(), "version", p.holder.Version())
 		return
