dispatch: compute how long a wait for a rack pays

A task left its rack because of the load term of the cost (36 ms between a rack at 0.9 and others at 0.6), and its longer run elsewhere was learned as a slow worker and a wrong estimate. The entry now compares the expected ends on the rack and elsewhere, with the capacity that a longer run takes from others, and bounds the wait by the slack. Longer runs elsewhere no longer count as slowness or as errors of estimates.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -46,3 +46,31 @@
 		s.UpdateLoad(1, workerID(0), g.WorkerLoad)
 	}
 }
+
+// BenchmarkChoosePlace measures the choice of a worker among 64 for a task without a rack, for
+// one whose rack is idle, and for one whose rack is full of this entry's runs.
+func BenchmarkChoosePlace(b *testing.B) {
+	for _, name := range []string{"no-rack", "idle-rack", "full-rack"} {
+		b.Run(name, func(b *testing.B) {
+			racks := make([]string, 64)
+			for i := range racks {
+				racks[i] = fmt.Sprint("x-", i/8)
+			}
+			for i := range 8 {
+				racks[i] = "r"
+			}
+			s := newRackState(racks...)
+			if name == "full-rack" {
+				s.Submit(0, rackSubmission("full", 80, 50))
+			}
+			sub := rackSubmission("a", 32, 50)
+			if name == "no-rack" {
+				sub.Job.Steps[0].Rack = ""
+			}
+			t := newJob(0, sub).tasks[0]
+			for b.Loop() {
+				s.choosePlace(1, t)
+			}
+		})
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -83,6 +83,8 @@
 	projectedEnd gypsumtide.Millis
 	// moves counts the runs that were stopped to be retried on another worker.
 	moves int
+	// wait is the task's wait for the rack of its step.
+	wait rackWait
 	// failures counts the failed runs.
 	failures int
 	// avoidWorker is the worker of the last run that failed, was lost or was stopped.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -52,6 +52,14 @@
 	}
 }
 
+func (m *dispatcherMetrics) countPlaces(counts PlaceCounts) {
+	for place, n := range counts {
+		if n > 0 {
+			m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_rack_tasks_total{place=%q}", placeNames[place])).Add(n)
+		}
+	}
+}
+
 func (m *dispatcherMetrics) recordAnswer(route string, a Answer, start time.Time) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_answers_total{route=%q,outcome=%q}", route, a.Outcome)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumtide_entry_answer_seconds{route=%q,outcome=%q}", route, a.Outcome)).UpdateDuration(start)
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -66,7 +66,7 @@
 	if w, ok := s.workers[t.worker]; !ok || !w.connected {
 		return
 	}
-	c := s.choose(t)
+	c := s.choosePlace(now, t)
 	if c.worker == nil || c.worker.id == t.worker || c.estimate.wait > 0 {
 		return
 	}
@@ -125,9 +125,9 @@
 	if c.worker == nil || c.worker == w {
 		return math.Inf(1)
 	}
-	work := float64(t.projectedEnd-max(t.orderedAt, t.startedAt)) / w.slowness
+	work := float64(t.projectedEnd-max(t.orderedAt, t.startedAt)) / (w.slowness * s.placeFactor(t, w))
 	if stalled {
 		work = float64(s.expected(t.job, t.step))
 	}
-	return moveDelay + c.estimate.wait + work*c.worker.slowness
+	return moveDelay + c.estimate.wait + work*c.worker.slowness*s.placeFactor(t, c.worker)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,7 +25,7 @@
 	if now < t.job.notBefore {
 		return false
 	}
-	c := s.choose(t)
+	c := s.choosePlace(now, t)
 	if !c.startsSoon() {
 		return false
 	}
@@ -75,6 +75,9 @@
 	// at once.
 	idleWorker   *worker
 	idleEstimate costEstimate
+	// elsewhere is the candidate with the lowest cost that is not on the rack of the step. It
+	// is set only if the step names a rack.
+	elsewhere candidate
 	// candidates is the number of workers that were compared.
 	candidates int
 }
@@ -96,6 +99,9 @@
 		if t.avoidWorker == w.id {
 			e.cost += avoidCost
 		}
+		if step.Rack != "" && !w.hasRack(step.Rack) {
+			c.elsewhere = c.elsewhere.cheaper(candidate{w, e})
+		}
 		if c.worker == nil || e.cost < c.estimate.cost {
 			c.worker, c.estimate = w, e
 		}
@@ -165,6 +171,7 @@
 	t.worker = w.id
 	t.workerIncarnation = w.report.Incarnation
 	t.orderedAt = now
+	s.expectWait(now, t, w)
 	w.tasks[t.ref()] = t
 	w.ownRunning = w.ownRunning.Add(t.size())
 	m := s.messages(w.id)
@@ -199,7 +206,7 @@
 	return wire.Order{
 		Ref: t.ref(), Spec: j.spec, Size: j.steps[t.step].Size, Priority: j.route.Priority,
 		JobStarted: j.started, StartWithin: max(1, s.startBy(j, t.step)-now),
-		Expected: s.expected(j, t.step), Incarnation: t.workerIncarnation, Stored: j.stored,
+		Expected: s.expectedAtWorker(t), Incarnation: t.workerIncarnation, Stored: j.stored,
 	}
 }
 
@@ -211,7 +218,7 @@
 		if t.phase != taskReady {
 			continue
 		}
-		c := s.choose(t)
+		c := s.choosePlace(now, t)
 		late := now >= s.latestStart(j, t.step)
 		if c.worker == nil && (!late || s.startingUp(now) && now < s.latestUsefulStart(j, t.step)) {
 			continue
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -82,6 +82,7 @@
 	objective int64
 	value     float64
 	work      []float64
+	rack      string
 }
 
 // simResult is the result of a simulation. Completed jobs count as inTime, late if the
@@ -114,6 +115,8 @@
 	load func(second float64) float64
 	// slow returns the factor by which a worker is slowed down, over time. It may be nil.
 	slow func(worker int, second float64) float64
+	// racks describes the racks and the jobs that name one. It may be nil.
+	racks *simRacks
 }
 
 type simulation struct {
@@ -190,7 +193,7 @@
 	}
 	a.update(func(now gypsumtide.Millis) {
 		a.state.Heartbeat(now, gypsumtide.WorkerInfo{
-			Incarnation: incarnationOf(i), Service: "stock", Address: "w", Zone: "z", Capacity: gypsumtide.Size{Processors: capacity, Memory: 65536},
+			Incarnation: incarnationOf(i), Service: "stock", Address: "w", Zone: "z", Capacity: gypsumtide.Size{Processors: capacity, Memory: 65536}, Labels: sim.cfg.racks.labels(i),
 		})
 	})
 	a.loadChanged = true
@@ -279,13 +282,14 @@
 	j.value = kind.value * (0.3 + 0.7*total*float64(cpu)/(kind.width*kind.work*1600))
 	estimate := base * (1 + 0.4*(2*sim.random.Float64()-1))
 	id := fmt.Sprintf("%016x", len(sim.jobs)+1)
+	j.rack = sim.cfg.racks.choose(kind, sim.second()-warmup/1e6)
 	sim.jobs[id] = j
 	sim.result.jobs++
 	sim.result.value += j.value
 	n := sim.random.IntN(len(sim.entries))
 	sub := Submission{
 		Job: gypsumtide.JobRequest{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
-			Tasks: width, Size: gypsumtide.Size{Processors: cpu, Memory: 64}, Estimate: gypsumtide.Millis(max(1, estimate)),
+			Tasks: width, Size: gypsumtide.Size{Processors: cpu, Memory: 64}, Estimate: gypsumtide.Millis(max(1, estimate)), Rack: j.rack,
 		}}},
 		Route: kind.route, Timeout: 1500 + gypsumtide.Millis(3*1.6*base),
 	}
@@ -328,6 +332,7 @@
 
 func (sim *simulation) answered(j *simJob, a Answer) {
 	took := sim.now + callerDelay - j.arrived
+	sim.cfg.racks.record(j, a, took)
 	switch {
 	case a.Outcome != gypsumtide.OutcomeComplete:
 		sim.result.refused++
@@ -405,6 +410,7 @@
 	if a.sim.cfg.slow != nil {
 		factor *= a.sim.cfg.slow(agentNumber(a.id), a.sim.second())
 	}
+	factor *= a.sim.cfg.racks.factor(agentNumber(a.id), j)
 	took := int64(j.work[ref.Task.Index] * factor * millisecond)
 	a.running[ref] = &simRun{startedAt: a.sim.now, endsAt: a.sim.now + took}
 	a.sim.after(took, func() { a.endRun(ref, gypsumtide.EndDone) })
--- a/internal/dispatch/slowness.go
+++ b/internal/dispatch/slowness.go
@@ -46,7 +46,7 @@
 	sum, n := 0.0, 0
 	for _, t := range j.tasks {
 		if w := s.workerOf(t, step); w != nil {
-			sum += math.Log(float64(t.runTime)) - w.learned.logSlowness
+			sum += math.Log(float64(t.runTime)/s.placeFactor(t, w)) - w.learned.logSlowness
 			n++
 		}
 	}
@@ -56,7 +56,7 @@
 	mean := sum / float64(n)
 	for _, t := range j.tasks {
 		if w := s.workerOf(t, step); w != nil {
-			sample := min(maxLogSlownessSample, max(-maxLogSlownessSample, math.Log(float64(t.runTime))-mean))
+			sample := min(maxLogSlownessSample, max(-maxLogSlownessSample, math.Log(float64(t.runTime)/s.placeFactor(t, w))-mean))
 			w.learned.logSlowness += slownessWeight * (sample - w.learned.logSlowness)
 			w.updateSlowness()
 		}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,6 +33,9 @@
 	Answers  map[string]Answer
 	// Stored is the progress of stored jobs that has to be recorded.
 	Stored Progress
+	// Places counts the tasks that are done by the place of their run, if their step names a
+	// rack.
+	Places PlaceCounts
 }
 
 // Timing holds the timeouts of a State.
@@ -68,13 +71,15 @@
 	evacuations gypsumtide.Evacuations
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
+	// locality is the state of the placement of tasks whose steps name a rack.
+	locality locality
 }
 
 // NewState returns a State without workers.
 func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log gypsumtide.DecisionLogger) *State {
 	return &State{
 		startedAt: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
-		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(),
+		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(), locality: newLocality(),
 	}
 }
 
@@ -289,6 +294,7 @@
 	}
 	t.phase = taskRunning
 	t.startedAt = now
+	s.observeWait(now, t, true)
 	j := t.job
 	if w, ok := s.workers[t.worker]; ok {
 		w.ownQueue(j.route.Priority).remove(t.size())
@@ -356,7 +362,8 @@
 		t.phase = taskDone
 		t.runTime = r.RunTime
 		if w, ok := s.workers[t.worker]; ok {
-			s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness)
+			s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness*s.placeFactor(t, w))
+			s.recordPlace(t, w, r.RunTime)
 		}
 		if j.unfinished[t.step]--; j.unfinished[t.step] == 0 {
 			s.learnSlowness(j, t.step)
@@ -365,6 +372,7 @@
 		t.failures++
 		t.avoidWorker = t.worker
 	case gypsumtide.EndNotStarted:
+		s.observeWait(now, t, false)
 		if r.Reason == runner.ReasonStaleRun {
 			t.number += runNumberGap
 		}
@@ -430,6 +438,7 @@
 	s.expireLostAgents(now)
 	s.backlog.update(now, s.waitingShare())
 	s.recallBudget = s.countFreeWorkers()
+	s.refreshLocality()
 	for _, j := range s.jobsByUrgency() {
 		s.checkJob(now, j)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -137,14 +137,19 @@
 // waitBehind returns the expected time in milliseconds until a task of the size fits on the
 // worker if the load goes before it.
 func (w *worker) waitBehind(load, size gypsumtide.Size) float64 {
+	return w.deficit(load, size) * float64(meanTurnover)
+}
+
+// deficit returns the share of the worker's capacity that has to become free before a task
+// of the size fits behind the load.
+func (w *worker) deficit(load, size gypsumtide.Size) float64 {
 	capacity := w.report.Capacity
 	deficit := load.Add(size).Sub(capacity)
-	share := max(
+	return max(
 		ratio(deficit.Processors, capacity.Processors),
 		ratio(deficit.Memory, capacity.Memory),
 		ratio(deficit.Accelerators, capacity.Accelerators),
 	)
-	return share * float64(meanTurnover)
 }
 
 // ratio returns n/of, or 0 if either is not positive.
