--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -147,13 +147,24 @@
 // expectedWait returns the expected time in milliseconds until a task of the size fits into
 // the capacity if the load goes before it.
 func expectedWait(capacity, load, size gypsumtide.Size) float64 {
-	deficit := load.Add(size).Sub(capacity)
-	share := max(
-		ratio(deficit.Processors, capacity.Processors),
-		ratio(deficit.Memory, capacity.Memory),
-		ratio(deficit.Accelerators, capacity.Accelerators),
+	return deficit(capacity, load, size) * float64(meanTurnover)
+}
+
+// deficit returns the share of the worker's capacity that has to become free before a task
+// of the size fits behind the load.
+func (w *worker) deficit(load, size gypsumtide.Size) float64 {
+	return deficit(w.report.Capacity, load, size)
+}
+
+// deficit returns the share of the capacity that has to become free before a task of the
+// size fits behind the load.
+func deficit(capacity, load, size gypsumtide.Size) float64 {
+	missing := load.Add(size).Sub(capacity)
+	return max(
+		ratio(missing.Processors, capacity.Processors),
+		ratio(missing.Memory, capacity.Memory),
+		ratio(missing.Accelerators, capacity.Accelerators),
 	)
-	return share * float64(meanTurnover)
 }
 
 // ratio returns n/of, or 0 if either is not positive.
