--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	log         *eventlog.Log
 	metrics     *metrics.Set
 	draining    atomic.Bool
+	saturation  Saturation
 }
 
 // gcPercent is the growth of the heap between two garbage collections in percent.
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -61,6 +61,8 @@
 	Queued map[string]int `cbor:"5,keyasint,omitempty"`
 	// Evacuations is the newest set of evacuated zones of the sender.
 	Evacuations gypsumtide.Evacuations `cbor:"6,keyasint,omitempty"`
+	// Saturated is set while the sender has too little processor time for its requests.
+	Saturated bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Peers exchanges messages with the other entries, and fetches their route tables if these
@@ -81,8 +83,10 @@
 	// queued returns, by route, the number of this entry's stored jobs of which no task
 	// has started. It is set before Run.
 	queued func() map[string]int
-	usage  *storedUsage
-	check  usageCheck
+	// saturated reports whether this entry is saturated. It is set before Run.
+	saturated func() bool
+	usage     *storedUsage
+	check     usageCheck
 
 	// unreadable is the last logged text about directory records that cannot be decoded.
 	// Only the goroutine of syncDirectory accesses it.
@@ -108,6 +112,8 @@
 	// queueCounts holds the numbers of queued jobs that the other entries last sent, by the
 	// address of the entry.
 	queueCounts map[string]peerCounts
+	// peerStates holds the states that the other entries last sent, by address.
+	peerStates map[string]peerState
 }
 
 // NewPeers returns the Peers of the entry with the given name and ownAddress. The entry
@@ -117,6 +123,7 @@
 		ownAddress: ownAddress, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
 		clock: clock, log: log, startedAt: clock.Now(), ahead: make(chan string, 1), zonesChanged: make(chan struct{}, 1), inProgress: make(map[string]bool),
 		queued: func() map[string]int { return nil }, usage: newStoredUsage(), queueCounts: make(map[string]peerCounts),
+		saturated: func() bool { return false }, peerStates: make(map[string]peerState),
 		client: link.NewClient(exchangeTimeout, maxPeerConnections, maxTableBytes),
 	}
 	holder.OnEvacuations(p.noteEvacuations)
@@ -252,7 +259,7 @@
 
 func (p *Peers) message() peerMessage {
 	active, _ := p.usage.Active()
-	return peerMessage{Address: p.ownAddress, Version: p.holder.Version(), Entries: p.entries.Shareable(), Stored: active, Queued: p.queued(), Evacuations: p.holder.Evacuations()}
+	return peerMessage{Address: p.ownAddress, Version: p.holder.Version(), Entries: p.entries.Shareable(), Stored: active, Queued: p.queued(), Evacuations: p.holder.Evacuations(), Saturated: p.saturated()}
 }
 
 // exchangeWith exchanges messages with another entry, and fetches the route table of that
@@ -295,6 +302,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.peerStates[address] = peerState{receivedAt: p.clock.Now(), saturated: m.Saturated}
 	if len(m.Queued) == 0 {
 		delete(p.queueCounts, address)
 		return
