Bounds on clients: connections, bytes that are not a job yet, time for a body

Cause: an entry or agent accepted every connection, heads up to 1 MiB, and bodies without a limit of time, and kept all parsed header lines while it served a request. Some hundreds of clients could take more memory or descriptors than the machine has.

Change: package clientlimit wraps each listener. Each listener has its share of the descriptors and of a budget for what has been read and is not a job yet, both derived from the limits of the machine (limits.memoryMb, limits.maxFds; memory-mb, max-fds on the own interface). Beyond it the largest and slowest are closed; heads of many lines get 503 while the budget is nearly used up. Parsed heads are reduced to the headers that handlers read. Lists of steps and tasks are bounded while they are decoded. Bodies have a least rate. First frames of sessions are limited to 64 KB, those of the platform's agents to 4 MB. The heap gets a soft limit if the memory is set.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -157,11 +157,11 @@
 	defer cancel()
 	g := group.New(runCtx)
 	a.requestCtx = g.Context()
-	server, err := a.listen()
+	server, pool, err := a.listen()
 	if err != nil {
 		return err
 	}
-	g.Add("serve", func(ctx context.Context) error { return a.serve(ctx, server) })
+	g.Add("serve", func(ctx context.Context) error { return a.serve(ctx, server, pool) })
 	g.Add("schedule", a.runScheduler)
 	g.Add("announce", a.runAnnouncements)
 	g.Add("sessions", a.dialEntries)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +11,7 @@
 
 	"gypsumtide"
 	"gypsumtide/internal/certificate"
+	"gypsumtide/internal/clientlimit"
 	"gypsumtide/internal/wire"
 )
 
@@ -46,22 +46,21 @@
 }
 
 // listen opens the listener of the HTTP server, with TLS if it is configured.
-func (a *Agent) listen() (net.Listener, error) {
+func (a *Agent) listen() (net.Listener, *clientlimit.Pool, error) {
 	tlsConfig, err := certificate.ServerConfig(a.cfg.TLS)
 	if err != nil {
-		return nil, fmt.Errorf("agent: %w", err)
+		return nil, nil, fmt.Errorf("agent: %w", err)
 	}
 	l, err := net.Listen("tcp", a.cfg.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("agent: listen: %w", err)
-	}
-	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
+		return nil, nil, fmt.Errorf("agent: listen: %w", err)
 	}
+	guard := clientlimit.NewGuard(a.cfg.Limits(), a.clock, a.metrics, clientlimit.LogTurnedAway(a.log))
+	l, pool := guard.Listen("agent", l, clientlimit.ShareAll, tlsConfig)
 	a.mu.Lock()
 	a.address = l.Addr().String()
 	a.mu.Unlock()
-	return l, nil
+	return l, pool, nil
 }
 
 // Address returns the address of the HTTP server, or an empty string before Run
@@ -72,9 +71,14 @@
 	return a.address
 }
 
+// idleTimeout is the time after which idle connections are closed. It is longer than that of
+// the clients of the system's own processes.
+const idleTimeout = 2 * time.Minute
+
 // serve runs the HTTP server until ctx is done. Open requests get a second to finish.
-func (a *Agent) serve(ctx context.Context, l net.Listener) error {
-	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 5 * time.Second}
+func (a *Agent) serve(ctx context.Context, l net.Listener, pool *clientlimit.Pool) error {
+	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout}
+	pool.Protect(srv)
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(l) }()
 	select {
--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -15,6 +15,7 @@
 func Agent() *cli.Command {
 	cfg := settings.DefaultAgent()
 	return daemon("gypsumtide-agent", "start tasks on the upstreams of a worker", cfg, &cfg.Log, func(ctx context.Context, log logr.Logger) error {
+		cfg.Limits().SetMemoryLimit()
 		a, err := agent.New(cfg, log, gypsumtide.NewSystemClock())
 		if err != nil {
 			return err
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -15,6 +15,7 @@
 func Entry() *cli.Command {
 	cfg := settings.DefaultEntry()
 	return daemon("gypsumtide-entry", "serve callers and operators on an entry host", cfg, &cfg.Log, func(ctx context.Context, log logr.Logger) error {
+		cfg.Limits().SetMemoryLimit()
 		e, err := entry.New(cfg, gypsumtide.NewSystemClock(), log)
 		if err != nil {
 			return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"gypsumtide"
+	"gypsumtide/internal/clientlimit"
 	"gypsumtide/internal/eventlog"
 	"gypsumtide/internal/group"
 )
@@ -34,6 +37,8 @@
 	LogBytesPerSecond int
 	// CheckSettings validates the settings file. It is called on SIGHUP.
 	CheckSettings func() error
+	// Limits are the limits of the machine, from which those of clients are derived.
+	Limits clientlimit.Limits
 }
 
 // Process holds the parts that entries and agents share: the clock, the decision log,
@@ -45,6 +50,7 @@
 	log         *eventlog.Log
 	metrics     *metrics.Set
 	draining    atomic.Bool
+	guard       *clientlimit.Guard
 }
 
 // gcPercent is the growth of the heap between two garbage collections in percent.
@@ -64,7 +70,18 @@
 	log := eventlog.New(os.Stdout, clock, cfg.LogBytesPerSecond).WithNode(cfg.Name, incarnation)
 	set := metrics.NewSet()
 	log.Register(set)
-	return &Process{cfg: cfg, incarnation: incarnation, clock: clock, log: log, metrics: set}
+	p := &Process{cfg: cfg, incarnation: incarnation, clock: clock, log: log, metrics: set}
+	p.guard = clientlimit.NewGuard(cfg.Limits, clock, set, p.logTurnedAway)
+	return p
+}
+
+// logTurnedAway logs how many clients of a listener were turned away, by reason.
+func (p *Process) logTurnedAway(listener string, turnedAway map[string]int) {
+	fields := []any{"listener", listener}
+	for _, reason := range slices.Sorted(maps.Keys(turnedAway)) {
+		fields = append(fields, reason, turnedAway[reason])
+	}
+	p.log.Decision("clients-turned-away", fields...)
 }
 
 // Incarnation returns the incarnation ID, which is new at each start of the process.
@@ -125,20 +142,36 @@
 
 // Timeouts of a connection.
 const (
-	headerTimeout = 3 * time.Second
+	headerTimeout = clientlimit.HeadTimeout
 	idleTimeout   = 60 * time.Second
 )
 
-// Serve runs an HTTP server until ctx is done. It then stops accepting connections,
+// Names of listeners in logs and metrics.
+const (
+	listenerClients  = "clients"
+	listenerSessions = "sessions"
+)
+
+// Serve runs an HTTP server for callers or workers until ctx is done. It then stops accepting connections,
 // waits for the first requests on new ones, closes idle ones and waits for the requests
 // in progress. If some are left shortly before the end of the grace period, it calls
 // abort, which should make them respond, and cuts off those that still have no response
 // after lastResponseTimeout. abort may be nil.
 func (p *Process) Serve(ctx context.Context, address string, h http.Handler, abort func()) error {
+	return p.serveRequests(ctx, listenerClients, clientlimit.ShareClients, address, h, abort)
+}
+
+// ServeProbes is like Serve for a listener that is not for callers or workers. It has a small
+// share of the process's limits.
+func (p *Process) ServeProbes(ctx context.Context, name, address string, h http.Handler) error {
+	return p.serveRequests(ctx, name, clientlimit.ShareProbes, address, h, nil)
+}
+
+func (p *Process) serveRequests(ctx context.Context, name string, share clientlimit.Share, address string, h http.Handler, abort func()) error {
 	srv := newServer(h)
 	pending := &pendingConns{}
 	pending.track(srv)
-	return p.serve(ctx, address, srv, func() {
+	return p.serve(ctx, name, share, address, srv, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.requestTimeout().Duration())
 		defer cancel()
 		pending.wait(shutdownCtx)
@@ -167,20 +200,22 @@
 // done, since long-lived connections do not end by themselves.
 func (p *Process) ServeSessions(ctx context.Context, address string, h http.Handler) error {
 	srv := newServer(h)
-	return p.serve(ctx, address, srv, func() { _ = srv.Close() })
+	return p.serve(ctx, listenerSessions, clientlimit.ShareSessions, address, srv, func() { _ = srv.Close() })
 }
 
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
-// serve runs srv until ctx is done. It then stops accepting connections, and calls
-// stop to end the open ones.
-func (p *Process) serve(ctx context.Context, address string, srv *http.Server, stop func()) error {
+// serve runs srv until ctx is done, within the share of the process's limits. It then stops
+// accepting connections, and calls stop to end the open ones.
+func (p *Process) serve(ctx context.Context, name string, share clientlimit.Share, address string, srv *http.Server, stop func()) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return gypsumtide.NewError("listen", address, err)
 	}
+	l, pool := p.guard.Listen(name, l, share, nil)
+	pool.Protect(srv)
 	done := group.Go(ctx, func(context.Context) error { return srv.Serve(l) })
 	select {
 	case err := <-done:
@@ -206,7 +241,9 @@
 	logDone := group.Go(logCtx, p.log.Run)
 	p.log.Decision("start", "pid", os.Getpid(), "zone", p.cfg.Zone, "metrics", p.cfg.MetricsAddress)
 	g := group.New(ctx)
-	g.Add("metrics", func(ctx context.Context) error { return p.Serve(ctx, p.cfg.MetricsAddress, p.metricsHandler(), nil) })
+	g.Add("metrics", func(ctx context.Context) error {
+		return p.ServeProbes(ctx, "metrics", p.cfg.MetricsAddress, p.metricsHandler())
+	})
 	g.Add("reload", p.watchReload)
 	for name, component := range components {
 		g.Add(name, component)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,7 +23,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -37,6 +36,7 @@
 
 	"gypsumtide"
 	"gypsumtide/internal/certificate"
+	"gypsumtide/internal/clientlimit"
 	"gypsumtide/internal/group"
 	"gypsumtide/internal/journal"
 	"gypsumtide/internal/object"
@@ -147,9 +147,13 @@
 // Counters returns the traffic counters of this entry's sessions.
 func (e *Entry) Counters() *wire.Counters { return &e.counters }
 
+// idleTimeout is the time after which idle connections are closed. It is longer than that of
+// the clients of the system's own processes.
+const idleTimeout = 2 * time.Minute
+
 // Run serves until ctx is done, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
-	listener, err := e.listen()
+	listener, pool, err := e.listen()
 	if err != nil {
 		return err
 	}
@@ -159,7 +163,8 @@
 	g := group.New(runCtx)
 	e.sessionCtx = g.Context()
 	e.background = group.New(g.Context())
-	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout}
+	pool.Protect(server)
 	g.Add("serve HTTP", func(context.Context) error { return serve(server, listener) })
 	g.Add("tick", e.tick)
 	g.Add("follow the shards stream", e.shardsFollower.Run)
@@ -180,19 +185,18 @@
 }
 
 // listen opens the listener, with TLS if the settings name a certificate.
-func (e *Entry) listen() (net.Listener, error) {
+func (e *Entry) listen() (net.Listener, *clientlimit.Pool, error) {
 	tlsConfig, err := certificate.ServerConfig(e.cfg.TLS)
 	if err != nil {
-		return nil, fmt.Errorf("entry: %w", err)
+		return nil, nil, fmt.Errorf("entry: %w", err)
 	}
 	listener, err := net.Listen("tcp", e.cfg.Listen)
 	if err != nil {
-		return nil, gypsumtide.NewError("listen", e.cfg.Listen, err)
-	}
-	if tlsConfig != nil {
-		listener = tls.NewListener(listener, tlsConfig)
+		return nil, nil, gypsumtide.NewError("listen", e.cfg.Listen, err)
 	}
-	return listener, nil
+	guard := clientlimit.NewGuard(e.cfg.Limits(), e.clock, e.metrics.set, clientlimit.LogTurnedAway(e.log))
+	limited, pool := guard.Listen("entry", listener, clientlimit.ShareAll, tlsConfig)
+	return limited, pool, nil
 }
 
 func serve(server *http.Server, listener net.Listener) error {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumtide"
+	"gypsumtide/internal/clientlimit"
 	"gypsumtide/internal/submission"
 	"gypsumtide/internal/wire"
 )
@@ -27,7 +28,20 @@
 	Team          string            `json:"team"`
 	NonIdempotent bool              `json:"non-idempotent"`
 	DeadlineMS    gypsumtide.Millis `json:"deadline-ms"`
-	Tasks         []taskBody        `json:"tasks"`
+	Tasks         taskBodies        `json:"tasks"`
+}
+
+// maxDecodedTasks bounds a list of tasks while it is decoded, before it is checked against the
+// settings. A decoded task takes 40 times as much memory as an empty one in a body.
+const maxDecodedTasks = 100_000
+
+// taskBodies is a list of at most maxDecodedTasks tasks.
+type taskBodies []taskBody
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *taskBodies) UnmarshalJSON(data []byte) (err error) {
+	*l, err = clientlimit.DecodeList[taskBody](data, maxDecodedTasks, true)
+	return err
 }
 
 // taskBody is one task of a jobBody. A payload is JSON, or any bytes in
@@ -181,6 +195,7 @@
 	if err := decodeStrict(http.MaxBytesReader(w, r.Body, e.cfg.MaxJobBytes), &body); err != nil {
 		return nil, false, fmt.Errorf("read job: %w", err)
 	}
+	clientlimit.BodyDecoded(r.Context())
 	var id gypsumtide.SubmissionID
 	if body.SubmissionID == "" {
 		issued = true
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -43,10 +43,12 @@
 }
 
 func (e *Entry) serveSession(ctx context.Context, s *wire.Session) error {
+	s.SetReadLimit(wire.MaxHelloBytes)
 	f, err := s.ReadFrame(ctx)
 	if err != nil {
 		return err
 	}
+	s.SetReadLimit(wire.MaxFrameBytes)
 	if f.Hello == nil {
 		return gypsumtide.NewError("open session", s.Peer(), errNoHello)
 	}
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"gypsumtide"
+	"gypsumtide/internal/clientlimit"
 	"gypsumtide/internal/wire"
 )
 
@@ -82,6 +83,7 @@
 	if err == nil {
 		err = wire.Unmarshal(data, message)
 	}
+	clientlimit.BodyDecoded(r.Context())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return nil, false
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -37,6 +37,11 @@
 	dialTimeout gypsumtide.Millis = 150
 )
 
+// maxAgentFrameBytes is the size of the largest frame that an entry accepts of an agent. The
+// longest are the reports and the list of runs with which a session is resumed, of about 100
+// bytes for each run.
+const maxAgentFrameBytes = 4 << 20
+
 // SessionPath is the HTTP path of agent sessions.
 const SessionPath = "/v1/agents"
 
@@ -86,6 +91,7 @@
 
 // ServerHandshake waits for the hello of the peer and answers it with welcome.
 func ServerHandshake(ctx context.Context, s *wire.Session, welcome wire.Welcome) (wire.Hello, error) {
+	s.SetReadLimit(wire.MaxHelloBytes)
 	f, err := s.ReadFrame(ctx)
 	if err != nil {
 		return wire.Hello{}, gypsumtide.NewError("handshake", s.Peer(), err)
@@ -96,5 +102,6 @@
 	if err := s.WriteFrame(ctx, &wire.Frame{Welcome: &welcome}); err != nil {
 		return wire.Hello{}, gypsumtide.NewError("handshake", s.Peer(), err)
 	}
+	s.SetReadLimit(maxAgentFrameBytes)
 	return *f.Hello, nil
 }
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"gypsumtide"
+	"gypsumtide/internal/clientlimit"
 )
 
 // Common holds the settings that every daemon has.
@@ -28,6 +29,16 @@
 	// without a shared key.
 	AllowInsecure bool `yaml:"allow-insecure"`
 	Log           Log  `yaml:"log"`
+	// MemoryMb is the memory of the machine in MiB, and MaxFds the number of descriptors that
+	// the process may open. 0 means clientlimit.DefaultMemoryMb, and the limit that the
+	// operating system has set.
+	MemoryMb int `yaml:"memory-mb"`
+	MaxFds   int `yaml:"max-fds"`
+}
+
+// Limits returns the limits of the machine.
+func (c *Common) Limits() clientlimit.Limits {
+	return clientlimit.Limits{MemoryMb: c.MemoryMb, MaxFds: c.MaxFds}
 }
 
 // TLS holds the paths of PEM files. The server's certificate and key are reloaded when
@@ -65,6 +76,12 @@
 	if (c.TLS.CertificateFile == "") != (c.TLS.KeyFile == "") {
 		errs = append(errs, fmt.Errorf("tls: certificate-file and key-file go together"))
 	}
+	if c.MemoryMb != 0 {
+		errs = append(errs, CheckRange("memory-mb", int64(c.MemoryMb), clientlimit.MinMemoryMb, 1<<20)...)
+	}
+	if c.MaxFds != 0 {
+		errs = append(errs, CheckRange("max-fds", int64(c.MaxFds), clientlimit.MinMaxFds, 1<<24)...)
+	}
 	errs = append(errs, CheckRange("log.level", int64(c.Log.Level), 0, 2)...)
 	errs = append(errs, CheckRange("log.decision-sample", int64(c.Log.DecisionSample), 0, 1_000_000)...)
 	return errs
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -43,3 +43,17 @@
 		})
 	}
 }
+
+// Guards against a limit of the machine with which no client could be served.
+func TestCheckLimits(t *testing.T) {
+	Convey("Limits are 0 or large enough", t, func() {
+		for _, c := range []struct {
+			memoryMb, maxFds int
+			valid            bool
+		}{{0, 0, true}, {184, 4100, true}, {1, 0, false}, {0, 10, false}, {-184, 0, false}, {0, -1, false}} {
+			cfg := DefaultEntry()
+			cfg.MemoryMb, cfg.MaxFds = c.memoryMb, c.maxFds
+			So(len(cfg.Check()) == 0, ShouldEqual, c.valid)
+		}
+	})
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,6 +10,10 @@
 // faulty peer from exhausting memory.
 const MaxFrameBytes = 64 << 20
 
+// MaxHelloBytes is the size of the largest first frame that is accepted of a peer that has not
+// said who it is.
+const MaxHelloBytes = 64 << 10
+
 var (
 	encMode = mustEncMode()
 	decMode = mustDecMode()
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -113,6 +113,10 @@
 	return s
 }
 
+// SetReadLimit sets the size of the largest frame that is accepted from now on. It is
+// MaxFrameBytes at first.
+func (s *Session) SetReadLimit(bytes int64) { s.conn.SetReadLimit(bytes) }
+
 // Peer returns the URL that was dialled, or the address of the peer if the session was
 // accepted.
 func (s *Session) Peer() string { return s.peer }
