A panic in one request ends that request alone

Cause: a panic in a submission in the background or in a forwarded request cancelled the group of all others; a panic while a message was added to a session, in a request on a stored job, or in the frame of an entry left a mutex locked.

Change: group.AddRequest starts a member whose panic is reported and ends nothing else; the locks are released by defer.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -103,10 +103,7 @@
 		return
 	}
 	done := make(chan wire.Answer, 1)
-	e.background.Add("submission", func(ctx context.Context) error {
-		done <- e.Submit(ctx, req, issued)
-		return nil
-	})
+	e.background.AddRequest(e.requestFailed, func(ctx context.Context) { done <- e.Submit(ctx, req, issued) })
 	ctx, cancel := context.WithTimeout(r.Context(), wait.Duration())
 	defer cancel()
 	select {
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -83,10 +83,7 @@
 	}
 	for i := range f.Forwards {
 		req := f.Forwards[i]
-		g.Add("forwarded request", func(ctx context.Context) error {
-			e.answerForward(ctx, s, &req)
-			return nil
-		})
+		g.AddRequest(e.requestFailed, func(ctx context.Context) { e.answerForward(ctx, s, &req) })
 	}
 	if len(f.RosterUpdates) > 0 {
 		acks := e.shardManager.HandleRosterUpdates(from, f.RosterUpdates)
@@ -108,6 +105,9 @@
 	}
 }
 
+// requestFailed logs the panic of a request that runs in a goroutine of its own.
+func (e *Entry) requestFailed(err error) { e.log.Error(err, "request failed") }
+
 // answerForward runs a forwarded request at this home. It ignores a submission that the
 // sender must not have accepted.
 func (e *Entry) answerForward(ctx context.Context, s *wire.Session, req *wire.Forward) {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -58,6 +58,21 @@
 	})
 }
 
+// AddRequest starts a member that serves one request. A panic ends only this member: failed
+// receives it as an error, and the group continues.
+func (g *Group) AddRequest(failed func(err error), fn func(ctx context.Context)) {
+	g.eg.Go(func() error {
+		err := <-Go(g.ctx, func(ctx context.Context) error {
+			fn(ctx)
+			return nil
+		})
+		if err != nil {
+			failed(err)
+		}
+		return nil
+	})
+}
+
 // Wait waits for all members to end and returns the first error. Cancellation of
 // the context is not an error.
 func (g *Group) Wait() error {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -172,25 +172,32 @@
 	a.log.Decision("entry-lost", "entry", owner, "error", gypsumtide.ErrorText(err), "runs", len(a.state.RunsOf(owner)))
 }
 
-// handleFrame processes a frame from an entry.
-func (a *Agent) handleFrame(owner Owner, s *wire.Session, f *wire.Frame) error {
-	for _, address := range f.Entries {
-		a.entries.Add(address)
-	}
+// frameReceived processes the parts of a frame that every frame may have.
+func (a *Agent) frameReceived(owner Owner, s *wire.Session, f *wire.Frame) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.sessions[owner] == s {
 		a.state.EchoReceived(owner, f.Echo)
 	}
-	if o, ok := a.outboxes[owner]; ok {
-		o.acknowledge(f.AcknowledgedReport)
-		if f.ReportInterval > 0 {
-			o.minInterval = f.ReportInterval
-		}
-		if f.Workers > 0 {
-			o.workers = f.Workers
-		}
+	o, ok := a.outboxes[owner]
+	if !ok {
+		return
+	}
+	o.acknowledge(f.AcknowledgedReport)
+	if f.ReportInterval > 0 {
+		o.minInterval = f.ReportInterval
+	}
+	if f.Workers > 0 {
+		o.workers = f.Workers
+	}
+}
+
+// handleFrame processes a frame from an entry.
+func (a *Agent) handleFrame(owner Owner, s *wire.Session, f *wire.Frame) error {
+	for _, address := range f.Entries {
+		a.entries.Add(address)
 	}
-	a.mu.Unlock()
+	a.frameReceived(owner, s, f)
 	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && len(f.Recorded) == 0 && len(f.RecordDeclined) == 0 && !f.Resumed {
 		return nil
 	}
--- a/internal/stored/request.go
+++ b/internal/stored/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"gypsumtide"
 	"gypsumtide/internal/dispatch"
@@ -20,12 +21,20 @@
 	ErrOwnershipLost = errors.New("ownership of the partition was lost")
 )
 
+// lock locks m.mu. The result unlocks it once; it is also deferred, so that a panic in one request
+// does not block all others.
+func (m *PartitionManager) lock() (unlock func()) {
+	m.mu.Lock()
+	return sync.OnceFunc(m.mu.Unlock)
+}
+
 // Submit accepts a job, or confirms that a job with this id was accepted before. After
 // ErrOwnershipLost or a context error the job may have been accepted; any other error
 // proves that this call did not accept it.
 func (m *PartitionManager) Submit(ctx context.Context, request gypsumtide.JobRequest, route gypsumtide.QueueRoute) error {
 	done := make(chan error, 1)
-	m.mu.Lock()
+	unlock := m.lock()
+	defer unlock()
 	o, j := m.findJob(request.ID)
 	var err error
 	switch {
@@ -33,7 +42,7 @@
 		err = ErrNotOwner
 	case j != nil && j.recorded:
 		m.decisions.Decision("job-repeated", "job", request.ID, "request", request.Request, "state", j.state)
-		m.mu.Unlock()
+		unlock()
 		return nil
 	case j != nil:
 		m.reportAcceptance(o, j, done)
@@ -42,7 +51,7 @@
 	default:
 		err = m.accept(o, newJob(request, route, m.clock.Wall()), done)
 	}
-	m.mu.Unlock()
+	unlock()
 	if err != nil {
 		return err
 	}
@@ -181,17 +190,18 @@
 // Writing the record of the owner again tells, since the log rejects a superseded epoch.
 func (m *PartitionManager) confirmOwnership(ctx context.Context, id string) error {
 	done := make(chan error, 1)
-	m.mu.Lock()
+	unlock := m.lock()
+	defer unlock()
 	o, _ := m.findJob(id)
 	if o == nil || !m.isServing(o) {
-		m.mu.Unlock()
+		unlock()
 		return ErrNotOwner
 	}
 	o.enqueue(pendingWrite{
 		records: []gypsumtide.KeyedRecord{m.ownerRecord()}, failIfRefused: true,
 		onCommitted: func() { done <- nil }, onFailed: func(err error) { done <- err },
 	})
-	m.mu.Unlock()
+	unlock()
 	err := awaitWrite(ctx, done)
 	if errors.Is(err, ErrOwnershipLost) {
 		return ErrNotOwner
@@ -209,32 +219,32 @@
 // context error the job may have been cancelled.
 func (m *PartitionManager) Cancel(ctx context.Context, id string) (gypsumtide.JobState, error) {
 	done := make(chan error, 1)
-	m.mu.Lock()
+	unlock := m.lock()
+	defer unlock()
 	o, j := m.findJob(id)
 	switch {
 	case o == nil || !m.isServing(o):
-		m.mu.Unlock()
+		unlock()
 		return "", ErrNotOwner
 	case j == nil:
-		m.mu.Unlock()
+		unlock()
 		return "", m.confirmOwnership(ctx, id)
 	case j.isFinal():
-		defer m.mu.Unlock()
 		return j.state, nil
 	case !j.recorded:
 		m.reportAcceptance(o, j, done)
-		m.mu.Unlock()
+		unlock()
 		return m.cancelAfterAcceptance(ctx, id, done)
 	case j.closing:
 		// A final state is already being recorded.
 		o.enqueue(pendingWrite{onCommitted: func() { done <- nil }, onFailed: func(err error) { done <- err }})
 	default:
 		if err := m.cancel(o, j, done); err != nil {
-			m.mu.Unlock()
+			unlock()
 			return "", err
 		}
 	}
-	m.mu.Unlock()
+	unlock()
 	if err := awaitWrite(ctx, done); err != nil {
 		return "", err
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -165,17 +165,23 @@
 // The frame's Echo is read before the first message is added. If the process is
 // paused after that, it sends an outdated Echo, which the agent rejects.
 func (s *Session) Update(add func(f *Frame)) bool {
+	if !s.addPending(add) {
+		return false
+	}
+	s.wakeWriter(s.wake)
+	return true
+}
+
+func (s *Session) addPending(add func(f *Frame)) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.closed {
-		s.mu.Unlock()
 		return false
 	}
 	if s.pending == nil {
 		s.pending = &Frame{Echo: s.PeerClock()}
 	}
 	add(s.pending)
-	s.mu.Unlock()
-	s.wakeWriter(s.wake)
 	return true
 }
 
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -306,3 +306,13 @@
 		}
 	})
 }
+
+// Guards against a panic in one message that leaves the session locked: every other sender of
+// the process would wait for it.
+func TestPanicInUpdate(t *testing.T) {
+	Convey("After a panic the session accepts further messages", t, func() {
+		s := &Session{clock: &manualClock{}, wake: make(chan struct{}, 1)}
+		So(func() { s.Update(func(*Frame) { panic("odd message") }) }, ShouldPanic)
+		So(s.Update(func(*Frame) {}), ShouldBeTrue)
+	})
+}
