--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -189,6 +189,26 @@
 	})
 }
 
+// frameReceived processes the parts of a frame that every frame may have.
+func (a *Agent) frameReceived(owner Owner, s *wire.Session, f *wire.Frame) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sessions[owner] == s {
+		a.state.EchoReceived(owner, f.Echo)
+	}
+	o, ok := a.outboxes[owner]
+	if !ok {
+		return
+	}
+	o.acknowledge(f.AcknowledgedReport)
+	if f.ReportInterval > 0 {
+		o.minInterval = f.ReportInterval
+	}
+	if f.Workers > 0 {
+		o.workers = f.Workers
+	}
+}
+
 // handleFrame processes a frame from an entry.
 func (a *Agent) handleFrame(owner Owner, s *wire.Session, f *wire.Frame) error {
 	if err := wire.UnpackSpecs(f.Orders); err != nil {
@@ -201,20 +221,7 @@
 		// An echo permits starts, so the set that comes with it or before it goes first.
 		a.setEvacuations(*f.Evacuations)
 	}
-	a.mu.Lock()
-	if a.sessions[owner] == s {
-		a.state.EchoReceived(owner, f.Echo)
-	}
-	if o, ok := a.outboxes[owner]; ok {
-		o.acknowledge(f.AcknowledgedReport)
-		if f.ReportInterval > 0 {
-			o.minInterval = f.ReportInterval
-		}
-		if f.Workers > 0 {
-			o.workers = f.Workers
-		}
-	}
-	a.mu.Unlock()
+	a.frameReceived(owner, s, f)
 	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && len(f.Recorded) == 0 && len(f.RecordDeclined) == 0 && !f.Resumed {
 		return nil
 	}
