dispatch: refuse only what cannot be served, and a slow start for each worker

- The slow start used the time of the last tick, so a job was refused between two ticks although the returned zone had room. choose and limitsShares get the time.
- A worker with one to three accelerators seemed free during the slow start while they were in use, because their used part was rounded down to none.
- The slow start belonged to a zone of this entry's own set.
It now belongs to a worker and begins when neither the entry nor the agent counts the zone as evacuated, so it covers zones that only agents knew of, and late agents.
- Jobs were refused or aborted 450 ms after the start of the process, or at once after a loss of all agents, when an agent of the evacuated zone connected first.
The time is now measured from when the entry last went from no agents to some, and is the 3 s that entries wait for agents after their start.
- An agent without a worker turned the refusals off for good, now for 3 s.
- A slow run in an evacuated zone was stopped although no other worker took its task.
- A job whose orders all came back unstarted was answered as unknown if its start had been presumed.
Reported starts are kept apart; such a job is refused.
- Refusals on arrival and later gave different ranges of Retry-After.

Each has a test that failed before. A set of the same version with other zones is accepted as a correction of the holder.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -69,7 +69,7 @@
 			s.Submit(0, submission("a", 1, 50, 0))
 			t := s.jobs["a"].tasks[0]
 			for b.Loop() {
-				if c := s.choose(t); c.worker == nil {
+				if c := s.choose(0, t); c.worker == nil {
 					b.Fatal("no worker")
 				}
 			}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -232,7 +232,7 @@
 	d.update(func(gypsumtide.Millis) { d.state.UpdateRoutes(t) })
 }
 
-// SetEvacuations replaces the set of evacuated availability zones if e is newer.
+// SetEvacuations replaces the set of evacuated availability zones, unless e has a lower version.
 func (d *Dispatcher) SetEvacuations(e gypsumtide.Evacuations) {
 	d.update(func(now gypsumtide.Millis) {
 		d.state.SetEvacuations(now, e)
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -29,9 +29,11 @@
 	}
 }
 
-// newZonedState returns a State with one idle worker in each of the zones.
+// newZonedState returns a State with one idle worker in each of the zones, whose agents have
+// been connected for long.
 func newZonedState(zones ...string) *State {
 	s := newTestState(len(zones))
+	s.agentsSince = s.startedAt
 	for i, zone := range zones {
 		s.UpdateWorker(0, workerID(i), zoneReport(i, zone))
 	}
@@ -86,6 +88,11 @@
 			s.SetEvacuations(1, evacuated(6))
 			So(s.Workers(), ShouldEqual, 1)
 		})
+		// A read of the store may have skipped a record.
+		Convey("A set of the same version with other zones is a correction", func() {
+			s.SetEvacuations(1, evacuated(7, "a", "b"))
+			So(s.Workers(), ShouldEqual, 0)
+		})
 		Convey("Workers that are removed leave no trace in the count", func() {
 			s.Disconnected(1, workerID(0), "test")
 			s.Tick(2000)
@@ -222,7 +229,7 @@
 			refused(s.TakeEffects().Answers["a"])
 		})
 		Convey("a job that arrived before waits until then, and no longer", func() {
-			s.Submit(100, submission("a", 1, 50, 0))
+			s.Submit(agentsSettleTime-100, submission("a", 1, 50, 0))
 			s.Tick(agentsSettleTime - 10)
 			So(s.TakeEffects().Answers, ShouldBeEmpty)
 			s.Tick(agentsSettleTime)
@@ -232,7 +239,8 @@
 			r := zoneReport(1, "b")
 			r.Accepting = false
 			connect(1, r)
-			s.Submit(agentsSettleTime, submission("a", 1, 50, 0))
+			s.Submit(agentsSettleTime-1, submission("a", 1, 50, 0))
+			s.Tick(agentsSettleTime)
 			So(s.TakeEffects().Answers, ShouldBeEmpty)
 			s.UpdateWorker(agentsSettleTime+1, workerID(1), zoneReport(1, "b"))
 			s.Tick(agentsSettleTime + 10)
@@ -313,6 +321,151 @@
 	})
 }
 
+// Guards against refusals and aborts while the workers of other zones are about to connect again
+// after a loss of power or of all links.
+func TestAgentsSettle(t *testing.T) {
+	connect := func(s *State, now gypsumtide.Millis, n int, zone string) {
+		s.Connected(now, workerID(n), wire.Resume{Complete: true})
+		s.UpdateWorker(now, workerID(n), zoneReport(n, zone))
+	}
+	Convey("A job is not refused because an agent of the evacuated zone connects first", t, func() {
+		s := NewState(0, "z", 1.5, testTiming, discardLogger{})
+		s.SetEvacuations(0, evacuated(7, "a"))
+		connect(s, 400, 0, "a")
+		s.Submit(2980, submission("a", 1, 50, 0))
+		s.Tick(3010) // The grace of the entry's own start has passed.
+		So(s.unservable(3010, newJob(3010, submission("b", 1, 50, 0))), ShouldBeFalse)
+		connect(s, 3020, 1, "b")
+		s.Tick(3030)
+		e := s.TakeEffects()
+		So(e.Answers, ShouldBeEmpty)
+		So(orderedRuns(e)[workerID(1)], ShouldHaveLength, 1)
+	})
+	Convey("A started job is not aborted when all agents were lost and one of the evacuated zone is back first", t, func() {
+		s := newZonedState("a", "b")
+		s.SetEvacuations(0, evacuated(7, "a"))
+		sub := submission("a", 1, 50, 0)
+		sub.Timeout = 10_000
+		s.Submit(0, sub)
+		s.TakeEffects()
+		s.Tick(20)
+		s.Disconnected(90, workerID(1), "link")
+		s.Disconnected(100, workerID(0), "link")
+		for now := gypsumtide.Millis(110); now < 1500; now += 10 {
+			s.Tick(now)
+		}
+		So(s.workerList, ShouldBeEmpty)
+		So(s.TakeEffects().Answers, ShouldBeEmpty)
+		connect(s, 1500, 0, "a")
+		s.Tick(1500 + agentsSettleTime - 10)
+		So(s.TakeEffects().Answers, ShouldBeEmpty)
+
+		Convey("but when no other zone has returned in time", func() {
+			s.Tick(1500 + agentsSettleTime)
+			So(s.TakeEffects().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeUnknown)
+		})
+	})
+}
+
+// Guards against jobs that are held until their deadline because an agent that has no worker is
+// connected.
+func TestAgentWithoutWorker(t *testing.T) {
+	Convey("Given an evacuated zone and an agent without a worker", t, func() {
+		s := newZonedState("a")
+		const connectedAt = 1000
+		s.Connected(connectedAt, workerID(5), wire.Resume{Complete: true})
+		s.UpdateWorker(connectedAt, workerID(5), wire.WorkerReport{})
+		s.SetEvacuations(connectedAt, evacuated(7, "a"))
+
+		Convey("A job that no zone can serve is refused once a worker would have described itself", func() {
+			s.Submit(connectedAt+agentsSettleTime, submission("a", 1, 50, 0))
+			So(s.TakeEffects().Answers["a"].Reason, ShouldEqual, reasonZoneEvacuated)
+		})
+		Convey("It is not before, and another session of the agent does not begin the time again", func() {
+			j := newJob(connectedAt, submission("a", 1, 50, 0))
+			So(s.unservable(connectedAt+agentsSettleTime-1, j), ShouldBeFalse)
+			s.Connected(connectedAt+100, workerID(5), wire.Resume{Complete: true})
+			So(s.unservable(connectedAt+agentsSettleTime, j), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against the answer "unknown" for a job of which all orders came back unstarted, and
+// against a refusal of one of which something has run.
+func TestPresumedStartReturned(t *testing.T) {
+	Convey("Given a job that counts as started because no agent has reported its orders as queued", t, func() {
+		s := newZonedState("a")
+		s.Submit(0, submission("a", 2, 50, 0))
+		first := orderedRuns(s.TakeEffects())
+		s.Tick(10)
+		So(s.jobs["a"].started, ShouldBeTrue)
+		s.SetEvacuations(11, evacuated(7, "a"))
+		end := func(now gypsumtide.Millis, i int, r wire.RunReport) {
+			r.Ref = first[workerID(0)][i]
+			s.HandleReport(now, workerID(0), r)
+		}
+
+		Convey("it is refused when all orders come back unstarted", func() {
+			reportAll(s, 12, first, returned())
+			s.Tick(20)
+			a := s.TakeEffects().Answers["a"]
+			So(a.Outcome, ShouldEqual, gypsumtide.OutcomeNotRun)
+			So(a.RetryAfter, ShouldBeGreaterThanOrEqualTo, minRetryAfter)
+		})
+		Convey("its outcome is unknown when one of them ended otherwise", func() {
+			end(12, 0, wire.RunReport{End: gypsumtide.EndLost})
+			end(13, 1, returned())
+			s.Tick(20)
+			So(s.TakeEffects().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeUnknown)
+		})
+		Convey("its outcome is unknown when a queued order started while it was refused", func() {
+			end(12, 0, wire.RunReport{Queued: true})
+			end(13, 1, returned())
+			s.Tick(20)
+			So(s.TakeEffects().Answers, ShouldBeEmpty) // Until the agent has returned the other one.
+			end(21, 0, wire.RunReport{Started: true})
+			end(25, 0, wire.RunReport{End: gypsumtide.EndStopped})
+			s.Tick(30)
+			So(s.TakeEffects().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeUnknown)
+		})
+		Convey("its outcome is unknown at its deadline while an order has not come back", func() {
+			end(12, 0, returned())
+			s.Tick(1500)
+			So(s.TakeEffects().Answers["a"].Outcome, ShouldEqual, gypsumtide.OutcomeUnknown)
+		})
+	})
+}
+
+// Guards against runs in an evacuated zone that are stopped although no other worker can take the
+// task.
+func TestStalledRunInEvacuatedZone(t *testing.T) {
+	stops := func(zones ...string) int {
+		s := newZonedState(zones...)
+		for i := 1; i < len(zones); i++ {
+			s.UpdateLoad(0, workerID(i), loadReport(testCapacity/2))
+		}
+		s.Submit(0, submission("a", 1, 50, 0))
+		So(orderedRuns(s.TakeEffects())[workerID(0)], ShouldHaveLength, 1)
+		s.Tick(20)
+		s.SetEvacuations(21, evacuated(7, "a"))
+		slow := loadReport(1600)
+		slow.Slowness = 4
+		s.UpdateLoad(100, workerID(0), slow)
+		n := 0
+		for now := gypsumtide.Millis(110); now < 800; now += 10 {
+			s.Tick(now)
+			if m := s.TakeEffects().Messages[workerID(0)]; m != nil {
+				n += len(m.Stops)
+			}
+		}
+		return n
+	}
+	Convey("A slow run in an evacuated zone is moved only if another zone takes the task", t, func() {
+		So(stops("a"), ShouldEqual, 0)
+		So(stops("a", "b"), ShouldEqual, 1)
+	})
+}
+
 // Guards against agents that learn of an evacuation with the next notice, or after an order, that
 // keep an evacuation that has ended, and against messages where there was never one.
 func TestSendEvacuations(t *testing.T) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -138,6 +138,9 @@
 	// started is set once a task has started or may have run, or is presumed to have
 	// started because its agent has not reported it as queued.
 	started bool
+	// mayHaveRun is set once a start has been reported, or a run has ended that is not known
+	// to be unstarted. Unlike started it excludes presumed starts.
+	mayHaveRun bool
 	// pendingRefusal is the answer to give once no task can start any more.
 	pendingRefusal *Answer
 	// stored is set for a job that outlives its caller's connection. None of its tasks
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -22,14 +22,18 @@
 
 // stalled reports whether a run should be retried on another worker: it takes several
 // times the expected time, and its worker is slow with other runs as well. A long run on
-// a healthy worker would take just as long elsewhere.
+// a healthy worker would take just as long elsewhere. A run in an evacuated zone cannot start
+// there again, so it is not stopped unless another worker takes the task.
 func (s *State) stalled(now gypsumtide.Millis, t *task) bool {
 	w, ok := s.workers[t.worker]
 	if !ok {
 		return false
 	}
 	expected := s.expected(t.job, t.step)
-	return t.moves < maxMoves && w.reportedSlowness >= stallSlowness && now-max(t.orderedAt, t.startedAt) > max(minStallTime, stallFactor*expected)
+	if t.moves >= maxMoves || w.reportedSlowness < stallSlowness || now-max(t.orderedAt, t.startedAt) <= max(minStallTime, stallFactor*expected) {
+		return false
+	}
+	return !w.evacuated || s.choose(now, t).worker != nil
 }
 
 // moveRun stops a run, so that the task is retried on another worker.
@@ -66,7 +70,7 @@
 	if w, ok := s.workers[t.worker]; !ok || !w.connected {
 		return
 	}
-	c := s.choose(t)
+	c := s.choose(now, t)
 	if c.worker == nil || c.worker.id == t.worker || c.estimate.wait > 0 {
 		return
 	}
@@ -120,7 +124,7 @@
 	}
 	avoided := t.avoidWorker
 	t.avoidWorker = w.id
-	c := s.choose(t)
+	c := s.choose(now, t)
 	t.avoidWorker = avoided
 	if c.worker == nil || c.worker == w {
 		return math.Inf(1)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,7 +25,7 @@
 	if now < t.job.notBefore {
 		return false
 	}
-	c := s.choose(t)
+	c := s.choose(now, t)
 	if !c.startsSoon() {
 		return false
 	}
@@ -81,11 +81,11 @@
 
 // choose compares the candidate workers for the task. The choice has no worker if none of
 // them accepts the task.
-func (s *State) choose(t *task) choice {
+func (s *State) choose(now gypsumtide.Millis, t *task) choice {
 	j := t.job
 	step := &j.steps[t.step]
 	expected := float64(s.expected(j, t.step))
-	limited := s.limitsShares(t)
+	limited := s.limitsShares(now, t)
 	var c choice
 	for w := range s.candidateWorkers(t) {
 		if !w.usable() || !w.suits(j.route.Service, step) || !s.withinMaxPerWorker(j, t.step, w) {
@@ -218,7 +218,7 @@
 		if t.phase != taskReady {
 			continue
 		}
-		c := s.choose(t)
+		c := s.choose(now, t)
 		late := now >= s.latestStart(j, t.step)
 		if c.worker == nil && (!late || s.startingUp(now) && now < s.latestUsefulStart(j, t.step)) {
 			continue
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -15,6 +15,12 @@
 // longer has all of its reports, they may have run and have ended.
 func (s *State) Connected(now gypsumtide.Millis, id WorkerID, r wire.Resume) {
 	w := s.ensureWorker(id)
+	if !s.hasAgents() {
+		s.agentsSince = now
+	}
+	if w.awaitedUntil == 0 {
+		w.awaitedUntil = now + agentsSettleTime
+	}
 	w.connected = true
 	missing := wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "order-lost"}
 	if !r.Complete {
@@ -105,7 +111,7 @@
 			"capacity", r.Capacity.Processors)
 	}
 	w.report = r
-	s.updateEvacuated(now, w)
+	s.updateEvacuation(now, w)
 	w.updateSlowness()
 	if r.EarlierRunsEnded {
 		s.dropEarlierIncarnations(now, id)
@@ -149,9 +155,8 @@
 func (s *State) removeWorker(now gypsumtide.Millis, w *worker, reason string) {
 	s.endLostRuns(now, w, reason, func(*task) bool { return true })
 	delete(s.workers, w.id)
-	if w.evacuated {
-		s.evacuatedWorkers--
-	}
+	s.setEvacuated(w, false)
+	s.endSlowStart(w)
 	s.workerList = slices.DeleteFunc(s.workerList, func(x *worker) bool { return x == w })
 	s.log.Decision("agent-gone", "worker", w.id, "reason", reason)
 }
--- a/internal/dispatch/slow_start.go
+++ b/internal/dispatch/slow_start.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "gypsumtide"
+import (
+	"math"
+
+	"gypsumtide"
+)
 
 // Parameters of the slow start.
 const (
@@ -24,42 +28,52 @@
 // limitedWait returns the expected wait in milliseconds for a task of the size on a worker
 // of which only a share is used. An idle worker always takes one task.
 func (w *worker) limitedWait(load, size gypsumtide.Size) float64 {
+	wait := w.waitBehind(load, size)
 	if load == (gypsumtide.Size{}) {
-		return w.waitBehind(load, size)
+		return wait
 	}
-	part := func(n int64) int64 { return int64(w.share * float64(n)) }
+	// A part that is rounded down to none would count as one that the worker does not have.
+	part := func(n int64) int64 { return int64(math.Ceil(w.share * float64(n))) }
 	c := w.report.Capacity
-	return expectedWait(gypsumtide.Size{Processors: part(c.Processors), Memory: part(c.Memory), Accelerators: part(c.Accelerators)}, load, size)
+	return max(wait, expectedWait(gypsumtide.Size{Processors: part(c.Processors), Memory: part(c.Memory), Accelerators: part(c.Accelerators)}, load, size))
+}
+
+// beginSlowStart begins the slow start of a worker at the end of an evacuation.
+func (s *State) beginSlowStart(now gypsumtide.Millis, w *worker) {
+	s.endSlowStart(w)
+	w.share, w.slowStartAt = initialShare, now
+	s.slowStarts++
+}
+
+// endSlowStart lets a worker be used fully.
+func (s *State) endSlowStart(w *worker) {
+	if w.share < 1 {
+		w.share = 1
+		s.slowStarts--
+	}
 }
 
-// updateSlowStarts sets the shares of the workers in zones whose evacuation ended less than
-// slowStartTime ago.
+// updateSlowStarts sets the shares of the workers in a slow start.
 func (s *State) updateSlowStarts(now gypsumtide.Millis) {
-	s.slowStartNow = now
-	if len(s.slowStarts) == 0 {
+	if s.slowStarts == 0 {
 		return
 	}
 	for _, w := range s.workerList {
-		s.updateShare(now, w)
-	}
-	for zone, begin := range s.slowStarts {
-		if now-begin >= slowStartTime {
-			delete(s.slowStarts, zone)
+		if w.share == 1 {
+			continue
 		}
-	}
-}
-
-func (s *State) updateShare(now gypsumtide.Millis, w *worker) {
-	w.share = 1
-	if begin, ok := s.slowStarts[w.report.Zone]; ok {
-		w.share = slowStartShare(now - begin)
+		if share := slowStartShare(now - w.slowStartAt); share < 1 {
+			w.share = share
+			continue
+		}
+		s.endSlowStart(w)
 	}
 }
 
 // limitsShares reports whether the slow start applies to a task. It does not if the task
 // can wait no longer, or if no other worker takes such tasks.
-func (s *State) limitsShares(t *task) bool {
-	if len(s.slowStarts) == 0 || s.slowStartNow >= s.latestStart(t.job, t.step) {
+func (s *State) limitsShares(now gypsumtide.Millis, t *task) bool {
+	if s.slowStarts == 0 || now >= s.latestStart(t.job, t.step) {
 		return false
 	}
 	for _, w := range s.workerList {
--- a/internal/dispatch/slow_start_test.go
+++ b/internal/dispatch/slow_start_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumtide"
+	"gypsumtide/internal/wire"
 )
 
 // Guards against a slow start that never ends, or uses the workers fully at once.
@@ -42,7 +43,7 @@
 		})
 		Convey("After a second it is used like any other", func() {
 			s.Tick(2000)
-			So(s.slowStarts, ShouldBeEmpty)
+			So(s.slowStarts, ShouldEqual, 0)
 			So(placed(2000, 20), ShouldBeGreaterThanOrEqualTo, 10)
 		})
 		Convey("An idle worker gets a task that is larger than the share", func() {
@@ -71,7 +72,14 @@
 		})
 		Convey("Another evacuation ends it", func() {
 			s.SetEvacuations(1100, evacuated(9, "a"))
-			So(s.slowStarts, ShouldBeEmpty)
+			So(s.slowStarts, ShouldEqual, 0)
+		})
+		Convey("So does the removal of its workers", func() {
+			s.Disconnected(1100, workerID(0), "test")
+			s.Tick(1900)
+			So(s.slowStarts, ShouldEqual, 1)
+			s.removeWorker(1900, s.workers[workerID(0)], "test")
+			So(s.slowStarts, ShouldEqual, 0)
 		})
 	})
 
@@ -86,3 +94,89 @@
 		So(orderedRuns(s.TakeEffects())[workerID(0)], ShouldHaveLength, 10)
 	})
 }
+
+// Guards against a busy worker that seems idle during the slow start, because the used part of a
+// small capacity is rounded down to none.
+func TestSlowStartOfSmallCapacity(t *testing.T) {
+	Convey("A worker does not seem free while its only accelerator, or one of three, is missing", t, func() {
+		for _, accelerators := range []int64{1, 2, 3} {
+			s := newZonedState("a", "b")
+			r := zoneReport(0, "a")
+			r.Capacity.Accelerators = accelerators
+			s.UpdateWorker(0, workerID(0), r)
+			s.UpdateLoad(0, workerID(0), &wire.LoadReport{Booked: wire.SizeArray{Processors: 1600, Accelerators: accelerators}, Slowness: 1})
+			s.SetEvacuations(0, evacuated(7, "a"))
+			s.SetEvacuations(1000, evacuated(8))
+			size := gypsumtide.Size{Processors: 1600, Memory: 64, Accelerators: 1}
+			w := s.workers[workerID(0)]
+			So(w.limitedWait(w.load(0), size), ShouldBeGreaterThanOrEqualTo, w.wait(size, 0))
+			So(w.wait(size, 0), ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
+// Guards against a refusal although the returned zone has room.
+func TestSlowStartBetweenTicks(t *testing.T) {
+	Convey("An order that is returned between two ticks, after its latest start, goes to the returned zone", t, func() {
+		s := newZonedState("a", "b")
+		s.SetEvacuations(0, evacuated(7, "a"))
+		s.SetEvacuations(900, evacuated(8))
+		s.UpdateLoad(900, workerID(0), loadReport(testCapacity/2))
+		s.Tick(1000)
+		s.Submit(1000, submission("a", 1, 50, 0))
+		first := orderedRuns(s.TakeEffects())
+		So(first[workerID(1)], ShouldHaveLength, 1)
+		reportAll(s, 1001, first, wire.RunReport{Queued: true})
+		s.UpdateLoad(1001, workerID(1), loadReport(testCapacity))
+		last := s.latestStart(s.jobs["a"], 0)
+		s.Tick(last - 5)
+		s.TakeEffects()
+		reportAll(s, last+1, first, wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "expired"})
+		e := s.TakeEffects()
+		So(e.Answers, ShouldBeEmpty)
+		So(orderedRuns(e)[workerID(0)], ShouldHaveLength, 1)
+	})
+}
+
+// Guards against a burst of tasks to a worker whose agent alone knew of the evacuation, or unblocks
+// starts long after this entry knows its end.
+func TestSlowStartOfWorker(t *testing.T) {
+	blocked := func(version uint64) wire.WorkerReport {
+		r := zoneReport(0, "a")
+		r.Accepting, r.ZoneEvacuated, r.EvacuationsVersion = false, true, version
+		return r
+	}
+	Convey("Given two zones and an agent that blocks starts", t, func() {
+		s := newZonedState("a", "b")
+		w := s.workers[workerID(0)]
+
+		Convey("A zone that only the agent knew as evacuated returns by slow start", func() {
+			s.SetEvacuations(0, evacuated(4))
+			s.UpdateWorker(1, workerID(0), blocked(5))
+			So(s.Workers(), ShouldEqual, 1)
+			s.SetEvacuations(1000, evacuated(6))
+			s.UpdateWorker(1001, workerID(0), zoneReport(0, "a"))
+			So(w.usable(), ShouldBeTrue)
+			So(w.share, ShouldEqual, initialShare)
+		})
+		Convey("A worker whose agent unblocks late has its own slow start", func() {
+			s.SetEvacuations(0, evacuated(4, "a"))
+			s.UpdateWorker(1, workerID(0), blocked(4))
+			s.SetEvacuations(1000, evacuated(6))
+			s.Tick(2500)
+			So(w.usable(), ShouldBeFalse)
+			s.UpdateWorker(2501, workerID(0), zoneReport(0, "a"))
+			So(w.share, ShouldEqual, initialShare)
+			s.Tick(3501)
+			So(w.share, ShouldEqual, 1)
+			So(s.slowStarts, ShouldEqual, 0)
+		})
+		Convey("Reports during the slow start do not begin it again", func() {
+			s.SetEvacuations(0, evacuated(4, "a"))
+			s.SetEvacuations(1000, evacuated(6))
+			s.Tick(1500)
+			s.UpdateWorker(1500, workerID(0), zoneReport(0, "a"))
+			So(w.share, ShouldEqual, slowStartShare(500))
+		})
+	})
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -68,10 +68,10 @@
 	evacuations gypsumtide.Evacuations
 	// evacuatedWorkers is the number of workers in evacuated zones.
 	evacuatedWorkers int
-	// slowStarts holds the times at which the evacuations of zones ended, until their
-	// workers are fully used. slowStartNow is the time of the last update of the shares.
-	slowStarts   map[string]gypsumtide.Millis
-	slowStartNow gypsumtide.Millis
+	// slowStarts is the number of workers in a slow start.
+	slowStarts int
+	// agentsSince is the time at which the entry last went from no connected agent to some.
+	agentsSince gypsumtide.Millis
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
 }
@@ -80,7 +80,7 @@
 func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log gypsumtide.DecisionLogger) *State {
 	return &State{
 		startedAt: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
-		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(), slowStarts: make(map[string]gypsumtide.Millis),
+		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(),
 	}
 }
 
@@ -147,8 +147,7 @@
 	expectedTime := j.criticalPath(func(step int) gypsumtide.Millis { return s.expected(j, step) })
 	j.objective = now + j.route.Objective(expectedTime)
 	s.jobs[j.id] = j
-	if s.unservable(now, j) {
-		s.answer(now, j, s.evacuationRefusal(j))
+	if s.endUnservable(now, j) {
 		return
 	}
 	if refusal, ok := s.admit(now, j); !ok {
@@ -195,10 +194,11 @@
 }
 
 // abort answers the job at once and stops its runs. The outcome is unknown if any task
-// has started or may have started.
+// has started or may have started. A start that was only presumed does not count once all
+// orders have come back unstarted.
 func (s *State) abort(now gypsumtide.Millis, j *job, reason string) {
 	outcome := gypsumtide.OutcomeUnknown
-	if !j.started && !j.hasPlacedTask() {
+	if !j.mayHaveRun && !j.hasPlacedTask() {
 		outcome = gypsumtide.OutcomeNotRun
 	}
 	for _, t := range j.tasks {
@@ -304,6 +304,7 @@
 	t.phase = taskRunning
 	t.startedAt = now
 	j := t.job
+	j.mayHaveRun = true
 	if w, ok := s.workers[t.worker]; ok {
 		w.ownQueue(j.route.Priority).remove(t.size())
 		w.ownRunning = w.ownRunning.Add(t.size())
@@ -387,7 +388,7 @@
 	}
 	if r.End != gypsumtide.EndNotStarted {
 		// Something may have run, so a pending refusal is withdrawn.
-		j.started = true
+		j.started, j.mayHaveRun = true, true
 		j.pendingRefusal = nil
 	}
 	if inProgress {
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -106,7 +106,7 @@
 		chosen := make(map[WorkerID]bool)
 		for i := range 100 {
 			s.Submit(0, submission(fmt.Sprintf("%016x", i), 1, 50, 0))
-			c := s.choose(s.jobs[fmt.Sprintf("%016x", i)].tasks[0])
+			c := s.choose(0, s.jobs[fmt.Sprintf("%016x", i)].tasks[0])
 			So(c.candidates, ShouldEqual, maxCandidates)
 			for id := range orderedRuns(s.TakeEffects()) {
 				chosen[id] = true
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -62,6 +62,7 @@
 		}
 		j.started = j.started || adopted.Tasks[i].Done || t.failures > 0
 	}
+	j.mayHaveRun = j.started
 	j.unblockTasks()
 	j.objective = now + j.route.Objective(j.criticalPath(func(step int) gypsumtide.Millis { return s.expected(j, step) }))
 	s.jobs[j.id] = j
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -30,10 +30,16 @@
 	// priority.
 	ownRunning gypsumtide.Size
 	ownWaiting []queuedLoad
-	// evacuated is set while the worker's availability zone is evacuated. share is the part
-	// of its capacity that is used, which is below 1 for a while after an evacuation.
-	evacuated bool
-	share     float64
+	// awaitedUntil is the time until which the agent may still have to hear from its worker.
+	awaitedUntil gypsumtide.Millis
+	// evacuated is set while the worker's availability zone is evacuated. startsBlocked is
+	// set until its agent has unblocked starts as well.
+	evacuated     bool
+	startsBlocked bool
+	// share is the part of the capacity that is used. It is below 1 during the slow start,
+	// which began at slowStartAt.
+	share       float64
+	slowStartAt gypsumtide.Millis
 	// learned is the slowness learned from completed steps.
 	learned learnedSlowness
 	// slowness is the expected run time relative to an average worker. 1 is average.
