runner: a worker without a zone is in the zone of its agent

The gate compared the zone of the worker's heartbeat only, so a worker that reports none was never in an evacuated zone. The agent's configured zone now counts for it, in the gate and in the report to the entries, also for a worker restored from the store.

A start call took the lock twice and applied the effects of the state only to read whether starts are blocked. The flag is now read with the client, and the order is returned only if it is set. DropBlockedStart is called ReturnBlockedStart, after what it does.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -18,7 +18,8 @@
 	// Name identifies the host, Incarnation this agent process.
 	Name        string
 	Incarnation string
-	Zone        string
+	// Zone is the host's availability zone. A worker that reports none is in it.
+	Zone string
 	// Seeds are the addresses of entries to connect to first.
 	Seeds []string
 	// Lease is the longest lease that the worker grants.
@@ -237,6 +238,7 @@
 
 // Heartbeat processes a worker's description of itself.
 func (a *Agent) Heartbeat(info gypsumtide.WorkerInfo) {
+	info = a.withZone(info)
 	a.update(func(now gypsumtide.Millis) {
 		if slices.Contains(a.deregistered, info.Incarnation) {
 			return
@@ -247,6 +249,14 @@
 	})
 }
 
+// withZone returns the description of a worker with the zone of the host if it has none.
+func (a *Agent) withZone(info gypsumtide.WorkerInfo) gypsumtide.WorkerInfo {
+	if info.Zone == "" {
+		info.Zone = a.cfg.Zone
+	}
+	return info
+}
+
 // WorkerDeregistered processes the deregistration of the worker with the given id. It
 // has no effect if the agent uses another worker or none.
 func (a *Agent) WorkerDeregistered(id string) {
@@ -448,20 +458,29 @@
 }
 
 func (a *Agent) callStart(ctx context.Context, c StartCall) {
-	if a.dropBlockedStart(c) {
+	worker, blocked := a.clientForStart()
+	if blocked && a.returnBlockedStart(c) {
 		return
 	}
-	clock, err := a.client().Start(ctx, c.Incarnation, c.Order)
+	clock, err := worker.Start(ctx, c.Incarnation, c.Order)
 	a.metrics.countWorkerCall("start", err)
 	a.update(func(now gypsumtide.Millis) { a.state.StartAnswered(now, c, clock, err) })
 }
 
-// dropBlockedStart reports whether a start call must not be sent because the worker's zone
-// has been evacuated since the call was queued.
-func (a *Agent) dropBlockedStart(c StartCall) bool {
-	drop := false
-	a.update(func(gypsumtide.Millis) { drop = a.state.DropBlockedStart(c) })
-	return drop
+// clientForStart returns the client for a start call, and whether the worker's zone has been
+// evacuated since the call was queued.
+func (a *Agent) clientForStart() (worker gypsumtide.Worker, blocked bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.worker, a.state.StartsBlocked()
+}
+
+// returnBlockedStart returns the order of a start call, and reports true, if starts are still
+// blocked.
+func (a *Agent) returnBlockedStart(c StartCall) bool {
+	returned := false
+	a.update(func(gypsumtide.Millis) { returned = a.state.ReturnBlockedStart(c) })
+	return returned
 }
 
 func (a *Agent) callStop(ctx context.Context, c StopCall) {
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -41,10 +41,10 @@
 	s.log.Decision("starts-unblocked", "zone", s.info.Zone, "version", s.evacuations.Version, "life", s.incarnation)
 }
 
-// DropBlockedStart reports whether a start call that has not been sent yet must not be sent
-// any more because starts are blocked, and returns its order. Calls may wait for their turn
+// ReturnBlockedStart returns the order of a start call that has not been sent yet, and reports
+// true, if starts are blocked. The call must not be sent then. Calls may wait for their turn
 // while the worker answers slowly.
-func (s *State) DropBlockedStart(call StartCall) bool {
+func (s *State) ReturnBlockedStart(call StartCall) bool {
 	if !s.startsBlocked {
 		return false
 	}
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumtide"
 	"gypsumtide/internal/wire"
 )
 
-// evacuated returns a set with the zones.
 func evacuated(version uint64, zones ...string) gypsumtide.Evacuations {
 	return gypsumtide.Evacuations{Version: version, Zones: zones}
 }
@@ -152,6 +152,12 @@
 	})
 }
 
+// newAgentInZone returns an Agent whose host is in a zone.
+func newAgentInZone(zone string, store gypsumtide.WorkerStore) *Agent {
+	return NewAgent(Config{Name: "agent", Incarnation: "1", Zone: zone, Lease: 1000, WorkerStore: store, Connect: func(string) gypsumtide.Worker { return idleWorker{} }},
+		&manualClock{now: 1000}, discardLogger{}, metrics.NewSet())
+}
+
 // Guards against a worker that starts nothing, or starts runs, because of the zone of the one
 // before it.
 func TestZoneOfNextWorker(t *testing.T) {
@@ -170,7 +176,29 @@
 		s, starts := newZonedState()
 		s.SetEvacuations(evacuated(7, "a"))
 		s.setIncarnation(gypsumtide.Incarnation{ID: testIncarnation.ID, StartTime: 2000})
-		So(s.DropBlockedStart(starts[0]), ShouldBeTrue)
+		So(s.ReturnBlockedStart(starts[0]), ShouldBeTrue)
+	})
+	Convey("A worker that reports no zone is in the zone of its agent", t, func() {
+		a := newAgentInZone("a", nil)
+		a.setEvacuations(evacuated(7, "a"))
+		a.Heartbeat(testInfo(testIncarnation))
+		So(a.state.StartsBlocked(), ShouldBeTrue)
+		So(a.state.WorkerReport(1000).Zone, ShouldEqual, "a")
+		So((<-a.workerSaves).Zone, ShouldEqual, "a")
+
+		Convey("but not if it reports another one", func() {
+			info := testInfo(testIncarnation)
+			info.Zone, info.Seq = "b", 2
+			a.Heartbeat(info)
+			So(a.state.StartsBlocked(), ShouldBeFalse)
+		})
+	})
+	Convey("So is one that was saved without a zone", t, func() {
+		info := testInfo(testIncarnation)
+		a := newAgentInZone("a", &memoryStore{info: &info})
+		a.setEvacuations(evacuated(7, "a"))
+		a.restoreWorker(context.Background())
+		So(a.state.StartsBlocked(), ShouldBeTrue)
 	})
 	Convey("A restarted agent that has heard the set first starts nothing on the worker that it restores", t, func() {
 		s := NewState(testTiming, 10, discardLogger{})
--- a/internal/runner/worker_store.go
+++ b/internal/runner/worker_store.go
@@ -97,7 +97,7 @@
 			a.state.StoredJobsMarkLoaded(now, marked)
 			if info.Incarnation.ID != "" && a.state.Incarnation() == (gypsumtide.Incarnation{}) {
 				a.log.Decision("worker-recalled", "life", info.Incarnation, "draining", info.Draining)
-				a.state.RestoreWorker(now, *info)
+				a.state.RestoreWorker(now, a.withZone(*info))
 			}
 		})
 		return *info
