routing: evacuations pass during the transfer of a table, and a skipped one is corrected

An entry held the exchange with a peer open until the peer's table had arrived, up to 1,500 ms on a thin link, so a change of the evacuated zones did not reach that peer within a round.

The newest records are read again every 10 s in case records were skipped, but the holder ignored the resulting set because its version was not higher. The entry's own list now replaces a set of the same version with other zones, and logs evacuations-corrected. Between peers the higher version still wins.

Peers keeps the zones that it compares instead of a set, and the documentation of Evacuations.Apply says that zones are in ascending order.

--- a/evacuation.go
+++ b/evacuation.go
@@ -23,7 +23,8 @@
 	Evacuated bool
 }
 
-// Apply returns the set of the given version that results from the changes to e.
+// Apply returns the set of the given version that results from the changes to e. The zones of
+// e must be in ascending order, and those of the result are.
 func (e Evacuations) Apply(changes []EvacuationChange, version uint64) Evacuations {
 	zones := slices.Clone(e.Zones)
 	for _, c := range changes {
--- a/internal/routing/evacuation.go
+++ b/internal/routing/evacuation.go
@@ -22,9 +22,9 @@
 	return h.evacuations
 }
 
-// OnEvacuations adds a function that is called with each set that OfferEvacuations accepts,
-// before OfferEvacuations returns. It must be called before the first OfferEvacuations. The
-// calls of fn do not overlap, and fn must not call OfferEvacuations.
+// OnEvacuations adds a function that is called with each set that OfferEvacuations or
+// correctEvacuations accepts, before these return. It must be called before the first of
+// them. The calls of fn do not overlap, and fn must not call them.
 func (h *TableHolder) OnEvacuations(fn func(e gypsumtide.Evacuations)) {
 	h.onEvacuations = append(h.onEvacuations, fn)
 }
@@ -36,22 +36,43 @@
 func (h *TableHolder) OfferEvacuations(e gypsumtide.Evacuations, source string) bool {
 	h.notifying.Lock()
 	defer h.notifying.Unlock()
-	before := h.Evacuations()
-	if !e.Newer(before) {
+	if !e.Newer(h.Evacuations()) {
 		return false
 	}
 	// A peer may send the zones in any order.
 	zones := slices.Clone(e.Zones)
 	slices.Sort(zones)
 	e.Zones = slices.Compact(zones)
-	h.logEvacuations(before, e, source)
+	h.replaceEvacuations(e, source)
+	return true
+}
+
+// correctEvacuations is OfferEvacuations for a list of the newest records of the store. The
+// list also replaces a set of the same version with other zones, which results if a read has
+// skipped a record.
+func (h *TableHolder) correctEvacuations(e gypsumtide.Evacuations, source string) {
+	h.notifying.Lock()
+	defer h.notifying.Unlock()
+	before := h.Evacuations()
+	if before.Newer(e) || !e.Newer(before) && e.SameZones(before) {
+		return
+	}
+	if !e.Newer(before) {
+		h.log.Decision("evacuations-corrected", "version", e.Version, "zones", len(e.Zones), "before", len(before.Zones), "source", source)
+	}
+	h.replaceEvacuations(e, source)
+}
+
+// replaceEvacuations replaces the set and calls the functions of OnEvacuations. The caller
+// holds h.notifying.
+func (h *TableHolder) replaceEvacuations(e gypsumtide.Evacuations, source string) {
+	h.logEvacuations(h.Evacuations(), e, source)
 	h.mu.Lock()
 	h.evacuations = e
 	h.mu.Unlock()
 	for _, fn := range h.onEvacuations {
 		fn(e)
 	}
-	return true
 }
 
 // logEvacuations logs the zones by which two sets differ.
--- a/internal/routing/evacuation_test.go
+++ b/internal/routing/evacuation_test.go
@@ -17,7 +17,6 @@
 	"gypsumtide/internal/link"
 )
 
-// evacuated returns a set of evacuated zones.
 func evacuated(version uint64, zones ...string) gypsumtide.Evacuations {
 	return gypsumtide.Evacuations{Version: version, Zones: zones}
 }
@@ -181,6 +180,76 @@
 	})
 }
 
+// Guards against an evacuation that a read has skipped and that stays unknown although the newest
+// records are read again for that purpose, and against an older list that replaces a newer set.
+func TestRereadCorrectsEvacuations(t *testing.T) {
+	Convey("Given a poller whose read has skipped the record of an evacuation", t, func() {
+		log, source := &lineLogger{}, &logSource{}
+		h := NewTableHolder(gypsumtide.NewSystemClock(), log)
+		var known gypsumtide.Evacuations
+		h.OnEvacuations(func(e gypsumtide.Evacuations) { known = e })
+		p := NewPoller(source, h, gypsumtide.NewSystemClock(), log)
+		ctx := context.Background()
+		So(p.readNewest(ctx), ShouldBeNil)
+		source.add(0, gypsumtide.EvacuationChange{Zone: "a", Evacuated: true})
+		p.offerChanges(gypsumtide.OperatorRead{Next: 1})
+		So(known, ShouldResemble, evacuated(1))
+
+		Convey("The next list of the newest records corrects the set, once", func() {
+			So(p.readNewest(ctx), ShouldBeNil)
+			So(p.readNewest(ctx), ShouldBeNil)
+			So(h.Evacuations(), ShouldResemble, evacuated(1, "a"))
+			So(known, ShouldResemble, evacuated(1, "a"))
+			So(log.count("evacuations-corrected "), ShouldEqual, 1)
+			So(log.count("evacuation "), ShouldEqual, 1)
+		})
+		Convey("A newer set of a peer stays", func() {
+			h.OfferEvacuations(evacuated(2, "b"), "peer")
+			So(p.readNewest(ctx), ShouldBeNil)
+			So(h.Evacuations(), ShouldResemble, evacuated(2, "b"))
+		})
+		Convey("A peer does not correct a set of the same version", func() {
+			So(h.OfferEvacuations(evacuated(1, "c"), "peer"), ShouldBeFalse)
+		})
+	})
+}
+
+// Guards against an evacuation that is not passed on to an entry while a table is fetched from it
+// over a thin link.
+func TestEvacuationDuringFetch(t *testing.T) {
+	Convey("A peer learns of an evacuation within one round although its table is being fetched", t, func() {
+		clock, source := gypsumtide.NewSystemClock(), &testSource{}
+		peer, own := NewTableHolder(clock, discardLogger{}), NewTableHolder(clock, discardLogger{})
+		peer.Offer(gypsumtide.NewRouteTable(7, nil, 1), []byte("7"), "store")
+		own.Offer(gypsumtide.NewRouteTable(6, nil, 1), []byte("6"), "store")
+		mux := http.NewServeMux()
+		NewPeers("peer", "127.0.0.1:1", link.NewAddresses(nil, clock), peer, source, unavailableDirectory{}, clock, discardLogger{}).RegisterHandlers(mux)
+		fetching, release := make(chan struct{}), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == TablePath {
+				close(fetching)
+				<-release
+			}
+			mux.ServeHTTP(w, r)
+		}))
+		defer server.Close()
+		address := strings.TrimPrefix(server.URL, "http://")
+		p := NewPeers("own", "127.0.0.1:2", link.NewAddresses([]string{address}, clock), own, source, unavailableDirectory{}, clock, discardLogger{})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := group.Go(ctx, p.Run)
+		<-fetching
+		begin := clock.Now()
+		own.OfferEvacuations(evacuated(2, "a"), "store")
+		learned := eventually(func() bool { return peer.Evacuations().Contains("a") })
+		took := clock.Now() - begin
+		close(release)
+		So(learned, ShouldBeTrue)
+		So(took, ShouldBeLessThan, exchangeInterval+exchangeTimeout)
+		cancel()
+		<-done
+	})
+}
+
 // Guards against an entry that continues to use a zone because the store rejects its calls,
 // and against one that uses a table of a peer without that peer's evacuations.
 func TestPeerEvacuations(t *testing.T) {
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -1,7 +1,8 @@
 // Package routing keeps the newest route table of an entry, and the newest set of evacuated
 // availability zones. It reads both from the store in which they are published, and newer
-// ones from other entries, so that an entry that cannot reach the store receives them too. The entries also tell each other whether
-// stored jobs are in use, and how many of them are queued.
+// ones from other entries, so that an entry that cannot reach the store receives them too.
+// The entries also tell each other whether stored jobs are in use, and how many of them are
+// queued.
 package routing
 
 import (
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -97,13 +97,13 @@
 	// ahead receives the address of an entry whose message named a newer table.
 	ahead chan string
 
-	// zonesChanged receives a value when the set of evacuated zones has changed. zones is the
-	// set at the last change. Only noteEvacuations accesses it.
-	zonesChanged chan struct{}
-	zones        gypsumtide.Evacuations
+	// zonesChanged receives a value when the evacuated zones have changed. evacuatedZones are
+	// the zones at the last change. Only noteEvacuations accesses them.
+	zonesChanged   chan struct{}
+	evacuatedZones []string
 
 	mu sync.Mutex
-	// inProgress holds the addresses with which an exchange is in progress.
+	// inProgress holds the addresses with which an exchange of messages is in progress.
 	inProgress map[string]bool
 	// queueCounts holds the numbers of queued jobs that the other entries last sent, by the
 	// address of the entry.
@@ -166,7 +166,6 @@
 		return
 	}
 	g.Add("exchange with "+address, func(ctx context.Context) error {
-		defer p.endExchange(address)
 		p.exchangeWith(ctx, address)
 		return nil
 	})
@@ -184,7 +183,8 @@
 }
 
 // beginExchange reports whether an exchange with the address may start. There is at most
-// one at a time with each address.
+// one at a time with each address. The transfer of a table is not part of it, since news of
+// an evacuation must not wait for the table on a thin link.
 func (p *Peers) beginExchange(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -262,6 +262,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
 	defer cancel()
 	m, err := p.sendMessage(callCtx, address)
+	p.endExchange(address)
 	if err != nil {
 		// The error is not logged: the other entry may have stopped, which its agents and
 		// callers notice first.
@@ -316,10 +317,10 @@
 // noteEvacuations requests exchanges with other entries if the set of evacuated zones has
 // changed. A version that rises without a change waits for the next interval.
 func (p *Peers) noteEvacuations(e gypsumtide.Evacuations) {
-	if e.SameZones(p.zones) {
+	if slices.Equal(e.Zones, p.evacuatedZones) {
 		return
 	}
-	p.zones = e
+	p.evacuatedZones = e.Zones
 	select {
 	case p.zonesChanged <- struct{}{}:
 	default:
--- a/internal/routing/poller.go
+++ b/internal/routing/poller.go
@@ -21,8 +21,8 @@
 	readTimeout gypsumtide.Millis = 900
 	// retryDelay is the delay after a failed read.
 	retryDelay gypsumtide.Millis = 150
-	// rereadInterval is the time after which the newest table is read again, in case
-	// records were skipped.
+	// rereadInterval is the time after which the newest table and the evacuations are read
+	// again, in case records were skipped.
 	rereadInterval gypsumtide.Millis = 10_000
 )
 
@@ -68,8 +68,9 @@
 	if err != nil {
 		return err
 	}
-	p.evacuations = gypsumtide.Evacuations{}
-	p.offer(read)
+	p.evacuations = gypsumtide.Evacuations{}.Apply(read.Evacuations, read.Next)
+	p.holder.correctEvacuations(p.evacuations, "store")
+	p.offerTable(read)
 	return nil
 }
 
@@ -91,16 +92,21 @@
 			return err
 		}
 		p.logAvailability(nil)
-		p.offer(read)
+		p.offerChanges(read)
 	}
 	return nil
 }
 
-// offer offers what a read has returned to the holder: the evacuations first, so that no
-// table is used without them.
-func (p *Poller) offer(read gypsumtide.OperatorRead) {
+// offerChanges offers the records of a read to the holder.
+func (p *Poller) offerChanges(read gypsumtide.OperatorRead) {
 	p.evacuations = p.evacuations.Apply(read.Evacuations, read.Next)
 	p.holder.OfferEvacuations(p.evacuations, "store")
+	p.offerTable(read)
+}
+
+// offerTable offers the table of a read to the holder. The evacuations of the same read have
+// been offered before, so that no table is used without them.
+func (p *Poller) offerTable(read gypsumtide.OperatorRead) {
 	p.logSkipped(read.Skipped)
 	if read.Table == nil {
 		return
