--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -125,7 +125,7 @@
 // choosePlace compares the candidate workers for a task like choose. If the step names a
 // rack, it decides between the best worker there and the best one elsewhere.
 func (s *State) choosePlace(now gypsumtide.Millis, t *task) choice {
-	c := s.choose(t)
+	c := s.choose(now, t)
 	key := rackKey{t.job.route.Service, t.job.steps[t.step].Rack}
 	if key.rack == "" || s.remoteFactor <= 1 {
 		return c
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -319,7 +319,7 @@
 		}
 		s.Submit(0, submission("a", 1, 50, 0))
 		c := s.choosePlace(1, s.jobs["a"].tasks[0])
-		So(c, ShouldEqual, s.choose(s.jobs["a"].tasks[0]))
+		So(c, ShouldEqual, s.choose(1, s.jobs["a"].tasks[0]))
 		So(c.elsewhere.worker, ShouldBeNil)
 	})
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -84,11 +84,11 @@
 
 // choose compares the candidate workers for the task. The choice has no worker if none of
 // them accepts the task.
-func (s *State) choose(t *task) choice {
+func (s *State) choose(now gypsumtide.Millis, t *task) choice {
 	j := t.job
 	step := &j.steps[t.step]
 	expected := float64(s.expected(j, t.step))
-	limited := s.limitsShares(t)
+	limited := s.limitsShares(now, t)
 	var c choice
 	for w := range s.candidateWorkers(t) {
 		if !w.usable() || !w.suits(j.route.Service, step) || !s.withinMaxPerWorker(j, t.step, w) {
