object: evacuation of an availability zone

An object names the zone and is checked with the set; two objects for one zone are an error. The text can be edited by adding or removing the object. go test -race ./internal/object passes.

--- a/internal/object/configuration.go
+++ b/internal/object/configuration.go
@@ -52,6 +52,10 @@
 	time    gypsumtide.Millis
 	set     *Set
 	err     error
+	// evacuated lists the evacuated zones of set, by name. evacuationsVersion is the number
+	// of the revision from which they are known.
+	evacuated          []EvacuatedZone
+	evacuationsVersion uint64
 }
 
 // Number returns the number of the revision; 0 is the default set.
@@ -135,7 +139,9 @@
 func (s *ConfigurationState) setCurrent(r Revision) {
 	r.set, r.err = Parse(File{Name: fmt.Sprintf("revision-%d", r.number), Data: r.objects})
 	if r.err != nil {
-		r.set = s.current.set
+		r.set, r.evacuated, r.evacuationsVersion = s.current.set, s.current.evacuated, s.current.evacuationsVersion
+	} else {
+		r.setEvacuated(s.current.evacuated)
 	}
 	s.current = r
 }
@@ -147,12 +153,14 @@
 	Author  string            `cbor:"3,keyasint,omitempty"`
 	Time    gypsumtide.Millis `cbor:"4,keyasint,omitempty"`
 	History []HistoryEntry    `cbor:"5,keyasint,omitempty"`
+	// Evacuated is missing in snapshots of earlier program versions.
+	Evacuated []EvacuatedZone `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot implements journal.StateMachine.
 func (s *ConfigurationState) Snapshot() ([]byte, error) {
 	c := s.current
-	return wire.Marshal(configurationSnapshot{Number: c.number, Objects: c.objects, Author: c.author, Time: c.time, History: s.history})
+	return wire.Marshal(configurationSnapshot{Number: c.number, Objects: c.objects, Author: c.author, Time: c.time, History: s.history, Evacuated: c.evacuated})
 }
 
 // Restore implements journal.StateMachine. It rejects a snapshot with a lower revision,
@@ -176,6 +184,8 @@
 		return fmt.Errorf("object: restore: snapshot history is too long: %d publishes", len(snapshot.History))
 	}
 	if snapshot.Number > s.current.number {
+		// The evacuations of the snapshot stay in force if the text cannot be parsed.
+		s.current.restoreEvacuated(snapshot.Evacuated)
 		s.setCurrent(Revision{number: snapshot.Number, objects: snapshot.Objects, author: snapshot.Author, time: snapshot.Time})
 	}
 	s.history = snapshot.History
--- a/internal/object/diff.go
+++ b/internal/object/diff.go
@@ -49,7 +49,8 @@
 	changes = diffKind(changes, KindPool, a.pools, b.pools)
 	changes = diffKind(changes, KindLimit, a.limits, b.limits)
 	changes = diffKind(changes, KindRoute, a.routes, b.routes)
-	return diffKind(changes, KindTeam, a.teams, b.teams)
+	changes = diffKind(changes, KindTeam, a.teams, b.teams)
+	return diffKind(changes, KindEvacuation, a.evacuations, b.evacuations)
 }
 
 func diffKind[T any](changes []Change, kind string, a, b map[string]T) []Change {
--- a/internal/object/kind.go
+++ b/internal/object/kind.go
@@ -112,6 +112,12 @@
 	Limits []string `json:"limits"`
 }
 
+// Evacuation keeps tasks from starting in an availability zone for as long as it exists.
+type Evacuation struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availability-zone"`
+}
+
 func defaultService(name string) Service {
 	return Service{Name: name, Pool: DefaultPool, MaxPayloadBytes: DefaultPayloadBytes}
 }
--- a/internal/object/parse.go
+++ b/internal/object/parse.go
@@ -208,9 +208,11 @@
 	KindLimit   = "limit"
 	KindRoute   = "route"
 	KindTeam    = "team"
+
+	KindEvacuation = "evacuation"
 )
 
-var kinds = []string{KindService, KindPool, KindLimit, KindRoute, KindTeam}
+var kinds = []string{KindService, KindPool, KindLimit, KindRoute, KindTeam, KindEvacuation}
 
 // objectDecoder decodes one object.
 type objectDecoder struct {
@@ -301,6 +303,16 @@
 			name:  func() string { return o.Name },
 			store: func(s *Set) { s.teams[o.Name] = o },
 		}
+	case KindEvacuation:
+		var o Evacuation
+		return &objectDecoder{
+			fields: []field{
+				nameField("name", true, &o.Name),
+				nameField("availability-zone", true, &o.AvailabilityZone),
+			},
+			name:  func() string { return o.Name },
+			store: func(s *Set) { s.evacuations[o.Name] = o },
+		}
 	}
 	return nil
 }
--- a/internal/object/parse_test.go
+++ b/internal/object/parse_test.go
@@ -69,6 +69,11 @@
 		{"limit that leads to a cycle", limit + "parent: l\n---\nkind: limit\nname: a\nrate: 1\nparent: l\n", []string{`4: limit l: parent: cycle l -> l`}},
 		{"ambiguous routes", service + "---\nkind: route\nname: r1\nservice: s\n---\nkind: route\nname: r2\nservice: s\n", []string{
 			`8: route r2: same service, team and priority as route r1`}},
+		{"two evacuations", "kind: evacuation\nname: a\navailability-zone: z1\n---\nkind: evacuation\nname: b\navailability-zone: z2\n", nil},
+		{"evacuation without a zone", "kind: evacuation\nname: a\n", []string{`1: evacuation: key "availability-zone" is missing`}},
+		{"evacuation of several zones", "kind: evacuation\nname: a\navailability-zone: [z1]\n", []string{`3: evacuation a: availability-zone: must be a single value`}},
+		{"zone evacuated twice", "kind: evacuation\nname: a\navailability-zone: z\n---\nkind: evacuation\nname: b\navailability-zone: z\n", []string{
+			`7: evacuation b: same availability zone as evacuation a`}},
 		{"errors before a syntax error are kept", "kind: x\n---\nkind: [\n", []string{`1: unknown kind "x"`, `not valid YAML`}},
 	} {
 		Convey("Parse: "+c.name, t, func() {
--- a/internal/object/reference.go
+++ b/internal/object/reference.go
@@ -27,6 +27,24 @@
 		p.checkReference(from, "limits", KindLimit, o.Limits...)
 	}
 	p.checkAmbiguousRoutes()
+	p.checkEvacuations()
+}
+
+// checkEvacuations reports a second evacuation of an availability zone. The removal of one
+// of them would otherwise not end the evacuation.
+func (p *parser) checkEvacuations() {
+	first := map[string]string{}
+	for _, o := range p.set.Evacuations() {
+		if o.AvailabilityZone == "" {
+			continue
+		}
+		if other, ok := first[o.AvailabilityZone]; ok {
+			at := p.positions[objectRef{KindEvacuation, o.Name}]
+			p.addError(at.file, at.keyLine("availability-zone"), "evacuation %s: same availability zone as evacuation %s", o.Name, other)
+			continue
+		}
+		first[o.AvailabilityZone] = o.Name
+	}
 }
 
 // checkReference reports each name for which no object of the kind exists. Empty
--- a/internal/object/route.go
+++ b/internal/object/route.go
@@ -104,6 +104,7 @@
 	} else {
 		e.addReason("pool %s: the pool of the service", resolved.pool.Name)
 	}
+	s.explainEvacuations(&e)
 	s.explainLimits(&e)
 	return e
 }
@@ -131,6 +132,14 @@
 	}
 }
 
+func (s *Set) explainEvacuations(e *Explanation) {
+	for _, o := range s.Evacuations() {
+		if zones := e.Pool.AvailabilityZones; len(zones) == 0 || slices.Contains(zones, o.AvailabilityZone) {
+			e.addReason("availability zone %s is not used: evacuation %s", o.AvailabilityZone, o.Name)
+		}
+	}
+}
+
 func (s *Set) explainLimits(e *Explanation) {
 	for _, l := range e.Limits {
 		switch {
--- a/internal/object/set.go
+++ b/internal/object/set.go
@@ -13,6 +13,8 @@
 	limits   map[string]Limit
 	routes   map[string]Route
 	teams    map[string]Team
+	// evacuations has at most one object for each availability zone.
+	evacuations map[string]Evacuation
 	// routesByService indexes the routes by service, in order of precedence. The
 	// index exists because routes are looked up for every job.
 	routesByService map[string][]Route
@@ -26,6 +28,7 @@
 		routes:   map[string]Route{},
 		teams:    map[string]Team{},
 
+		evacuations:     map[string]Evacuation{},
 		routesByService: map[string][]Route{},
 	}
 }
@@ -90,6 +93,19 @@
 // Teams returns the teams sorted by name.
 func (s *Set) Teams() []Team { return sorted(s.teams) }
 
+// Evacuations returns the evacuations sorted by name.
+func (s *Set) Evacuations() []Evacuation { return sorted(s.evacuations) }
+
+// evacuatedZones returns the evacuated availability zones in ascending order.
+func (s *Set) evacuatedZones() []string {
+	zones := make([]string, 0, len(s.evacuations))
+	for _, o := range s.evacuations {
+		zones = append(zones, o.AvailabilityZone)
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 func sorted[T any](objects map[string]T) []T {
 	out := make([]T, 0, len(objects))
 	for _, name := range slices.Sorted(maps.Keys(objects)) {
@@ -111,6 +127,8 @@
 		return slices.Sorted(maps.Keys(s.routes))
 	case KindTeam:
 		return slices.Sorted(maps.Keys(s.teams))
+	case KindEvacuation:
+		return slices.Sorted(maps.Keys(s.evacuations))
 	}
 	return nil
 }
@@ -129,6 +147,8 @@
 		_, ok = s.routes[name]
 	case KindTeam:
 		_, ok = s.teams[name]
+	case KindEvacuation:
+		_, ok = s.evacuations[name]
 	}
 	return ok
 }
