entry, agent: no task starts in an evacuated availability zone

A home places nothing on agents of an evacuated zone and recalls what is not known to run there. A job that suits only such agents is refused at once, or once none of its tasks is at an agent. An agent returns its queue, refuses dispatches and announces this; a home with an older revision obeys the announcement.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,6 +73,9 @@
 	draining bool
 	// config is the current configuration, or nil before the first one.
 	config *wire.Config
+	// zoneEvacuated is set while no task may start because the agent's availability zone is
+	// evacuated.
+	zoneEvacuated bool
 	// decisionCount counts the decisions for the sampling of the log.
 	decisionCount uint64
 	// address is the address of the HTTP server.
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -147,7 +147,7 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	a.config = &wire.Config{Revision: c.Revision, Objects: text}
-	a.updateReserve(text)
+	a.applyObjects(text)
 	a.log.Info("configuration in force", "revision", c.Revision)
 	for _, s := range a.sessions {
 		a.updateFrame(s, func(*wire.Frame) {})
@@ -155,17 +155,23 @@
 	return nil
 }
 
-// updateReserve sets the percentage of slots reserved for short tasks to the smallest
-// one of the pools that contain the agent's availability zone. Without such a pool, the
-// percentage stays unchanged. The smallest one is enough, since each home observes the
-// percentage of the pool for which it places tasks.
-func (a *Agent) updateReserve(objects []byte) {
-	set, err := object.Parse(object.File{Name: "configuration", Data: objects})
+// applyObjects applies the objects that concern an agent.
+func (a *Agent) applyObjects(text []byte) {
+	set, err := object.Parse(object.File{Name: "configuration", Data: text})
 	if err != nil {
 		// The entries have validated the objects, but this version cannot parse them.
-		a.log.Error(err, "cannot parse the configuration, reserved slots are unchanged")
+		a.log.Error(err, "cannot parse the configuration, reserved slots and evacuations are unchanged")
 		return
 	}
+	a.updateReserve(set)
+	a.updateZoneEvacuated(set)
+}
+
+// updateReserve sets the percentage of slots reserved for short tasks to the smallest
+// one of the pools that contain the agent's availability zone. Without such a pool, the
+// percentage stays unchanged. The smallest one is enough, since each home observes the
+// percentage of the pool for which it places tasks.
+func (a *Agent) updateReserve(set *object.Set) {
 	percent := -1
 	for _, p := range set.Pools() {
 		member := len(p.AvailabilityZones) == 0 || slices.Contains(p.AvailabilityZones, a.cfg.Zone)
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -41,6 +41,8 @@
 		return wire.ReasonCreditExpired
 	case a.draining:
 		return wire.ReasonDraining
+	case a.zoneEvacuated:
+		return wire.ReasonZoneEvacuated
 	case d.Budget <= 0:
 		return wire.ReasonDeadline
 	case !a.registry.Serves(d.Service):
@@ -79,6 +81,10 @@
 		a.returnTask(t, wire.ReasonDraining)
 		return true
 	}
+	if a.zoneEvacuated {
+		a.returnTask(t, wire.ReasonZoneEvacuated)
+		return true
+	}
 	if now >= t.deadline {
 		a.returnTask(t, wire.ReasonDeadline)
 		return true
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -31,6 +31,12 @@
 	gauge("gypsumtide_agent_queued_tasks", locked(func() int { return a.queue.len() }))
 	gauge("gypsumtide_agent_sessions", locked(func() int { return len(a.sessions) }))
 	gauge("gypsumtide_agent_configuration_revision", locked(func() int { return int(a.revision()) }))
+	gauge("gypsumtide_agent_starts_blocked", locked(func() int {
+		if a.zoneEvacuated {
+			return 1
+		}
+		return 0
+	}))
 	gauge("gypsumtide_agent_ledger_entries", a.ledger.TaskCount)
 	gauge("gypsumtide_agent_ledger_retained_bytes", a.ledger.RetainedBytes)
 	return &taskMetrics{
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -305,7 +305,7 @@
 }
 
 func (a *Agent) announcement() *wire.Announcement {
-	return &wire.Announcement{Upstreams: a.registry.Announced(), Draining: a.draining}
+	return &wire.Announcement{Upstreams: a.registry.Announced(), Draining: a.draining, ZoneEvacuated: a.zoneEvacuated}
 }
 
 // trimURL removes the trailing slash of a URL, so that equal addresses compare equal.
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -42,6 +42,13 @@
 	disconnectedAt gypsumtide.Millis
 	upstreams      []wire.Upstream
 	draining       bool
+	// slots is the number of slots that the agent announced. The view has fewer of them
+	// during a slow start.
+	slots int
+	// reportsEvacuated is set while the agent reports that its zone is evacuated.
+	reportsEvacuated bool
+	// evacuated is set while the agent receives no tasks because its zone is evacuated.
+	evacuated bool
 	// view is the state of the agent that the placement uses.
 	view      *gypsumtide.AgentView
 	openTasks map[taskKey]openTask
@@ -108,11 +115,12 @@
 var errSessionReplaced = errors.New("a newer session of the agent exists")
 
 // agentConnected registers the session of an agent, whose first frame has the clock
-// reading firstFrameAt. It asks for the state of the tasks that are still open from an
-// earlier session, and for the recoveries that wait for the agent. It returns nil if a
-// newer session of the agent is registered: the sessions of an agent follow one another,
-// but their first frames can be handled in another order.
-func (h *home) agentConnected(rec wire.AgentRecord, s *wire.Session, firstFrameAt gypsumtide.Millis) *agentConn {
+// reading firstFrameAt and reports the configuration revision. It asks for the state of the tasks that are still open from an
+// earlier session, and for the recoveries that wait for the agent. It sends the
+// configuration first, so that the agent knows it before it receives a dispatch. It returns
+// nil if a newer session of the agent is registered: the sessions of an agent follow one
+// another, but their first frames can be handled in another order.
+func (h *home) agentConnected(rec wire.AgentRecord, s *wire.Session, firstFrameAt gypsumtide.Millis, revision uint64) *agentConn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if other := h.agentsByName[rec.Name]; other != nil && other.record.Incarnation != rec.Incarnation {
@@ -137,6 +145,9 @@
 	}
 	h.agentsByName[rec.Name] = c
 	c.session, c.firstFrameAt = s, firstFrameAt
+	c.revision = max(c.revision, revision)
+	c.sendConfig(h.configs)
+	h.updateEvacuated(c)
 	h.queryOpenTasks(c)
 	for _, aj := range h.recovering {
 		// The request or the reply may have been lost with the earlier session.
@@ -185,6 +196,9 @@
 	}
 	c.lost = true
 	delete(h.agents, c.record.Incarnation)
+	if c.evacuated {
+		h.evacuatedAgents--
+	}
 	if h.agentsByName[c.record.Name] == c {
 		delete(h.agentsByName, c.record.Name)
 		for _, p := range h.pools {
@@ -211,23 +225,24 @@
 		}
 	}
 	c.upstreams = h.validUpstreams(c, a.Upstreams)
-	c.draining = a.Draining
-	slots := 0
+	c.draining, c.reportsEvacuated = a.Draining, a.ZoneEvacuated
+	c.slots = 0
 	var capacity gypsumtide.Size
 	ejected := len(c.upstreams) > 0
 	for _, u := range c.upstreams {
 		if u.Leaving {
 			continue
 		}
-		slots += u.Slots
+		c.slots += u.Slots
 		capacity.Processors = max(capacity.Processors, u.Capacity.Processors)
 		capacity.Memory = max(capacity.Memory, u.Capacity.Memory)
 		capacity.Accelerators = max(capacity.Accelerators, u.Capacity.Accelerators)
 		ejected = ejected && u.Ejected
 	}
 	c.view.SetCapacity(capacity)
-	c.view.SetSlots(slots, 0)
+	c.view.SetSlots(c.slots, 0)
 	c.view.SetEjected(ejected)
+	h.updateEvacuated(c)
 	h.invalidateServiceAgents()
 }
 
@@ -257,13 +272,13 @@
 	if c.session != s {
 		return false
 	}
+	if f.Revision > c.revision {
+		c.revision = f.Revision
+	}
 	if f.Announcement != nil {
 		h.applyAnnouncement(c, f.Announcement)
 	}
 	loadKnown := f.Load != nil && h.applyLoad(c, f.Load, now)
-	if f.Revision > c.revision {
-		c.revision = f.Revision
-	}
 	for i := range f.Results {
 		h.applyResult(c, &f.Results[i])
 	}
@@ -345,7 +360,9 @@
 	}
 	now := h.clock.Now()
 	delay := requeueDelay
-	if !aj.pool.retries.Take(now) {
+	// An evacuation returns many tasks at once. They need no retry budget, since the agent
+	// receives none until the evacuation ends.
+	if !c.evacuated && !aj.pool.retries.Take(now) {
 		delay = requeueBackoff
 	}
 	h.pendingRequeues = append(h.pendingRequeues, pendingRequeue{at: now + delay, task: aj.Tasks()[r.Task]})
@@ -385,7 +402,7 @@
 	err := s.Run(ctx, func(f *wire.Frame) error {
 		first := c == nil
 		if first {
-			if c = e.agentConnected(rec, s, f.Clock); c == nil {
+			if c = e.agentConnected(rec, s, f); c == nil {
 				return errSessionReplaced
 			}
 		}
@@ -395,10 +412,6 @@
 		if e.home.handleAgentFrame(c, s, f) {
 			e.shardManager.AgentLeft(rec.Incarnation)
 		}
-		if first {
-			// The first frame reported the revision that the agent has.
-			e.home.sendConfig(c, e.currentConfig.Load())
-		}
 		return nil
 	})
 	if c == nil {
@@ -413,8 +426,8 @@
 
 // agentConnected registers an agent's session with the home and the shard manager. It
 // returns nil if a newer session is registered.
-func (e *Entry) agentConnected(rec wire.AgentRecord, s *wire.Session, firstFrameAt gypsumtide.Millis) *agentConn {
-	c := e.home.agentConnected(rec, s, firstFrameAt)
+func (e *Entry) agentConnected(rec wire.AgentRecord, s *wire.Session, first *wire.Frame) *agentConn {
+	c := e.home.agentConnected(rec, s, first.Clock, first.Revision)
 	if c == nil {
 		return nil
 	}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -14,10 +14,14 @@
 	var last uint64
 	for {
 		changed := e.configurationFollower.Changed()
+		ready := e.configurationFollower.Ready()
 		if rev := e.publisher.Current(); rev.Number() != last {
 			last = rev.Number()
 			e.applyRevision(rev)
 		}
+		if ready {
+			e.configured.Store(true)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -32,6 +36,7 @@
 	if err := rev.Err(); err != nil {
 		e.log.Error(err, "this version of the program cannot read the configuration revision", "revision", rev.Number())
 	}
+	e.home.setEvacuations(rev.Evacuations())
 	e.router.setConfiguration(rev.Set())
 	if err := e.home.configure(e.router); err != nil {
 		e.log.Error(err, "cannot apply the configuration", "revision", rev.Number())
@@ -86,22 +91,17 @@
 	return m.full
 }
 
-// sendConfigs sends a configuration to every connected agent.
+// sendConfigs sends a configuration to every connected agent, and to those that connect
+// later.
 func (h *home) sendConfigs(m *configMessages) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.configs = m
 	for _, c := range h.agents {
 		c.sendConfig(m)
 	}
 }
 
-// sendConfig sends a configuration to an agent that has just connected.
-func (h *home) sendConfig(c *agentConn, m *configMessages) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	c.sendConfig(m)
-}
-
 func (c *agentConn) sendConfig(m *configMessages) {
 	if c.session == nil || m == nil {
 		return
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -40,7 +40,9 @@
 			return g.Wait()
 		case <-t.C:
 		}
-		if at := e.shardsFollower.CaughtUpAt(); at > 0 {
+		// Until then this entry cannot become the home of a shard, so it places no task
+		// before it knows which zones are evacuated.
+		if at := e.shardsFollower.CaughtUpAt(); at > 0 && e.configured.Load() {
 			e.shardManager.HandleLogRead(at)
 		}
 		for _, a := range e.shardManager.Tick() {
--- a/internal/entry/eligible_test.go
+++ b/internal/entry/eligible_test.go
@@ -42,7 +42,7 @@
 	}
 	for i := range agents {
 		rec := wire.AgentRecord{Name: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint("agent-", i, "#1"), Zone: fmt.Sprint("zone-", i%6)}
-		c := h.agentConnected(rec, &wire.Session{}, 0)
+		c := h.agentConnected(rec, &wire.Session{}, 0, 0)
 		h.applyAnnouncement(c, &wire.Announcement{Upstreams: []wire.Upstream{{Name: "u", Services: []string{"echo"}, Slots: 8}}})
 		m.incarnations = append(m.incarnations, rec.Incarnation)
 	}
@@ -92,7 +92,7 @@
 	c = h.agents[m.incarnations[0]]
 	h.agentDisconnected(c, c.session)
 	expectEligible("session ended", slices.Concat(m.incarnations[1:5], m.incarnations[6:16]))
-	h.agentConnected(c.record, &wire.Session{}, 0)
+	h.agentConnected(c.record, &wire.Session{}, 0, 0)
 	expectEligible("session restored", slices.Concat(m.incarnations[:5], m.incarnations[6:16]))
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,9 @@
 	publisher             *object.Publisher
 	router                *router
 	// revision is the configuration revision in use at this entry.
-	revision      atomic.Uint64
+	revision atomic.Uint64
+	// configured is set once the revision that was current at the start is in use.
+	configured    atomic.Bool
 	currentConfig atomic.Pointer[configMessages]
 	home          *home
 	peers         *peers
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -105,6 +105,15 @@
 	serviceSeenAt map[string]gypsumtide.Millis
 	// homeCount is the number of entries that may be homes, including this one.
 	homeCount int
+	// configs holds the messages with the configuration for agents, or nil.
+	configs *configMessages
+	// evacuations is the set of evacuated zones by the configuration in use.
+	evacuations gypsumtide.Evacuations
+	// evacuatedAgents is the number of agents, connected or not, that receive no tasks
+	// because their zone is evacuated.
+	evacuatedAgents     int
+	unservableCheckedAt gypsumtide.Millis
+	startedAt           gypsumtide.Millis
 	// waitingTasks counts the tasks that wait at this home by quota key.
 	waitingTasks map[string]int
 	// finalLedgers holds the tasks that agents had started when they left gracefully, by
@@ -159,6 +168,7 @@
 		agentsByName:  make(map[string]*agentConn),
 		pools:         make(map[string]*pool),
 		homeCount:     1,
+		startedAt:     o.clock.Now(),
 		finalLedgers:  make(map[string]*finalLedger),
 		serviceSeenAt: make(map[string]gypsumtide.Millis),
 		waitingTasks:  make(map[string]int),
@@ -249,6 +259,11 @@
 		return refusal
 	}
 	aj.pool = p
+	if h.unservable(aj, now) {
+		h.metrics.refused.Inc()
+		h.decisions.log("refuse", "submission", req.Submission.String(), "team", req.Team, "reason", zoneEvacuatedProblemType)
+		return notRunAnswer(req.Submission, zoneEvacuatedProblem("admit"))
+	}
 	for i := range req.Tasks {
 		if reason := p.unsatisfiableReason(h, aj.Tasks()[i]); reason != "" {
 			return notRunAnswer(req.Submission, &wire.Problem{Type: "unsatisfiable", Status: http.StatusUnprocessableEntity, Step: "admit", Detail: reason})
--- a/internal/entry/odd_input_test.go
+++ b/internal/entry/odd_input_test.go
@@ -81,7 +81,7 @@
 	Convey("An agent with a good upstream", t, func() {
 		th := newTestHome(t)
 		s := &wire.Session{}
-		c := th.home.agentConnected(wire.AgentRecord{Name: "a", Incarnation: "a1"}, s, 1)
+		c := th.home.agentConnected(wire.AgentRecord{Name: "a", Incarnation: "a1"}, s, 1, 0)
 		for name, odd := range map[string]wire.Upstream{
 			"negative slots":     {Name: "odd", Services: []string{"echo"}, Slots: -8},
 			"slots overflow":     {Name: "odd", Services: []string{"echo"}, Slots: math.MaxInt},
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -70,7 +70,7 @@
 	for _, conn := range h.agents {
 		ok, ejectedNow := conn.serves(service)
 		switch {
-		case !ok || !h.router.poolHasZone(p.spec.name, conn.record.Zone):
+		case !ok || conn.evacuated || !h.router.poolHasZone(p.spec.name, conn.record.Zone):
 		case ejectedNow:
 			ejected = append(ejected, conn)
 		default:
--- a/internal/entry/session_order_test.go
+++ b/internal/entry/session_order_test.go
@@ -27,8 +27,8 @@
 			record := func(incarnation string) wire.AgentRecord {
 				return wire.AgentRecord{Name: "a", Incarnation: incarnation, Zone: "zone-1"}
 			}
-			conn := h.agentConnected(record(c.newer), newer, c.newerFirst)
-			So(h.agentConnected(record(c.older), older, c.olderFirst), ShouldBeNil)
+			conn := h.agentConnected(record(c.newer), newer, c.newerFirst, 0)
+			So(h.agentConnected(record(c.older), older, c.olderFirst, 0), ShouldBeNil)
 			So(h.agents[c.newer], ShouldEqual, conn)
 			So(conn.lost, ShouldBeFalse)
 			So(conn.session, ShouldEqual, newer)
--- a/internal/entry/testhome_test.go
+++ b/internal/entry/testhome_test.go
@@ -133,7 +133,7 @@
 	if err != nil || f.Hello == nil {
 		return
 	}
-	c := th.agentConnected(wire.AgentRecord{Name: f.Hello.Name, Incarnation: f.Hello.Incarnation, Zone: f.Hello.Zone}, s, f.Clock)
+	c := th.agentConnected(wire.AgentRecord{Name: f.Hello.Name, Incarnation: f.Hello.Incarnation, Zone: f.Hello.Zone}, s, f.Clock, 0)
 	if c == nil {
 		return
 	}
@@ -148,10 +148,12 @@
 type fakeAgent struct {
 	home        *testHome
 	incarnation string
+	zone        string
 	session     *wire.Session
 
 	mu               sync.Mutex
 	dispatches       []wire.Dispatch
+	recalls          []wire.TaskRef
 	queries          []wire.TaskRef
 	recoveryRequests []wire.RecoveryRequest
 }
@@ -159,7 +161,12 @@
 // addAgent connects an agent with one upstream that has the given number of slots. The
 // name of the agent is the first letter of its incarnation.
 func (th *testHome) addAgent(incarnation string, slots int) *fakeAgent {
-	a := &fakeAgent{home: th, incarnation: incarnation}
+	return th.addAgentIn("zone-1", incarnation, slots)
+}
+
+// addAgentIn is addAgent for an agent in the given availability zone.
+func (th *testHome) addAgentIn(zone, incarnation string, slots int) *fakeAgent {
+	a := &fakeAgent{home: th, incarnation: incarnation, zone: zone}
 	th.shardManager.update(func(m *fakeShardManager) { m.agents = append(m.agents, incarnation) })
 	a.connect()
 	a.announce(slots)
@@ -169,7 +176,7 @@
 func (a *fakeAgent) connect() {
 	s, err := wire.Dial(a.home.ctx, http.DefaultClient, a.home.url, "", a.home.clock, wire.Timing{HeartbeatInterval: 50, ReceiveTimeout: 5_000}, &wire.Counters{})
 	So(err, ShouldBeNil)
-	hello := &wire.Hello{Kind: "agent", Name: a.incarnation[:1], Incarnation: a.incarnation, Zone: "zone-1"}
+	hello := &wire.Hello{Kind: "agent", Name: a.incarnation[:1], Incarnation: a.incarnation, Zone: a.zone}
 	So(s.WriteFrame(a.home.ctx, &wire.Frame{Hello: hello}), ShouldBeNil)
 	a.session = s
 	go func() {
@@ -177,6 +184,7 @@
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.dispatches = append(a.dispatches, f.Dispatches...)
+			a.recalls = append(a.recalls, f.Recalls...)
 			a.queries = append(a.queries, f.Queries...)
 			a.recoveryRequests = append(a.recoveryRequests, f.RecoveryRequests...)
 			return nil
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -10,7 +10,7 @@
 )
 
 // tick does the periodic work of the home: it handles deadlines, due requeues,
-// disconnected agents and expired state, and then dispatches and recalls tasks of each
+// disconnected agents, expired state and jobs that no zone can serve, and then dispatches and recalls tasks of each
 // pool.
 func (h *home) tick() {
 	h.mu.Lock()
@@ -28,6 +28,7 @@
 	h.checkRecoveries(now)
 	h.expireFinalLedgers(now)
 	h.table.Expire(now, h.clock.Wall()-h.idRules.Retention())
+	h.closeUnservable(now)
 	for _, p := range h.pools {
 		p.updateReservation(now)
 		h.dispatchWaiting(p, now)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -143,6 +143,9 @@
 	Upstreams []Upstream `cbor:"1,keyasint,omitempty"`
 	// Draining means that the agent accepts no new tasks.
 	Draining bool `cbor:"2,keyasint,omitempty"`
+	// ZoneEvacuated means that the agent starts nothing, since by the revision of the
+	// configuration in this frame its availability zone is evacuated.
+	ZoneEvacuated bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Upstream describes an upstream and the services that it provides.
@@ -246,6 +249,8 @@
 	ReasonNeverReceived = "never-received"
 	// ReasonRefused means that the upstream answered that it has not started the task.
 	ReasonRefused = "refused-by-upstream"
+	// ReasonZoneEvacuated means that the agent's availability zone is evacuated.
+	ReasonZoneEvacuated = "zone-evacuated"
 )
 
 // Result reports the state of a task, and its result once it is done.
