entry: tests of the evacuation with processes, agents report it in nodes

Cause: the evacuation on the own interface had no test with entries and agents that run, and nodes did not show which agents have taken note. Change: tests with in-process entries and agents, and the state evacuated in nodes.

--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -197,3 +197,20 @@
 		})
 	}
 }
+
+// Guards against an agent that receives a task on a new session before the configuration that
+// was published meanwhile, and would start it in an evacuated zone.
+func TestConfigurationPrecedesDispatches(t *testing.T) {
+	Convey("An agent that reconnects gets the configuration first", t, func() {
+		th := newTestHome(t)
+		a := th.addAgent("a1", 1)
+		a.disconnect()
+		th.sendConfigs(&configMessages{revision: 4, full: &wire.Config{Revision: 4}})
+		ch := th.submit(th.newJob(1), 5_000)
+		a.connect()
+		a.reportDone(a.awaitDispatch(1), "x")
+		So(th.awaitAnswer(ch).Outcome, ShouldEqual, complete)
+		So(a.unconfigured, ShouldEqual, 0)
+		So(a.config, ShouldNotBeNil)
+	})
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -41,7 +41,7 @@
 		a := statuses[m.Incarnation]
 		nodes = append(nodes, operator.Node{
 			Name: m.Name, Kind: "agent", Incarnation: m.Incarnation, Zone: m.Zone, Rack: m.Rack,
-			State: nodeState(a.Connected, a.Draining), Revision: a.Revision, Slots: a.Slots, Running: a.Open, LoadReportAge: a.ReportAgeMS,
+			State: agentState(a), Revision: a.Revision, Slots: a.Slots, Running: a.Open, LoadReportAge: a.ReportAgeMS,
 		})
 	}
 	return nodes, nil
@@ -73,6 +73,16 @@
 	return "ready"
 }
 
+// agentState returns the state of an agent, which is evacuated only if the agent has taken
+// note of the evacuation of its zone.
+func agentState(a agentStatus) string {
+	state := nodeState(a.Connected, a.Draining)
+	if state == "ready" && a.Evacuated {
+		return "evacuated"
+	}
+	return state
+}
+
 // Drain implements operator.Backend.
 func (o operatorBackend) Drain(_ context.Context, name string) error {
 	e := o.e
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -28,13 +28,16 @@
 
 // agentStatus is the state of an agent at this entry.
 type agentStatus struct {
-	Name        string            `json:"name"`
-	Incarnation string            `json:"incarnation"`
-	Zone        string            `json:"availability-zone"`
-	Rack        string            `json:"rack"`
-	Connected   bool              `json:"connected"`
-	Draining    bool              `json:"draining"`
-	Ejected     bool              `json:"ejected"`
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"availability-zone"`
+	Rack        string `json:"rack"`
+	Connected   bool   `json:"connected"`
+	Draining    bool   `json:"draining"`
+	Ejected     bool   `json:"ejected"`
+	// Evacuated means that the agent reports that it starts nothing because its zone is
+	// evacuated.
+	Evacuated   bool              `json:"zone-evacuated"`
 	Slots       int               `json:"slots"`
 	Open        int               `json:"open-tasks"`
 	Slowness    float64           `json:"speed"`
@@ -71,7 +74,7 @@
 	for _, c := range h.agents {
 		s.Agents = append(s.Agents, agentStatus{
 			Name: c.record.Name, Incarnation: c.record.Incarnation, Zone: c.record.Zone, Rack: c.record.Rack,
-			Connected: c.session != nil, Draining: c.draining, Ejected: c.view.Ejected(), Slots: c.view.Slots(),
+			Connected: c.session != nil, Draining: c.draining, Ejected: c.view.Ejected(), Evacuated: c.reportsEvacuated, Slots: c.view.Slots(),
 			Open: len(c.openTasks), Slowness: c.view.Slowness(), Revision: c.revision, ReportAgeMS: now - c.view.ReportedAt(),
 		})
 	}
--- a/internal/entry/testhome_test.go
+++ b/internal/entry/testhome_test.go
@@ -151,7 +151,10 @@
 	zone        string
 	session     *wire.Session
 
-	mu               sync.Mutex
+	mu sync.Mutex
+	// config is the last configuration. unconfigured counts the dispatches before the first.
+	config           *wire.Config
+	unconfigured     int
 	dispatches       []wire.Dispatch
 	recalls          []wire.TaskRef
 	queries          []wire.TaskRef
@@ -183,6 +186,12 @@
 		_ = s.Run(a.home.ctx, func(f *wire.Frame) error {
 			a.mu.Lock()
 			defer a.mu.Unlock()
+			if f.Config != nil {
+				a.config = f.Config
+			}
+			if a.config == nil {
+				a.unconfigured += len(f.Dispatches)
+			}
 			a.dispatches = append(a.dispatches, f.Dispatches...)
 			a.recalls = append(a.recalls, f.Recalls...)
 			a.queries = append(a.queries, f.Queries...)
