gypsumctl evacuate, slow start of a returned zone

gypsumctl evacuate publishes the current text with one object more or less; nodes and evacuations print since when a zone is evacuated and which nodes report an older revision. apply refuses files that would end an evacuation unless told to.

--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -28,6 +28,7 @@
 
 // Gypsumctl returns the command line of gypsumctl, the operators' client.
 func Gypsumctl() *cli.Command {
+	authorFlag := &cli.StringFlag{Name: "author", Usage: "`NAME` that the history shows as the author; default is the user who runs the command"}
 	files := &cli.StringSliceFlag{Name: "file", Aliases: []string{"f"}, Required: true, TakesFile: true, Usage: "`FILE` with objects, or - for standard input (repeatable)"}
 	return &cli.Command{
 		Name:    "gypsumctl",
@@ -35,7 +36,7 @@
 		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7001", Usage: "`URL` of an entry", Sources: cli.EnvVars("GYPSUMTIDE_ENTRY")},
-			&cli.BoolFlag{Name: "json", Usage: "print the response of the entry as JSON; applies to get, history, explain and nodes"},
+			&cli.BoolFlag{Name: "json", Usage: "print the response of the entry as JSON; applies to get, history, explain, nodes and evacuations"},
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the shared key of the entry; needed for changes if the entry has one", Sources: cli.EnvVars("GYPSUMTIDE_KEY_FILE")},
 		},
 		Commands: []*cli.Command{
@@ -44,7 +45,8 @@
 				Flags: []cli.Flag{
 					files,
 					&cli.Uint64Flag{Name: "base", Usage: "`REVISION` that the set replaces; default is the current one"},
-					&cli.StringFlag{Name: "author", Usage: "`NAME` that the history shows as the author; default is the user who runs the command"},
+					authorFlag,
+					&cli.BoolFlag{Name: "end-evacuations", Usage: "publish files that lack an evacuation in force, which ends it"},
 				},
 			},
 			{Name: "diff", Usage: "show what the files would change", Flags: []cli.Flag{files}, Action: diffSet},
@@ -57,6 +59,14 @@
 					&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
 				},
 			},
+			{
+				Name: "evacuate", Usage: "publish the current objects with an evacuation of an availability zone, in which no task may start then", ArgsUsage: "ZONE", Action: evacuateZone,
+				Flags: []cli.Flag{
+					&cli.BoolFlag{Name: "end", Usage: "publish them without the evacuation instead"},
+					authorFlag,
+				},
+			},
+			{Name: "evacuations", Usage: "list evacuated availability zones, and the nodes that have not taken note", Action: listEvacuations},
 			{Name: "nodes", Usage: "list entries and agents", Action: listNodes},
 			{Name: "drain", Usage: "make an entry or agent accept no new work and finish its work in progress", ArgsUsage: "NODE", Action: drainNode},
 			{Name: "retire", Usage: "record that the host of an agent is permanently removed", ArgsUsage: "AGENT", Action: retireAgent},
@@ -141,7 +151,11 @@
 			fmt.Fprintf(cmd.Root().Writer, "revision %d has the same text, nothing published\n", current.Revision)
 			return nil
 		}
-		writeChanges(cmd.Root().Writer, object.Diff(currentSet, set))
+		changes := object.Diff(currentSet, set)
+		writeChanges(cmd.Root().Writer, changes)
+		if err := checkEndedEvacuations(cmd, changes); err != nil {
+			return err
+		}
 		base = current.Revision
 	}
 	response, err := client.Publish(ctx, base, objects, author(cmd))
@@ -300,6 +314,9 @@
 	if done, err := writeJSON(cmd, nodes); done {
 		return err
 	}
+	if err := writeEvacuations(ctx, cmd, client, nodes); err != nil {
+		return err
+	}
 	return writeTable(cmd.Root().Writer, "NAME\tKIND\tZONE\tRACK\tSTATE\tREVISION\tSHARDS\tSLOTS\tRUNNING\tQUEUED", len(nodes), func(i int) string {
 		n := nodes[i]
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d", n.Name, n.Kind, n.Zone, n.Rack, n.State, n.Revision, n.Shards, n.Slots, n.Running, n.Queued)
--- a/internal/cli/gypsumctl_test.go
+++ b/internal/cli/gypsumctl_test.go
@@ -112,6 +112,48 @@
 	})
 }
 
+// TestEvacuate guards against a wrapper that loses objects, an evacuation that ends unnoticed
+// with the next files, and a list that hides which nodes have not taken note.
+func TestEvacuate(t *testing.T) {
+	Convey("Given an entry with objects, and files without an evacuation", t, func() {
+		url := startOperatorServer(t)
+		pool := filepath.Join(t.TempDir(), "pool.yaml")
+		So(os.WriteFile(pool, []byte("# checks\nkind: pool\nname: checks\n"), 0o600), ShouldBeNil)
+		run := func(args ...string) string {
+			out, err := gypsumctl(append([]string{"--entry", url}, args...)...)
+			So(err, ShouldBeNil)
+			return out
+		}
+		fail := func(want string, args ...string) {
+			_, err := gypsumctl(append([]string{"--entry", url}, args...)...)
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, want)
+		}
+		run("apply", "-f", pool)
+		So(run("evacuations"), ShouldBeEmpty)
+		So(run("evacuate", "--author", "ann", "z1"), ShouldEqual, "availability zone z1 is evacuated, revision 2 published\n")
+		So(run("get"), ShouldContainSubstring, " by ann ")
+		So(run("diff", "-f", pool), ShouldEqual, "removed evacuation z1\n")
+		for _, list := range []string{"nodes", "evacuations"} {
+			// The agent a1 reports revision 0.
+			out := run(list)
+			So(out, ShouldContainSubstring, "availability zone z1 is evacuated since revision 2 at 20")
+			So(out, ShouldContainSubstring, ", 0 of 1 nodes have taken note, not a1\n")
+		}
+		So(run("--json", "evacuations"), ShouldContainSubstring, `"availability-zone": "z1"`)
+		So(run("explain", "--service", "s"), ShouldContainSubstring, "availability zone z1 is not used: evacuation z1")
+		fail("already evacuated", "evacuate", "z1")
+		fail("not evacuated", "evacuate", "--end", "z2")
+		fail("give the name of one availability zone", "evacuate")
+		fail("nothing published: the files would end or change evacuation z1", "apply", "-f", pool)
+		So(run("evacuate", "--end", "z1"), ShouldEqual, "availability zone z1 is no longer evacuated, revision 3 published\n")
+		So(run("get"), ShouldEndWith, "\n# checks\nkind: pool\nname: checks\n")
+		run("evacuate", "z1")
+		So(run("apply", "-f", pool, "--end-evacuations"), ShouldContainSubstring, "revision 5 published")
+		So(run("evacuations"), ShouldBeEmpty)
+	})
+}
+
 // TestStandinLog guards against a command line that does not start the stand-in,
 // or does not stop it when the context ends.
 func TestStandinLog(t *testing.T) {
--- a/internal/dispatch/slow_start.go
+++ b/internal/dispatch/slow_start.go
@@ -1,25 +1,13 @@
 package dispatch
 
-import "gypsumtide"
-
-// Parameters of the slow start.
-const (
-	// slowStartTime is how long the workers of a zone whose evacuation has ended are not
-	// used fully. Otherwise all entries would send their waiting tasks to the same empty
-	// workers at once, before the first reports show the load.
-	slowStartTime gypsumtide.Millis = 1000
-	// initialShare is the share of a worker's capacity that is used at the beginning.
-	initialShare = 0.25
+import (
+	"gypsumtide"
+	"gypsumtide/internal/placement"
 )
 
-// slowStartShare returns the share of a worker's capacity that is used at the given time
-// after the end of the evacuation of its zone.
-func slowStartShare(elapsed gypsumtide.Millis) float64 {
-	if elapsed >= slowStartTime {
-		return 1
-	}
-	return initialShare + (1-initialShare)*float64(max(0, elapsed))/float64(slowStartTime)
-}
+// slowStartTime is how long the workers of a zone whose evacuation has ended are not used
+// fully.
+const slowStartTime = placement.SlowStartTime
 
 // limitedWait returns the expected wait in milliseconds for a task of the size on a worker
 // of which only a share is used. An idle worker always takes one task.
@@ -52,7 +40,7 @@
 func (s *State) updateShare(now gypsumtide.Millis, w *worker) {
 	w.share = 1
 	if begin, ok := s.slowStarts[w.report.Zone]; ok {
-		w.share = slowStartShare(now - begin)
+		w.share = placement.SlowStartShare(now - begin)
 	}
 }
 
--- a/internal/dispatch/slow_start_test.go
+++ b/internal/dispatch/slow_start_test.go
@@ -9,15 +9,6 @@
 	"gypsumtide"
 )
 
-// Guards against a slow start that never ends, or uses the workers fully at once.
-func TestSlowStartShare(t *testing.T) {
-	Convey("The share grows from a quarter to all within a second", t, func() {
-		for elapsed, share := range map[gypsumtide.Millis]float64{-5: 0.25, 0: 0.25, 400: 0.55, 800: 0.85, 1000: 1, 5000: 1} {
-			So(slowStartShare(elapsed), ShouldAlmostEqual, share)
-		}
-	})
-}
-
 // Guards against waiting work that all goes to the workers of a returned zone, and against work
 // that is delayed although it has nowhere else to go.
 func TestSlowStart(t *testing.T) {
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -243,6 +243,7 @@
 	c.view.SetSlots(c.slots, 0)
 	c.view.SetEjected(ejected)
 	h.updateEvacuated(c)
+	h.updateSlowStarts(now)
 	h.invalidateServiceAgents()
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,6 +142,7 @@
 		return nil, err
 	}
 	e.home = h
+	e.metrics.addEvacuationGauges(h)
 	e.peers = newPeers(e)
 	return e, nil
 }
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -40,18 +40,21 @@
 	before := h.evacuations
 	h.evacuations = e
 	for _, zone := range e.Zones {
+		delete(h.slowStarts, zone)
 		if !before.Contains(zone) {
 			h.log.Info("evacuation", "zone", zone, "revision", e.Version)
 		}
 	}
 	for _, zone := range before.Zones {
 		if !e.Contains(zone) {
+			h.slowStarts[zone] = h.clock.Now()
 			h.log.Info("evacuation-ended", "zone", zone, "revision", e.Version)
 		}
 	}
 	for _, c := range h.agents {
 		h.updateEvacuated(c)
 	}
+	h.updateSlowStarts(h.clock.Now())
 }
 
 // updateEvacuated sets whether an agent receives no tasks because its zone is evacuated. The
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -214,3 +214,50 @@
 		So(a.config, ShouldNotBeNil)
 	})
 }
+
+// Guards against homes that send all their waiting tasks to a returned zone at once, against
+// a zone that stays limited, and against limits that delay or refuse work for nothing.
+func TestSlowStart(t *testing.T) {
+	Convey("Given 12 agents of 8 slots in 6 zones, one of which returns", t, func() {
+		h, _, p, _ := newEligibleHome(t, 12, 1)
+		h.setEvacuations(gypsumtide.Evacuations{Version: 1, Zones: []string{"zone-0"}})
+		So(p.serviceAgents(h, "echo").views, ShouldHaveLength, 10)
+		h.setEvacuations(gypsumtide.Evacuations{Version: 2})
+		begin := h.slowStarts["zone-0"]
+		slots := func() int {
+			n := 0
+			for _, v := range p.serviceAgents(h, "echo").views {
+				n += v.Slots()
+			}
+			return n
+		}
+		Convey("its share grows, and admission counts all its slots", func() {
+			for _, c := range []struct{ elapsed, slots int }{{0, 2}, {500, 5}, {999, 7}, {1000, 8}} {
+				h.updateSlowStarts(begin + gypsumtide.Millis(c.elapsed))
+				So(slots(), ShouldEqual, 10*8+2*c.slots)
+				So(p.slots, ShouldEqual, 12*8)
+				So(p.freeSlots("echo"), ShouldEqual, 12*8)
+			}
+			So(h.slowStarts, ShouldBeEmpty)
+		})
+		Convey("an announcement does not end it", func() {
+			h.updateSlowStarts(begin)
+			c := h.agents["agent-0#1"]
+			h.applyAnnouncement(c, &wire.Announcement{Upstreams: c.upstreams})
+			So(c.view.Slots(), ShouldBeLessThan, 8)
+		})
+		Convey("its agents are used fully if no other zone has the service", func() {
+			for _, c := range h.agents {
+				if c.record.Zone != "zone-0" {
+					h.applyAnnouncement(c, &wire.Announcement{Draining: true})
+				}
+			}
+			h.updateSlowStarts(begin)
+			So(slots(), ShouldEqual, 2*8)
+		})
+		Convey("another evacuation ends it", func() {
+			h.setEvacuations(gypsumtide.Evacuations{Version: 3, Zones: []string{"zone-0"}})
+			So(h.slowStarts, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -113,7 +113,10 @@
 	// because their zone is evacuated.
 	evacuatedAgents     int
 	unservableCheckedAt gypsumtide.Millis
-	startedAt           gypsumtide.Millis
+	// slowStarts holds, for each zone whose evacuation has ended within SlowStartTime, when
+	// it ended.
+	slowStarts map[string]gypsumtide.Millis
+	startedAt  gypsumtide.Millis
 	// waitingTasks counts the tasks that wait at this home by quota key.
 	waitingTasks map[string]int
 	// finalLedgers holds the tasks that agents had started when they left gracefully, by
@@ -168,6 +171,7 @@
 		agentsByName:  make(map[string]*agentConn),
 		pools:         make(map[string]*pool),
 		homeCount:     1,
+		slowStarts:    make(map[string]gypsumtide.Millis),
 		startedAt:     o.clock.Now(),
 		finalLedgers:  make(map[string]*finalLedger),
 		serviceSeenAt: make(map[string]gypsumtide.Millis),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"gypsumtide"
 	"gypsumtide/internal/wire"
 )
 
@@ -55,6 +56,19 @@
 	}
 }
 
+// addEvacuationGauges adds the gauges of the evacuations at the home.
+func (m *entryMetrics) addEvacuationGauges(h *home) {
+	gauge := func(name string, value func(e gypsumtide.Evacuations) float64) {
+		m.set.NewGauge(name, func() float64 {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return value(h.evacuations)
+		})
+	}
+	gauge("gypsumtide_entry_evacuations_version", func(e gypsumtide.Evacuations) float64 { return float64(e.Version) })
+	gauge("gypsumtide_entry_evacuated_zones", func(e gypsumtide.Evacuations) float64 { return float64(len(e.Zones)) })
+}
+
 // taskNotStarted counts a task that an agent guarantees not to start.
 func (m *entryMetrics) taskNotStarted(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumtide_not_started_total{reason=%q}`, reason)).Inc()
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -55,7 +55,7 @@
 		conn.view.SetSlots(conn.view.Slots(), p.reservedSlots(conn.view.Slots()))
 		list.add(conn)
 		list.byIncarnation[conn.record.Incarnation] = conn
-		p.slots += conn.view.Slots()
+		p.slots += conn.slots
 	}
 	p.agentsByService[service] = list
 	return list
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -223,8 +223,8 @@
 		return 0
 	}
 	n := 0
-	for _, v := range list.views {
-		n += max(0, v.Slots()-v.OpenTasks())
+	for _, c := range list.conns {
+		n += max(0, c.slots-c.view.OpenTasks())
 	}
 	return n
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -74,7 +74,7 @@
 	for _, c := range h.agents {
 		s.Agents = append(s.Agents, agentStatus{
 			Name: c.record.Name, Incarnation: c.record.Incarnation, Zone: c.record.Zone, Rack: c.record.Rack,
-			Connected: c.session != nil, Draining: c.draining, Ejected: c.view.Ejected(), Evacuated: c.reportsEvacuated, Slots: c.view.Slots(),
+			Connected: c.session != nil, Draining: c.draining, Ejected: c.view.Ejected(), Evacuated: c.reportsEvacuated, Slots: c.slots,
 			Open: len(c.openTasks), Slowness: c.view.Slowness(), Revision: c.revision, ReportAgeMS: now - c.view.ReportedAt(),
 		})
 	}
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -29,6 +29,7 @@
 	h.expireFinalLedgers(now)
 	h.table.Expire(now, h.clock.Wall()-h.idRules.Retention())
 	h.closeUnservable(now)
+	h.updateSlowStarts(now)
 	for _, p := range h.pools {
 		p.updateReservation(now)
 		h.dispatchWaiting(p, now)
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -57,7 +57,8 @@
 	Zone        string `json:"zone"`
 	Rack        string `json:"rack,omitempty"`
 	URL         string `json:"url,omitempty"`
-	// State is ready, draining or unreachable.
+	// State is ready, draining, unreachable or evacuated. An agent is evacuated if it
+	// reports that it starts no tasks because its availability zone is evacuated.
 	State string `json:"state"`
 	// Revision is the configuration revision that the node last reported; 0 if
 	// unknown.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -62,6 +62,13 @@
 	return response, err
 }
 
+// Evacuations lists the evacuated availability zones.
+func (c *Client) Evacuations(ctx context.Context) (EvacuationsResponse, error) {
+	var response EvacuationsResponse
+	err := c.call(ctx, http.MethodGet, "/v1/evacuations", nil, nil, &response)
+	return response, err
+}
+
 // Nodes lists the nodes that the entry knows.
 func (c *Client) Nodes(ctx context.Context) ([]Node, error) {
 	var response []Node
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -38,6 +38,7 @@
 	mux.HandleFunc("PUT /v1/configuration", guard(h.putConfiguration))
 	mux.HandleFunc("GET /v1/configuration/history", h.getHistory)
 	mux.HandleFunc("GET /v1/explain", h.getExplain)
+	mux.HandleFunc("GET /v1/evacuations", h.getEvacuations)
 	mux.HandleFunc("GET /v1/nodes", h.getNodes)
 	mux.HandleFunc("POST /v1/nodes/{name}/drain", guard(h.postDrain))
 	mux.HandleFunc("POST /v1/agents/{name}/retire", guard(h.postRetire))
