entry, agent: tests that fail without each mechanism of the evacuation

Seven of 23 single mechanisms could be removed without a failing test. The agent's refusal on arrival was one of them and is removed: a task that arrives in an evacuated zone is returned by the same pass of the scheduler that follows every dispatch. The other six have tests now. go test -race ./internal/entry passes.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -41,8 +41,6 @@
 		return wire.ReasonCreditExpired
 	case a.draining:
 		return wire.ReasonDraining
-	case a.zoneEvacuated:
-		return wire.ReasonZoneEvacuated
 	case d.Budget <= 0:
 		return wire.ReasonDeadline
 	case !a.registry.Serves(d.Service):
--- a/internal/agent/evacuation_test.go
+++ b/internal/agent/evacuation_test.go
@@ -54,8 +54,8 @@
 			So(f.entry.awaitResult(queued, 1).State, ShouldEqual, wire.TaskDone)
 		})
 		Convey("a broken session does not unblock starts", func() {
-			f.entry.send(func(fr *wire.Frame) { fr.Config = zoneEvacuation(1, "z1") })
-			So(f.entry.awaitResult(queued, 1).Reason, ShouldEqual, wire.ReasonZoneEvacuated)
+			So(f.agent.applyConfig(zoneEvacuation(1, "z1")), ShouldBeNil)
+			So(f.agent.queueLen(), ShouldEqual, 0)
 			f.entry.breakSession()
 			f.entry.dispatch(dispatch(f.ref(2, 1), `{"run-ms":1}`))
 			So(f.entry.awaitResult(f.ref(2, 1), 1).Reason, ShouldEqual, wire.ReasonZoneEvacuated)
--- a/internal/entry/evacuation_process_test.go
+++ b/internal/entry/evacuation_process_test.go
@@ -120,6 +120,10 @@
 		a.publish(t, "z1")
 		starts1, starts2 := w1.Starts(), w2.Starts()
 		for _, e := range []*Entry{a, b} {
+			e.home.mu.Lock()
+			set := e.home.evacuations
+			e.home.mu.Unlock()
+			So(set, ShouldResemble, gypsumtide.Evacuations{Version: 1, Zones: []string{"z1"}})
 			So(e.run(8).Outcome, ShouldEqual, complete)
 		}
 		So(w1.Starts(), ShouldEqual, starts1)
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -61,6 +62,7 @@
 			th.evacuate(1, "zone-1")
 			th.endSettleTime()
 			a := th.awaitAnswer(th.submit(th.newJob(1), 60_000))
+			So(a.Problem.Step, ShouldEqual, "admit")
 			So(a.Problem.RetryAfter, ShouldBeBetweenOrEqual, evacuationRetryAfter, 2*evacuationRetryAfter)
 			return a
 		}, notRun, "zone-evacuated", false},
@@ -78,13 +80,17 @@
 			a.reportNotStarted(ref, wire.ReasonZoneEvacuated)
 			return th.awaitAnswer(ch)
 		}, notRun, "zone-evacuated", false},
-		{"a job of which a task ran is not called not-run", func(th *testHome) wire.Answer {
-			a := th.addAgent("a1", 1)
-			ch := th.submit(th.newJob(3), 60_000)
+		{"a job of which a task runs waits for its end and is not called not-run", func(th *testHome) wire.Answer {
+			a := th.addAgent("a1", 2)
+			ch := th.submit(th.newJob(2), 60_000)
 			ran, returned := a.awaitDispatch(1), a.awaitDispatch(2)
 			th.evacuate(1, "zone-1")
 			a.reportNotStarted(returned, wire.ReasonZoneEvacuated)
-			th.endSettleTime()
+			time.Sleep((4 * unservableInterval).Duration())
+			a.mu.Lock()
+			cancels := len(a.cancels)
+			a.mu.Unlock()
+			So(cancels, ShouldEqual, 0)
 			a.reportDone(ran, "x")
 			return th.awaitAnswer(ch)
 		}, failed, "zone-evacuated", false},
@@ -261,3 +267,38 @@
 		})
 	})
 }
+
+// Guards against a returned zone that stays limited, or is not limited at once.
+func TestSlowStartEnds(t *testing.T) {
+	Convey("Given a zone whose evacuation has ended", t, func() {
+		th := newTestHome(t)
+		th.addAgent("a1", 8)
+		th.addAgentIn("zone-2", "b1", 8)
+		th.evacuate(1, "zone-1")
+		th.evacuate(2)
+		th.mu.Lock()
+		slots := th.agents["a1"].view.Slots()
+		th.mu.Unlock()
+		So(slots, ShouldBeLessThan, 8)
+		th.waitUntil("all slots", func() bool { return th.agents["a1"].view.Slots() == 8 })
+	})
+}
+
+// Guards against returned tasks that wait for the retry budget, which an evacuation with its
+// many returns would use up.
+func TestEvacuationNeedsNoRetryBudget(t *testing.T) {
+	for zones, want := range map[string]gypsumtide.Millis{"zone-0": requeueDelay, "zone-1": requeueBackoff} {
+		Convey("A task is returned by an agent of zone-0, evacuated is "+zones, t, func() {
+			h, _, p, aj := newEligibleHome(t, 1, 1)
+			h.decisions = newDecisionLog(h.log, 0)
+			conn := h.agents["agent-0#1"]
+			h.setEvacuations(gypsumtide.Evacuations{Version: 1, Zones: []string{zones}})
+			for p.retries.Take(h.clock.Now()) {
+			}
+			aj.Dispatch(0)
+			before := h.clock.Now()
+			h.taskNotStarted(conn, aj, &wire.Result{State: wire.TaskNotStarted, Reason: wire.ReasonRecalled})
+			So(h.pendingRequeues[0].at, ShouldBeBetweenOrEqual, before+want, before+want+50)
+		})
+	}
+}
--- a/internal/entry/testhome_test.go
+++ b/internal/entry/testhome_test.go
@@ -157,6 +157,7 @@
 	unconfigured     int
 	dispatches       []wire.Dispatch
 	recalls          []wire.TaskRef
+	cancels          []wire.TaskRef
 	queries          []wire.TaskRef
 	recoveryRequests []wire.RecoveryRequest
 }
@@ -194,6 +195,7 @@
 			}
 			a.dispatches = append(a.dispatches, f.Dispatches...)
 			a.recalls = append(a.recalls, f.Recalls...)
+			a.cancels = append(a.cancels, f.Cancels...)
 			a.queries = append(a.queries, f.Queries...)
 			a.recoveryRequests = append(a.recoveryRequests, f.RecoveryRequests...)
 			return nil
