--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -79,6 +79,10 @@
 		a.returnTask(t, wire.ReasonDraining)
 		return true
 	}
+	if a.zoneEvacuated {
+		a.returnTask(t, wire.ReasonZoneEvacuated)
+		return true
+	}
 	if now >= t.deadline {
 		a.returnTask(t, wire.ReasonDeadline)
 		return true
--- a/internal/dispatch/slow_start.go
+++ b/internal/dispatch/slow_start.go
@@ -4,26 +4,11 @@
 	"math"
 
 	"gypsumtide"
+	"gypsumtide/internal/placement"
 )
 
-// Parameters of the slow start.
-const (
-	// slowStartTime is how long the workers of a zone whose evacuation has ended are not
-	// used fully. Otherwise all entries would send their waiting tasks to the same empty
-	// workers at once, before the first reports show the load.
-	slowStartTime gypsumtide.Millis = 1000
-	// initialShare is the share of a worker's capacity that is used at the beginning.
-	initialShare = 0.25
-)
-
-// slowStartShare returns the share of a worker's capacity that is used at the given time
-// after the end of the evacuation of its zone.
-func slowStartShare(elapsed gypsumtide.Millis) float64 {
-	if elapsed >= slowStartTime {
-		return 1
-	}
-	return initialShare + (1-initialShare)*float64(max(0, elapsed))/float64(slowStartTime)
-}
+// slowStartTime is how long the workers of a zone are not used fully after its evacuation.
+const slowStartTime = placement.SlowStartTime
 
 // limitedWait returns the expected wait in milliseconds for a task of the size on a worker
 // of which only a share is used. An idle worker always takes one task.
@@ -41,7 +26,7 @@
 // beginSlowStart begins the slow start of a worker at the end of an evacuation.
 func (s *State) beginSlowStart(now gypsumtide.Millis, w *worker) {
 	s.endSlowStart(w)
-	w.share, w.slowStartAt = initialShare, now
+	w.share, w.slowStartAt = placement.SlowStartShare(0), now
 	s.slowStarts++
 }
 
@@ -62,7 +47,7 @@
 		if w.share == 1 {
 			continue
 		}
-		if share := slowStartShare(now - w.slowStartAt); share < 1 {
+		if share := placement.SlowStartShare(now - w.slowStartAt); share < 1 {
 			w.share = share
 			continue
 		}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -55,7 +55,7 @@
 		conn.view.SetSlots(conn.view.Slots(), p.reservedSlots(conn.view.Slots()))
 		list.add(conn)
 		list.byIncarnation[conn.record.Incarnation] = conn
-		p.slots += conn.view.Slots()
+		p.slots += conn.slots
 	}
 	p.agentsByService[service] = list
 	return list
@@ -70,7 +70,7 @@
 	for _, conn := range h.agents {
 		ok, ejectedNow := conn.serves(service)
 		switch {
-		case !ok || !h.router.poolHasZone(p.spec.name, conn.record.Zone):
+		case !ok || conn.evacuated || !h.router.poolHasZone(p.spec.name, conn.record.Zone):
 		case ejectedNow:
 			ejected = append(ejected, conn)
 		default:
