--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -31,8 +31,8 @@
 	// CompressedSpec replaces Spec: it is the spec compressed with Zstandard. RepeatsSpec
 	// means that the spec is that of the previous order of the job in the frame. See
 	// SpecPacker.
-	CompressedSpec []byte `cbor:"12,keyasint,omitempty"`
-	RepeatsSpec    bool   `cbor:"13,keyasint,omitempty"`
+	CompressedSpec []byte `cbor:"15,keyasint,omitempty"`
+	RepeatsSpec    bool   `cbor:"16,keyasint,omitempty"`
 }
 
 // RunReport reports the state of an order to an entry.
