dispatch, runner: runs move off a worker that leaves before they are lost

A worker that drains with remainingMs ends all its runs when it leaves. Entries took that for an ordinary drain, so runs that did not end in time were lost, and retried only when the lease had expired.

The entry decides for each of its runs whether it ends in time, moves, or stays because nothing is gained; a move is the existing stop with confirmation. Room at the target is reserved meanwhile. While the worker leaves, agents report projections of all runs.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -179,6 +179,7 @@
 			})
 		}
 	}
+	d.metrics.countLeaveVerdicts(eff.LeaveVerdicts)
 	for id, a := range eff.Answers {
 		for _, c := range d.waiters[id] {
 			c <- a
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -81,8 +81,17 @@
 	runTime gypsumtide.Millis
 	// projectedEnd is when a run that takes longer than expected should end, or 0.
 	projectedEnd gypsumtide.Millis
-	// moves counts the runs that were stopped to be retried on another worker.
+	// stalled is set if the last projection was that of a run without progress.
+	stalled bool
+	// moves counts the runs that were stopped to be retried on another worker, other than
+	// those on workers that leave.
 	moves int
+	// leaveVerdict is the last decision on the run while its worker leaves, and leaveCheckedAt
+	// the time at which other workers were last compared for it. moveTarget is the worker on
+	// which room is reserved until the run has ended, if any.
+	leaveVerdict   leaveVerdict
+	leaveCheckedAt gypsumtide.Millis
+	moveTarget     *worker
 	// failures counts the failed runs.
 	failures int
 	// avoidWorker is the worker of the last run that failed, was lost or was stopped.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// countLeaveVerdicts counts the decisions on runs of workers that leave.
+func (m *dispatcherMetrics) countLeaveVerdicts(verdicts []leaveVerdict) {
+	for _, v := range verdicts {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_leaving_runs_total{verdict=%q}", v)).Inc()
+	}
+}
+
 func (m *dispatcherMetrics) recordAnswer(route string, a Answer, start time.Time) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_answers_total{route=%q,outcome=%q}", route, a.Outcome)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumtide_entry_answer_seconds{route=%q,outcome=%q}", route, a.Outcome)).UpdateDuration(start)
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -33,11 +33,13 @@
 }
 
 // moveRun stops a run, so that the task is retried on another worker.
-func (s *State) moveRun(now gypsumtide.Millis, t *task, reason string) {
-	s.log.Decision("run-moved", "run", t.ref(), "worker", t.worker, "reason", reason,
-		"ordered-ms", now-t.orderedAt, "ends-in-ms", max(0, t.projectedEnd-now))
+func (s *State) moveRun(now gypsumtide.Millis, t *task, reason string, details ...any) {
+	s.log.Decision("run-moved", append([]any{"run", t.ref(), "worker", t.worker, "reason", reason,
+		"ordered-ms", now - t.orderedAt, "ends-in-ms", max(0, t.projectedEnd-now)}, details...)...)
 	t.avoidWorker = t.worker
-	t.moves++
+	if reason != reasonWorkerLeaves { // A worker that leaves says nothing about the task.
+		t.moves++
+	}
 	s.stopRun(t)
 }
 
@@ -81,7 +83,7 @@
 // if the run can end in time on neither worker.
 func (s *State) updateProjection(now gypsumtide.Millis, t *task, remaining gypsumtide.Millis, stalled bool) {
 	j := t.job
-	t.projectedEnd = now + remaining
+	t.projectedEnd, t.stalled = now+remaining, stalled
 	if s.jobs[j.id] != j || t.stopping || j.pendingRefusal != nil {
 		return
 	}
@@ -118,10 +120,7 @@
 	if !ok {
 		return math.Inf(1)
 	}
-	avoided := t.avoidWorker
-	t.avoidWorker = w.id
-	c := s.choose(t)
-	t.avoidWorker = avoided
+	c := s.chooseOther(t, w)
 	if c.worker == nil || c.worker == w {
 		return math.Inf(1)
 	}
--- a/internal/dispatch/odd_report_test.go
+++ b/internal/dispatch/odd_report_test.go
@@ -37,4 +37,15 @@
 		s.UpdateWorker(1, workerID(0), wire.WorkerReport{Service: "stock", Capacity: gypsumtide.Size{Processors: math.MaxInt64}, Accepting: true})
 		So(s.workers[workerID(0)].report.Capacity.Processors, ShouldEqual, testCapacity)
 	})
+	// Guards against a notice after which no run seems to end in time.
+	Convey("A worker report with a remaining time out of range is ignored", t, func() {
+		for _, leavesIn := range []gypsumtide.Millis{-1, math.MaxInt64} {
+			s := newTestState(1)
+			s.UpdateWorker(1, workerID(0), leavingReport(0, 0))
+			r := zoneReport(0, "z")
+			r.Leaving, r.LeavesIn = true, leavesIn
+			s.UpdateWorker(2, workerID(0), r)
+			So(s.workers[workerID(0)].leavesAt, ShouldEqual, 1)
+		}
+	})
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -96,7 +97,7 @@
 	if !ok {
 		return
 	}
-	if err := r.Capacity.Validate(); err != nil {
+	if err := cmp.Or(r.Capacity.Validate(), gypsumtide.ValidateDuration("remaining time", r.LeavesIn)); err != nil {
 		s.logOddReport(w, err)
 		return
 	}
@@ -105,6 +106,7 @@
 			"capacity", r.Capacity.Processors)
 	}
 	w.report = r
+	s.updateNotice(now, w, &r)
 	s.updateEvacuated(now, w)
 	w.updateSlowness()
 	if r.EarlierRunsEnded {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,6 +33,8 @@
 	Answers  map[string]Answer
 	// Stored is the progress of stored jobs that has to be recorded.
 	Stored Progress
+	// LeaveVerdicts are the decisions on runs of workers that leave, to be counted.
+	LeaveVerdicts []leaveVerdict
 }
 
 // Timing holds the timeouts of a State.
@@ -350,6 +352,7 @@
 // removeRun removes a task's run from a worker and from the worker's accounted load.
 func (s *State) removeRun(w *worker, t *task) {
 	delete(w.tasks, t.ref())
+	t.releaseMove()
 	if t.phase == taskQueued {
 		w.ownQueue(t.job.route.Priority).remove(t.size())
 		return
@@ -363,7 +366,7 @@
 	t.phase = taskReady
 	t.stopping = false
 	t.expedited = false
-	t.projectedEnd = 0
+	t.projectedEnd, t.stalled, t.leaveVerdict = 0, false, leaveUndecided
 	inProgress := s.jobs[j.id] == j
 	switch r.End {
 	case gypsumtide.EndDone:
@@ -445,6 +448,7 @@
 	s.updateSlowStarts(now)
 	s.backlog.update(now, s.waitingShare())
 	s.recallBudget = s.countFreeWorkers()
+	s.moveLeavingRuns(now)
 	for _, j := range s.jobsByUrgency() {
 		s.checkJob(now, j)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -30,6 +30,11 @@
 	// priority.
 	ownRunning gypsumtide.Size
 	ownWaiting []queuedLoad
+	// incoming is the size of the tasks that are to move here once their present runs have
+	// ended.
+	incoming gypsumtide.Size
+	// leavesAt is the time from which the worker may be gone, or 0 if it has not announced one.
+	leavesAt gypsumtide.Millis
 	// evacuated is set while the worker's availability zone is evacuated. share is the part
 	// of its capacity that is used, which is below 1 for a while after an evacuation.
 	evacuated bool
@@ -92,7 +97,7 @@
 // least as urgent as a task of the priority. A lower number is more urgent. This entry's
 // own orders are not taken from the last report, which may be older than they are.
 func (w *worker) load(priority int) gypsumtide.Size {
-	load := w.otherBooked.Add(w.ownRunning)
+	load := w.otherBooked.Add(w.ownRunning).Add(w.incoming)
 	for _, l := range w.otherWaiting {
 		if l.priority <= priority {
 			load = load.Add(l.size)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -241,9 +241,12 @@
 		if slices.Contains(a.deregistered, info.Incarnation) {
 			return
 		}
+		leavesAt := a.state.LeavesAt()
 		if a.state.Heartbeat(now, info) {
+			info.Remaining = nil // Outdated when it is read.
 			a.queueWorkerSave(info)
 		}
+		a.loadChanged = a.loadChanged || a.state.LeavesAt() != leavesAt
 	})
 }
 
@@ -258,6 +261,7 @@
 			// A restarted agent must not use the worker, even if it never said that it drains.
 			left := a.state.Info()
 			left.Draining = true
+			left.Remaining = nil
 			a.queueWorkerSave(left)
 			a.state.WorkerDeregistered(now, id)
 		}
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -148,6 +148,9 @@
 	startsBlocked bool
 	// leaving is set once the worker has deregistered, until none of its runs is left.
 	leaving bool
+	// leavesAt is the time from which a draining worker may end, or 0 if it has not announced
+	// one.
+	leavesAt gypsumtide.Millis
 	// fence is the current fencing token.
 	fence uint64
 
@@ -364,6 +367,7 @@
 	if s.known {
 		r.Capacity = s.info.Capacity
 	}
+	s.addNotice(now, &r)
 	return r
 }
 
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -48,6 +48,7 @@
 // agent has saved, until the next heartbeat replaces it.
 func (s *State) RestoreWorker(now gypsumtide.Millis, info gypsumtide.WorkerInfo) {
 	info.Seq = 0
+	info.Remaining = nil // Counts from the heartbeat, whose time is not known.
 	s.Heartbeat(now, info)
 }
 
@@ -58,6 +59,7 @@
 	s.known = false
 	s.startsBlocked = false
 	s.leaving = false
+	s.leavesAt = 0
 	s.earlierRunsEnded = false
 	s.info.Seq = 0
 	s.processed, s.acknowledged = 0, 0
@@ -76,6 +78,7 @@
 	s.known = true
 	s.reservations.SetCapacity(info.Capacity)
 	s.updateStartsBlocked(now)
+	s.updateNotice(now)
 	if info.Draining {
 		s.returnQueue("worker-drains")
 	}
@@ -376,7 +379,7 @@
 		return
 	}
 	total := elapsed * 100 / gypsumtide.Millis(max(1, r.percent))
-	if float64(total) < projectFactor*float64(max(r.order.Expected, r.projected)) {
+	if !s.projectionDue(r, total) {
 		return
 	}
 	r.projected = total
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -75,13 +75,20 @@
 	// ZoneEvacuated is set while the agent starts nothing because the worker's zone is
 	// evacuated.
 	ZoneEvacuated bool `cbor:"9,keyasint,omitempty"`
+	// Leaving is set while the worker has announced when it ends. LeavesIn is the minimum
+	// time until then.
+	Leaving  bool              `cbor:"10,keyasint,omitempty"`
+	LeavesIn gypsumtide.Millis `cbor:"11,keyasint,omitempty"`
+	// LeavesAt is the same time on the agent's clock. It is not encoded; Equal compares it
+	// instead of LeavesIn, which decreases all the time.
+	LeavesAt gypsumtide.Millis `cbor:"-"`
 }
 
 // Equal reports whether r and o have the same content.
 func (r *WorkerReport) Equal(o *WorkerReport) bool {
 	return r.Incarnation == o.Incarnation && r.Service == o.Service && r.Zone == o.Zone && r.Capacity == o.Capacity &&
 		r.Accepting == o.Accepting && r.EarlierRunsEnded == o.EarlierRunsEnded && r.EvacuationsVersion == o.EvacuationsVersion &&
-		r.ZoneEvacuated == o.ZoneEvacuated && slices.Equal(r.Labels, o.Labels)
+		r.ZoneEvacuated == o.ZoneEvacuated && r.Leaving == o.Leaving && r.LeavesAt == o.LeavesAt && slices.Equal(r.Labels, o.Labels)
 }
 
 // LoadReport is the load of an agent's worker. It is sent far more often than a
--- a/run.go
+++ b/run.go
@@ -66,6 +66,8 @@
 	// Seq increases with each heartbeat of one incarnation.
 	Seq      uint64 `cbor:"7,keyasint,omitempty"`
 	Draining bool   `cbor:"8,keyasint,omitempty"`
+	// Remaining is the minimum time until a draining worker ends, if it has announced one.
+	Remaining *Millis `cbor:"9,keyasint,omitempty"`
 }
 
 // RunOrder asks a worker to start a run.
--- a/valid.go
+++ b/valid.go
@@ -45,6 +45,9 @@
 	return nil
 }
 
+// ValidateDuration returns an *InvalidValueError unless d is from 0 to MaxDuration.
+func ValidateDuration(field string, d Millis) error { return validateRange(field, d, MaxDuration) }
+
 // ValidateTime returns an *InvalidValueError unless t is from 0 to MaxTime.
 func ValidateTime(field string, t Millis) error { return validateRange(field, t, MaxTime) }
 
@@ -118,6 +121,9 @@
 			return err
 		}
 	}
+	if i.Remaining != nil {
+		return ValidateDuration("remaining time", *i.Remaining)
+	}
 	return nil
 }
 
