dispatch, runner, stored: runs resume from the checkpoints of earlier runs

Checkpoints in the workers' lists were ignored, so that a moved or lost run started anew, and the move of a long run off a worker that leaves often gained nothing.

For steps with checkpointable, agents report each new checkpoint and repeat the newest one with the end of the run; the entry keeps it in the task and sends it with the next order, and the agent with the start. A report counts only with the number of the task's own submission. Checkpoints of stored jobs are part of the progress record, which is written for them at most once a second for each job. Resumed runs do not teach estimates or slowness, and are projected from the progress since their restoration.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,6 +23,8 @@
 	Zone        string
 	// RemoteFactor is the factor by which a task takes longer on a rack without its data.
 	RemoteFactor float64
+	// RestoreTime is the time that a run needs to restore a checkpoint.
+	RestoreTime gypsumtide.Millis
 	// Lease is the longest lease that a worker grants to its agent.
 	Lease gypsumtide.Millis
 	// Cores is the number of processor cores that the process may use.
@@ -65,9 +67,11 @@
 
 // New returns a Dispatcher that tells agents the shareable entry addresses in addresses.
 func New(cfg Config, clock gypsumtide.Clock, log gypsumtide.DecisionLogger, set *metrics.Set, addresses *link.Addresses) *Dispatcher {
+	timing := NewTiming(cfg.Lease)
+	timing.RestoreTime = cfg.RestoreTime
 	d := &Dispatcher{
 		cfg: cfg, clock: clock, log: log, addresses: addresses,
-		state:    NewState(clock.Now(), cfg.Zone, cfg.RemoteFactor, NewTiming(cfg.Lease), log),
+		state:    NewState(clock.Now(), cfg.Zone, cfg.RemoteFactor, timing, log),
 		sessions: make(map[WorkerID]*agentSession),
 		waiters:  make(map[string][]chan Answer),
 	}
@@ -186,7 +190,7 @@
 		}
 		delete(d.waiters, id)
 	}
-	if len(eff.Stored.Started) > 0 || len(eff.Stored.Ends) > 0 {
+	if len(eff.Stored.Started) > 0 || len(eff.Stored.Ends) > 0 || len(eff.Stored.Checkpoints) > 0 {
 		d.progressRecorder.Record(eff.Stored)
 	}
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -92,6 +92,9 @@
 	leaveVerdict   leaveVerdict
 	leaveCheckedAt gypsumtide.Millis
 	moveTarget     *worker
+	// checkpoint is the newest checkpoint of the task, resumedFrom the one from which its
+	// present run was resumed.
+	checkpoint, resumedFrom checkpoint
 	// failures counts the failed runs.
 	failures int
 	// avoidWorker is the worker of the last run that failed, was lost or was stopped.
@@ -132,10 +135,12 @@
 	id string
 	// request identifies the submission in the caller's own logs.
 	request string
-	spec    string
-	route   gypsumtide.QueueRoute
-	steps   []gypsumtide.JobStep
-	tasks   []*task
+	// submission numbers the submissions at this entry.
+	submission uint64
+	spec       string
+	route      gypsumtide.QueueRoute
+	steps      []gypsumtide.JobStep
+	tasks      []*task
 	// unfinished is the number of tasks of each step that are not done.
 	unfinished []int
 	// hash is a hash of the id. It spreads jobs over workers and retries over time.
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -154,7 +154,7 @@
 	if t.projectedEnd > 0 {
 		return max(now, t.projectedEnd)
 	}
-	expected := float64(s.expected(t.job, t.step)) * w.slowness * s.rackFactor(t, w)
+	expected := s.runTimeFrom(t.resumedFrom, float64(s.expected(t.job, t.step)), w.slowness*s.rackFactor(t, w))
 	return max(now, t.runStart()+gypsumtide.Millis(math.Ceil(expected)))
 }
 
@@ -163,9 +163,9 @@
 func (s *State) runTimeElsewhere(t *task, w, other *worker) float64 {
 	work := float64(s.expected(t.job, t.step))
 	if t.projectedEnd > 0 && !t.stalled {
-		work = float64(t.projectedEnd-t.runStart()) / w.slowness / s.rackFactor(t, w)
+		work = s.wholeWork(t, float64(t.projectedEnd-t.runStart()), w.slowness*s.rackFactor(t, w))
 	}
-	return work * other.slowness * s.rackFactor(t, other)
+	return s.runTimeFrom(t.checkpoint, work, other.slowness*s.rackFactor(t, other))
 }
 
 // rackFactor returns the factor by which a task takes longer on a worker because of its rack.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -16,6 +16,8 @@
 	// orders counts the orders with run number 1, retries those with higher run numbers,
 	// including the first orders of stored jobs that had an earlier owner.
 	orders, retries *metrics.Counter
+	// resumed counts the orders with a checkpoint.
+	resumed *metrics.Counter
 }
 
 func newDispatcherMetrics(set *metrics.Set, d *Dispatcher) *dispatcherMetrics {
@@ -41,6 +43,7 @@
 		set:     set,
 		orders:  set.NewCounter(`gypsumtide_entry_orders_total{try="first"}`),
 		retries: set.NewCounter(`gypsumtide_entry_orders_total{try="again"}`),
+		resumed: set.NewCounter("gypsumtide_entry_orders_resumed_total"),
 	}
 }
 
@@ -49,11 +52,15 @@
 		switch {
 		case o.Update:
 			// The order itself has already been counted.
+			continue
 		case o.Ref.Number > 1:
 			m.retries.Inc()
 		default:
 			m.orders.Inc()
 		}
+		if o.Checkpoint != "" {
+			m.resumed.Inc()
+		}
 	}
 }
 
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -124,6 +124,9 @@
 	if c.worker == nil || c.worker == w {
 		return math.Inf(1)
 	}
+	if t.hasCheckpoint() {
+		return moveDelay + c.estimate.wait + s.runTimeElsewhere(t, w, c.worker)
+	}
 	work := float64(t.projectedEnd-max(t.orderedAt, t.startedAt)) / w.slowness
 	if stalled {
 		work = float64(s.expected(t.job, t.step))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -84,7 +84,7 @@
 func (s *State) choose(t *task) choice {
 	j := t.job
 	step := &j.steps[t.step]
-	expected := float64(s.expected(j, t.step))
+	expected := float64(s.expectedRun(t))
 	limited := s.limitsShares(t)
 	var c choice
 	for w := range s.candidateWorkers(t) {
@@ -168,7 +168,7 @@
 	t.phase = taskOrdered
 	t.worker = w.id
 	t.workerIncarnation = w.report.Incarnation
-	t.orderedAt = now
+	t.orderedAt, t.resumedFrom = now, t.checkpoint
 	w.tasks[t.ref()] = t
 	w.ownRunning = w.ownRunning.Add(t.size())
 	m := s.messages(w.id)
@@ -200,11 +200,11 @@
 
 func (s *State) newOrder(now gypsumtide.Millis, t *task) wire.Order {
 	j := t.job
-	return wire.Order{
+	return s.addCheckpoint(t, wire.Order{
 		Ref: t.ref(), Spec: j.spec, Size: j.steps[t.step].Size, Priority: j.route.Priority,
 		JobStarted: j.started, StartWithin: max(1, s.startBy(j, t.step)-now),
-		Expected: s.expected(j, t.step), Incarnation: t.workerIncarnation, Stored: j.stored,
-	}
+		Expected: s.expectedRun(t), Incarnation: t.workerIncarnation, Stored: j.stored,
+	})
 }
 
 // replanJob places the ready tasks of a job that has not started. It is called after an
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -49,6 +49,8 @@
 	// agent that crashes just before it would have stopped the runs, whose lease expires
 	// that much later.
 	LostStoredRunTimeout gypsumtide.Millis
+	// RestoreTime is the time that a run needs to restore a checkpoint.
+	RestoreTime gypsumtide.Millis
 }
 
 // State is the state machine that schedules the jobs of one entry. It performs no I/O
@@ -74,6 +76,8 @@
 	// workers are fully used. slowStartNow is the time of the last update of the shares.
 	slowStarts   map[string]gypsumtide.Millis
 	slowStartNow gypsumtide.Millis
+	// submissions is the number of jobs submitted or adopted.
+	submissions uint64
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
 }
@@ -141,6 +145,7 @@
 // on admission.
 func (s *State) Submit(now gypsumtide.Millis, sub Submission) {
 	j := newJob(now, sub)
+	s.numberSubmission(j)
 	if other, ok := s.jobs[j.id]; ok && other.stored {
 		// Task names contain the job id, so the tasks of both jobs would get the same names.
 		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
@@ -245,6 +250,7 @@
 		}
 		return
 	}
+	s.keepCheckpoint(t, r)
 	switch {
 	case r.Queued:
 		s.handleQueued(now, t)
@@ -252,6 +258,8 @@
 	case r.Started:
 		s.handleStarted(now, t)
 		return
+	case r.End == "" && r.Checkpoint != "":
+		return
 	case r.End == "":
 		s.updateProjection(now, t, r.Remaining, r.Stalled)
 		return
@@ -343,7 +351,7 @@
 			m := s.messages(t.worker)
 			o := s.newOrder(now, t)
 			o.Update = true
-			o.Spec = ""
+			o.Spec, o.Checkpoint = "", ""
 			m.Orders = append(m.Orders, o)
 		}
 	}
@@ -372,7 +380,9 @@
 	case gypsumtide.EndDone:
 		t.phase = taskDone
 		t.runTime = r.RunTime
-		if w, ok := s.workers[t.worker]; ok {
+		if t.resumedFrom.data != "" {
+			t.runTime = 0 // It is not comparable with that of a whole run.
+		} else if w, ok := s.workers[t.worker]; ok {
 			s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness)
 		}
 		if j.unfinished[t.step]--; j.unfinished[t.step] == 0 {
@@ -380,6 +390,7 @@
 		}
 	case gypsumtide.EndFailed:
 		t.failures++
+		s.dropFailedCheckpoint(t)
 		t.avoidWorker = t.worker
 	case gypsumtide.EndNotStarted:
 		if r.Reason == runner.ReasonStaleRun {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -25,6 +25,10 @@
 type TaskRecord struct {
 	Done     bool
 	Failures int
+	// Checkpoint is the last recorded checkpoint, or "", and CheckpointPercent the share of
+	// the work at it.
+	Checkpoint        string
+	CheckpointPercent int
 }
 
 // TaskEnd is a conclusive end of a run of a stored job that has to be recorded.
@@ -40,6 +44,16 @@
 	// A job of which a run ends before that is not listed.
 	Started []string
 	Ends    []TaskEnd
+	// Checkpoints lists new checkpoints. Unlike the others, it need not be recorded at once.
+	Checkpoints []TaskCheckpoint
+}
+
+// TaskCheckpoint is the newest checkpoint of a task of a stored job. Data is "" if the task is
+// to start anew.
+type TaskCheckpoint struct {
+	Task    gypsumtide.TaskName
+	Data    string
+	Percent int
 }
 
 // Adopt takes over a stored job and starts to run it. An ephemeral job with the same id is
@@ -50,12 +64,14 @@
 	}
 	j := newJob(now, Submission{Job: adopted.Job, Route: adopted.Route, Timeout: math.MaxInt32})
 	j.stored, j.notBefore = true, adopted.NotBefore
+	s.numberSubmission(j)
 	for i, t := range j.tasks {
 		t.number = adopted.BaseRunNumber
 		if i >= len(adopted.Tasks) {
 			continue
 		}
 		t.failures = adopted.Tasks[i].Failures
+		t.checkpoint = newCheckpoint(adopted.Tasks[i].Checkpoint, adopted.Tasks[i].CheckpointPercent)
 		if adopted.Tasks[i].Done {
 			t.phase = taskDone
 			j.unfinished[t.step]--
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -63,8 +63,17 @@
 	// percent is the progress, advancedAt the time at which it last increased.
 	percent    int
 	advancedAt gypsumtide.Millis
-	stopping   bool
-	stopSentAt gypsumtide.Millis
+	// checkpoint is the newest checkpoint, checkpointPercent the progress when it was first
+	// listed.
+	checkpoint        string
+	checkpointPercent int
+	// listed is set once the worker has listed a resumed run. workFrom is when it first
+	// advanced, and basePercent its progress then, or when it was first listed.
+	listed      bool
+	workFrom    gypsumtide.Millis
+	basePercent int
+	stopping    bool
+	stopSentAt  gypsumtide.Millis
 }
 
 // phaseName returns the name of the run's phase in logs, or "" if there is no run.
@@ -397,10 +406,11 @@
 	r.incarnation = s.incarnation
 	r.fence = s.fence
 	r.startedAt = now
-	r.percent, r.advancedAt = 0, now
+	r.beginProgress(now)
 	s.leaseRenewedAt = now
 	s.effects.Starts = append(s.effects.Starts, StartCall{Incarnation: s.incarnation, QueueTime: now - r.queuedAt, Order: gypsumtide.RunOrder{
 		Ref: r.order.Ref, Spec: r.order.Spec, Fence: s.fence, LeaseUntil: s.clock.after(now, s.timing.Lease),
+		Checkpoint: r.order.Checkpoint,
 	}})
 	s.log.Decision("run-sent", "run", r.order.Ref, "owner", r.owner, "life", s.incarnation, "fence", s.fence,
 		"waited-ms", now-r.queuedAt, "booked", s.reservations.Used().Processors, "capacity", s.reservations.Capacity().Processors)
@@ -486,7 +496,7 @@
 	if s.runsPerTask[ref.Task]--; s.runsPerTask[ref.Task] <= 0 {
 		delete(s.runsPerTask, ref.Task)
 	}
-	s.report(r.owner, wire.RunReport{Ref: ref, End: kind, RunTime: runTime, Reason: reason, Unrecorded: r.order.Stored && kind.Conclusive()})
+	s.report(r.owner, r.addCheckpoint(wire.RunReport{Ref: ref, End: kind, RunTime: runTime, Reason: reason, Unrecorded: r.order.Stored && kind.Conclusive()}))
 	s.log.Decision("run-ended", "run", ref, "owner", r.owner, "end", kind, "ran-ms", runTime, "reason", reason)
 }
 
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -225,6 +225,7 @@
 			s.runStarted(now, r)
 		default:
 			r.incarnation = s.incarnation
+			s.reportCheckpoint(r, p)
 		}
 	}
 	for ref, r := range s.runs {
@@ -316,6 +317,7 @@
 			continue
 		}
 		s.retainEnd(e, r)
+		r.noteCheckpoint(e.Checkpoint, r.percent)
 		s.health.sampleEnd(now, r, e.Kind)
 		s.finish(r, e.Kind, now-r.startedAt, "")
 	}
@@ -335,9 +337,8 @@
 			s.beginSync(now)
 			return
 		}
-		if p.Percent > r.percent {
-			r.percent, r.advancedAt = p.Percent, now
-		}
+		r.noteProgress(now, p.Percent)
+		s.reportCheckpoint(r, p)
 		s.health.sampleProgress(now, r)
 		s.reportProjection(now, r)
 	}
@@ -375,10 +376,10 @@
 func (s *State) reportProjection(now gypsumtide.Millis, r *run) {
 	elapsed := now - r.startedAt
 	stalled := r.stalled(now)
-	if elapsed < projectAfter || r.stopping || r.percent >= 100 || r.percent == 0 && !stalled {
+	if elapsed < projectAfter || r.stopping || r.percent >= 100 || r.progress() == 0 && !stalled {
 		return
 	}
-	total := elapsed * 100 / gypsumtide.Millis(max(1, r.percent))
+	total := r.projectedTotal(now)
 	if !s.projectionDue(r, total) {
 		return
 	}
--- a/internal/stored/job_table.go
+++ b/internal/stored/job_table.go
@@ -29,6 +29,12 @@
 	done      []bool
 	failures  []uint8
 	remaining int
+	// checkpoints holds the newest checkpoints by the indexes of their tasks. The last record
+	// with them was built at checkpointsAt.
+	checkpoints   map[uint32]checkpointRecord
+	checkpointsAt gypsumtide.Millis
+	// checkpointBytes is the total size of the checkpoints.
+	checkpointBytes int
 }
 
 func newJob(request gypsumtide.JobRequest, route gypsumtide.QueueRoute, acceptedAt gypsumtide.Millis) *job {
@@ -38,6 +44,7 @@
 		n += step.Tasks
 	}
 	j.done, j.failures, j.remaining = make([]bool, n), make([]uint8, n), n
+	j.checkpoints = make(map[uint32]checkpointRecord)
 	return j
 }
 
@@ -67,7 +74,7 @@
 }
 
 func (j *job) progress() progressRecord {
-	r := progressRecord{Version: recordVersion, Done: make([]byte, (len(j.done)+7)/8), Failures: make(map[uint32]uint8)}
+	r := progressRecord{Version: recordVersion, Done: make([]byte, (len(j.done)+7)/8), Failures: make(map[uint32]uint8), Checkpoints: j.checkpoints}
 	for i, done := range j.done {
 		if done {
 			r.Done[i/8] |= 1 << (i % 8)
@@ -86,6 +93,8 @@
 		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
 			j.done[i] = true
 			j.remaining--
+		} else if c, ok := r.Checkpoints[uint32(i)]; ok {
+			j.setCheckpoint(i, c)
 		}
 		j.failures[i] = r.Failures[uint32(i)]
 		if j.done[i] || j.failures[i] > 0 {
@@ -102,7 +111,8 @@
 func (j *job) storedJob(notBefore gypsumtide.Millis) dispatch.StoredJob {
 	stored := dispatch.StoredJob{Job: j.request, Route: j.route, NotBefore: notBefore, BaseRunNumber: uint64(j.ownerCount) * runNumbersPerOwner}
 	for i := range j.done {
-		stored.Tasks = append(stored.Tasks, dispatch.TaskRecord{Done: j.done[i], Failures: int(j.failures[i])})
+		c := j.checkpoints[uint32(i)]
+		stored.Tasks = append(stored.Tasks, dispatch.TaskRecord{Done: j.done[i], Failures: int(j.failures[i]), Checkpoint: c.Data, CheckpointPercent: c.Percent})
 	}
 	return stored
 }
@@ -153,6 +163,7 @@
 	if e.Kind == gypsumtide.EndDone {
 		j.done[i] = true
 		j.remaining--
+		j.setCheckpoint(i, checkpointRecord{})
 	} else {
 		j.failures[i]++
 	}
@@ -166,6 +177,49 @@
 	return []gypsumtide.KeyedRecord{r}, "", err
 }
 
+// checkpointInterval is the minimum time between two records of a job that are written only
+// because of its checkpoints. Each run of the job may have a new one every 0.5 s, and all
+// entries share the log's append rate. A checkpoint in between is part of the next record.
+const checkpointInterval gypsumtide.Millis = 1000
+
+// maxJobCheckpointBytes limits the checkpoints in the record of a job, which holds those of
+// all its tasks. Beyond it, a task keeps its earlier one there, or none.
+const maxJobCheckpointBytes = 64 << 10
+
+// setCheckpoint replaces the checkpoint of a task, or removes it if c has no data.
+func (j *job) setCheckpoint(i int, c checkpointRecord) {
+	total := j.checkpointBytes + len(c.Data) - len(j.checkpoints[uint32(i)].Data)
+	if c.Data != "" && total > maxJobCheckpointBytes {
+		return
+	}
+	j.checkpointBytes = total
+	if c.Data == "" {
+		delete(j.checkpoints, uint32(i))
+		return
+	}
+	j.checkpoints[uint32(i)] = c
+}
+
+// checkpoint applies a new checkpoint of a task. It returns the record to append, if one is
+// due.
+func (t *jobTable) checkpoint(now gypsumtide.Millis, c dispatch.TaskCheckpoint) ([]gypsumtide.KeyedRecord, error) {
+	j, ok := t.jobs[c.Task.Job]
+	if !ok || j.closing || j.isFinal() {
+		return nil, nil
+	}
+	i, ok := j.taskIndex(c.Task)
+	if !ok || j.done[i] {
+		return nil, nil
+	}
+	j.setCheckpoint(i, checkpointRecord{Data: c.Data, Percent: c.Percent})
+	if now-j.checkpointsAt < checkpointInterval {
+		return nil, nil
+	}
+	j.checkpointsAt = now
+	r, err := encode(progressKey(j.request.ID), j.progress())
+	return []gypsumtide.KeyedRecord{r}, err
+}
+
 // close marks a job as closing, and returns the records that give it its final state and
 // delete its progress. They must be written in the same append.
 func (t *jobTable) close(endedAt gypsumtide.Millis, j *job, state gypsumtide.JobState) ([]gypsumtide.KeyedRecord, gypsumtide.JobState, error) {
@@ -183,7 +237,7 @@
 // setFinalState sets a final state and frees the data that only a job in progress needs.
 func (j *job) setFinalState(state gypsumtide.JobState, endedAt gypsumtide.Millis) {
 	j.state, j.endedAt = state, endedAt
-	j.done, j.failures = nil, nil
+	j.done, j.failures, j.checkpoints = nil, nil, nil
 	j.request.Spec, j.request.Steps = "", nil
 }
 
--- a/internal/stored/job_table_test.go
+++ b/internal/stored/job_table_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -70,6 +71,44 @@
 			})
 		})
 
+		// Guards against checkpoints that are lost with the owner, and against more appends than
+		// the log permits.
+		Convey("Its checkpoints are recorded once a second and reach the next owner", func() {
+			checkpoint := func(now gypsumtide.Millis, index int, data string) int {
+				name := gypsumtide.TaskName{Job: "a", Index: index}
+				records, err := table.checkpoint(now, dispatch.TaskCheckpoint{Task: name, Data: data, Percent: 40})
+				So(err, ShouldBeNil)
+				applyRecords(values, records)
+				return len(records)
+			}
+			recorded := func() []dispatch.TaskRecord {
+				next, _, errs := recoverJobTable(values)
+				So(errs, ShouldBeEmpty)
+				return next.jobs["a"].storedJob(0).Tasks
+			}
+			So(checkpoint(2000, 0, "one"), ShouldEqual, 1)
+			So(checkpoint(2500, 1, "two"), ShouldEqual, 0)
+			So(recorded()[0], ShouldResemble, dispatch.TaskRecord{Checkpoint: "one", CheckpointPercent: 40})
+			So(recorded()[1], ShouldResemble, dispatch.TaskRecord{})
+			So(checkpoint(3000, 0, "three"), ShouldEqual, 1)
+			So(recorded()[0].Checkpoint, ShouldEqual, "three")
+			So(recorded()[1].Checkpoint, ShouldEqual, "two")
+			Convey("without those of tasks that are done or start anew", func() {
+				end(0, 0, gypsumtide.EndDone)
+				So(checkpoint(4000, 0, "late"), ShouldEqual, 0)
+				So(checkpoint(4000, 1, ""), ShouldEqual, 1)
+				So(recorded()[0], ShouldResemble, dispatch.TaskRecord{Done: true})
+				So(recorded()[1], ShouldResemble, dispatch.TaskRecord{})
+				So(j.checkpointBytes, ShouldEqual, 0)
+			})
+			Convey("and no more bytes than the record may hold", func() {
+				checkpoint(5000, 0, strings.Repeat("x", maxJobCheckpointBytes-3))
+				checkpoint(7000, 1, "more")
+				So(recorded()[0].Checkpoint, ShouldHaveLength, maxJobCheckpointBytes-3)
+				So(recorded()[1].Checkpoint, ShouldEqual, "two")
+			})
+		})
+
 		Convey("It fails when a task has used up its attempts, counted over all owners", func() {
 			So(end(0, 1, gypsumtide.EndFailed), ShouldBeEmpty)
 			So(end(0, 0, gypsumtide.EndFailed), ShouldBeEmpty)
--- a/internal/stored/partition_manager.go
+++ b/internal/stored/partition_manager.go
@@ -360,6 +360,27 @@
 	for _, e := range p.Ends {
 		m.recordEnd(e)
 	}
+	for _, c := range p.Checkpoints {
+		m.recordCheckpoint(c)
+	}
+}
+
+// recordCheckpoint keeps a checkpoint, and queues its record if one is due. Nothing waits for
+// the record: a run whose checkpoint is lost resumes from an earlier one. The caller holds the
+// lock.
+func (m *PartitionManager) recordCheckpoint(c dispatch.TaskCheckpoint) {
+	o, j := m.findJob(c.Task.Job)
+	if j == nil {
+		return
+	}
+	records, err := o.jobTable.checkpoint(m.clock.Now(), c)
+	if err != nil {
+		m.decisions.Decision("record-failed", "task", c.Task.String(), "error", err.Error())
+		return
+	}
+	if len(records) > 0 {
+		o.enqueue(pendingWrite{records: records, failIfRefused: true, onCommitted: func() {}})
+	}
 }
 
 // recordEnd queues the record of the end of a run, and confirms the end to the Executor
--- a/internal/stored/record.go
+++ b/internal/stored/record.go
@@ -39,6 +39,14 @@
 	Done []byte `cbor:"2,keyasint,omitempty"`
 	// Failures is the number of failed runs of each task that has any.
 	Failures map[uint32]uint8 `cbor:"3,keyasint,omitempty"`
+	// Checkpoints holds the newest checkpoint of each task that has one and is not done.
+	Checkpoints map[uint32]checkpointRecord `cbor:"4,keyasint,omitempty"`
+}
+
+// checkpointRecord is a checkpoint, with the share of the task's work at it in percent.
+type checkpointRecord struct {
+	Data    string `cbor:"1,keyasint"`
+	Percent int    `cbor:"2,keyasint,omitempty"`
 }
 
 // Keys of records other than jobRecords.
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -28,6 +28,16 @@
 	// Stored marks a task of a stored job. The worker retains the end of the run until
 	// the entry has recorded it.
 	Stored bool `cbor:"10,keyasint,omitempty"`
+	// Checkpointable means that the entry keeps checkpoints of the run. The fields below are
+	// set only with it.
+	Checkpointable bool `cbor:"11,keyasint,omitempty"`
+	// Checkpoint is the checkpoint from which the run resumes, or "". Restore is the time
+	// that this is expected to take; Expected includes it.
+	Checkpoint string            `cbor:"12,keyasint,omitempty"`
+	Restore    gypsumtide.Millis `cbor:"14,keyasint,omitempty"`
+	// Submission numbers the submissions at the entry. A job that is submitted again may get
+	// the same run numbers, but none of the earlier checkpoints.
+	Submission uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // RunReport reports the state of an order to an entry.
@@ -54,6 +64,12 @@
 	Number uint64 `cbor:"7,keyasint,omitempty"`
 	// Unrecorded is set for an end that the entry still has to record.
 	Unrecorded bool `cbor:"10,keyasint,omitempty"`
+	// Checkpoint is the newest checkpoint of the run, or "", and CheckpointPercent the
+	// progress of the run when the checkpoint was first seen. Without an End, the report says
+	// nothing else. Submission is that of the order.
+	Checkpoint        string `cbor:"11,keyasint,omitempty"`
+	CheckpointPercent int    `cbor:"12,keyasint,omitempty"`
+	Submission        uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // WorkerReport describes an agent's worker. Each report replaces the previous one.
--- a/job.go
+++ b/job.go
@@ -37,4 +37,7 @@
 	Rack string `cbor:"6,keyasint,omitempty"`
 	// MaxPerWorker limits the tasks of the step on one worker; 0 means no limit.
 	MaxPerWorker int `cbor:"7,keyasint,omitempty"`
+	// Checkpointable means that runs of the tasks save checkpoints, from which later runs
+	// resume.
+	Checkpointable bool `cbor:"8,keyasint,omitempty"`
 }
--- a/run.go
+++ b/run.go
@@ -81,6 +81,9 @@
 	// LeaseUntil is the end of the lease on the worker's clock, or 0 if the agent does
 	// not know that clock yet.
 	LeaseUntil Millis
+	// Checkpoint is the checkpoint of an earlier run of the task from which this one
+	// resumes, or "".
+	Checkpoint string
 }
 
 // RenewRequest renews the lease on all runs of a worker and asks for their state.
@@ -102,6 +105,8 @@
 	Ref RunRef
 	// Percent is the completed share of the work, from 0 to 100.
 	Percent int
+	// Checkpoint is the newest checkpoint of the run, or "".
+	Checkpoint string
 }
 
 // EndKind is the way in which a run ended.
@@ -132,6 +137,8 @@
 	Number uint64
 	Ref    RunRef
 	Kind   EndKind
+	// Checkpoint is the last checkpoint of the run, or "".
+	Checkpoint string
 }
 
 // RenewResponse lists the runs of a worker.
--- a/valid.go
+++ b/valid.go
@@ -22,6 +22,8 @@
 	MaxTime Millis = 253_402_300_799_999
 	// MaxCounter is the largest accepted value of a counter of another process.
 	MaxCounter = 1 << 53
+	// MaxCheckpointBytes is the size of the longest checkpoint that is kept.
+	MaxCheckpointBytes = 4096
 	// maxPort is the largest TCP port.
 	maxPort = 1<<16 - 1
 	// invalidHostCharacters would make the host of an address another part of a URL.
