--- a/internal/dispatch/odd_report_test.go
+++ b/internal/dispatch/odd_report_test.go
@@ -41,11 +41,11 @@
 	Convey("A worker report with a remaining time out of range is ignored", t, func() {
 		for _, leavesIn := range []gypsumtide.Millis{-1, math.MaxInt64} {
 			s := newTestState(1)
-			s.UpdateWorker(1, workerID(0), leavingReport(0, 0))
+			s.UpdateWorker(1, workerID(0), leavingReport(0, 50))
 			r := zoneReport(0, "z")
 			r.Leaving, r.LeavesIn = true, leavesIn
 			s.UpdateWorker(2, workerID(0), r)
-			So(s.workers[workerID(0)].leavesAt, ShouldEqual, 1)
+			So(s.workers[workerID(0)].leavesAt, ShouldEqual, 51)
 		}
 	})
 }
--- a/internal/runner/notice_test.go
+++ b/internal/runner/notice_test.go
@@ -59,6 +59,12 @@
 			s.Heartbeat(310, testInfo(gypsumtide.Incarnation{ID: "w-1", StartTime: 2000}))
 			So(s.WorkerReport(320).Leaving, ShouldBeFalse)
 		})
+		Convey("Neither does a worker that has deregistered", func() {
+			s.WorkerDeregistered(310, testIncarnation.ID)
+			s.SyncAnswered(312, *s.TakeEffects().Sync, gypsumtide.RenewResponse{StartTime: testIncarnation.StartTime, Clock: 5312}, nil)
+			So(s.Incarnation(), ShouldResemble, gypsumtide.Incarnation{})
+			So(s.WorkerReport(320).Leaving, ShouldBeFalse)
+		})
 	})
 
 	Convey("A draining worker without a remaining time is reported as before", t, func() {
