--- a/internal/dispatch/checkpoint.go
+++ b/internal/dispatch/checkpoint.go
@@ -64,6 +64,14 @@
 // hasCheckpoint reports whether the task's present run was resumed or the next one would be.
 func (t *task) hasCheckpoint() bool { return t.checkpoint.data != "" || t.resumedFrom.data != "" }
 
+// resumeFrom notes that the run that is being ordered resumes from the task's checkpoint, if it
+// has one.
+func (s *State) resumeFrom(t *task) {
+	if t.resumedFrom = t.checkpoint; t.checkpoint.data != "" {
+		s.log.Decision("run-resumed", "run", t.ref(), "worker", t.worker, "percent", t.checkpoint.percent, "expected-ms", s.expectedRun(t), "bytes", len(t.checkpoint.data))
+	}
+}
+
 // addCheckpoint adds the task's checkpoint to an order, if its step has checkpoints.
 func (s *State) addCheckpoint(t *task, o wire.Order) wire.Order {
 	if !t.checkpointable() {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -168,7 +168,8 @@
 	t.phase = taskOrdered
 	t.worker = w.id
 	t.workerIncarnation = w.report.Incarnation
-	t.orderedAt, t.resumedFrom = now, t.checkpoint
+	t.orderedAt = now
+	s.resumeFrom(t)
 	w.tasks[t.ref()] = t
 	w.ownRunning = w.ownRunning.Add(t.size())
 	m := s.messages(w.id)
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -42,6 +42,14 @@
 		defer a.mu.Unlock()
 		return float64(len(a.sessions))
 	})
+	set.NewGauge("gypsumtide_agent_leaving", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.state.LeavesAt() > 0 {
+			return 1
+		}
+		return 0
+	})
 	evacuationGauge := func(name string, value func(s *State) float64) {
 		set.NewGauge(name, func() float64 {
 			a.mu.Lock()
