--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -99,14 +99,14 @@
 	return 1
 }
 
-// expectedAtWorker returns the expected run time of a task at its worker, if that were of
-// average speed.
+// expectedAtWorker returns the expected run time of a task's run at its worker, if that were
+// of average speed.
 func (s *State) expectedAtWorker(t *task) gypsumtide.Millis {
-	expected := s.expected(t.job, t.step)
+	factor := 1.0
 	if w, ok := s.workers[t.worker]; ok {
-		expected = gypsumtide.Millis(float64(expected) * s.placeFactor(t, w))
+		factor = s.placeFactor(t, w)
 	}
-	return expected
+	return gypsumtide.Millis(s.runTimeFrom(t.resumedFrom, float64(s.expected(t.job, t.step)), factor))
 }
 
 // places holds the two places that are compared for a task. Times are in milliseconds from
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -36,6 +36,8 @@
 	// Places counts the tasks that are done by the place of their run, if their step names a
 	// rack.
 	Places PlaceCounts
+	// LeaveVerdicts are the decisions on runs of workers that leave, to be counted.
+	LeaveVerdicts []leaveVerdict
 }
 
 // Timing holds the timeouts of a State.
@@ -50,6 +52,8 @@
 	// agent that crashes just before it would have stopped the runs, whose lease expires
 	// that much later.
 	LostStoredRunTimeout gypsumtide.Millis
+	// RestoreTime is the time that a run needs to restore a checkpoint.
+	RestoreTime gypsumtide.Millis
 }
 
 // State is the state machine that schedules the jobs of one entry. It performs no I/O
@@ -75,6 +79,8 @@
 	slowStarts int
 	// agentsSince is the time at which the entry last went from no connected agent to some.
 	agentsSince gypsumtide.Millis
+	// submissions is the number of jobs submitted or adopted.
+	submissions uint64
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
 	// locality is the state of the placement of tasks whose steps name a rack.
@@ -145,6 +151,7 @@
 // on admission.
 func (s *State) Submit(now gypsumtide.Millis, sub Submission) {
 	j := newJob(now, sub)
+	s.numberSubmission(j)
 	if other, ok := s.jobs[j.id]; ok && other.stored {
 		// Task names contain the job id, so the tasks of both jobs would get the same names.
 		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
@@ -249,6 +256,7 @@
 		}
 		return
 	}
+	s.keepCheckpoint(t, r)
 	switch {
 	case r.Queued:
 		s.handleQueued(now, t)
@@ -256,6 +264,8 @@
 	case r.Started:
 		s.handleStarted(now, t)
 		return
+	case r.End == "" && r.Checkpoint != "":
+		return
 	case r.End == "":
 		s.updateProjection(now, t, r.Remaining, r.Stalled)
 		return
@@ -349,7 +359,7 @@
 			m := s.messages(t.worker)
 			o := s.newOrder(now, t)
 			o.Update = true
-			o.Spec = ""
+			o.Spec, o.Checkpoint = "", ""
 			m.Orders = append(m.Orders, o)
 		}
 	}
@@ -358,6 +368,7 @@
 // removeRun removes a task's run from a worker and from the worker's accounted load.
 func (s *State) removeRun(w *worker, t *task) {
 	delete(w.tasks, t.ref())
+	t.releaseMove()
 	if t.phase == taskQueued {
 		w.ownQueue(t.job.route.Priority).remove(t.size())
 		return
@@ -371,21 +382,27 @@
 	t.phase = taskReady
 	t.stopping = false
 	t.expedited = false
-	t.projectedEnd = 0
+	t.projectedEnd, t.stalled, t.leaveVerdict = 0, false, leaveUndecided
 	inProgress := s.jobs[j.id] == j
 	switch r.End {
 	case gypsumtide.EndDone:
 		t.phase = taskDone
 		t.runTime = r.RunTime
 		if w, ok := s.workers[t.worker]; ok {
-			s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness*s.placeFactor(t, w))
 			s.recordPlace(t, w, r.RunTime)
+			if t.resumedFrom.data == "" {
+				s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness*s.placeFactor(t, w))
+			}
+		}
+		if t.resumedFrom.data != "" {
+			t.runTime = 0 // It is not comparable with that of a whole run.
 		}
 		if j.unfinished[t.step]--; j.unfinished[t.step] == 0 {
 			s.learnSlowness(j, t.step)
 		}
 	case gypsumtide.EndFailed:
 		t.failures++
+		s.dropFailedCheckpoint(t)
 		t.avoidWorker = t.worker
 	case gypsumtide.EndNotStarted:
 		s.observeWait(now, t, false)
@@ -456,6 +473,7 @@
 	s.backlog.update(now, s.waitingShare())
 	s.recallBudget = s.countFreeWorkers()
 	s.refreshLocality()
+	s.moveLeavingRuns(now)
 	for _, j := range s.jobsByUrgency() {
 		s.checkJob(now, j)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -30,6 +30,11 @@
 	// priority.
 	ownRunning gypsumtide.Size
 	ownWaiting []queuedLoad
+	// incoming is the size of the tasks that are to move here once their present runs have
+	// ended.
+	incoming gypsumtide.Size
+	// leavesAt is the time from which the worker may be gone, or 0 if it has not announced one.
+	leavesAt gypsumtide.Millis
 	// awaitedUntil is the time until which the agent may still have to hear from its worker.
 	awaitedUntil gypsumtide.Millis
 	// evacuated is set while the worker's availability zone is evacuated. startsBlocked is
@@ -98,7 +103,7 @@
 // least as urgent as a task of the priority. A lower number is more urgent. This entry's
 // own orders are not taken from the last report, which may be older than they are.
 func (w *worker) load(priority int) gypsumtide.Size {
-	load := w.otherBooked.Add(w.ownRunning)
+	load := w.otherBooked.Add(w.ownRunning).Add(w.incoming)
 	for _, l := range w.otherWaiting {
 		if l.priority <= priority {
 			load = load.Add(l.size)
