--- a/internal/dispatch/slow_start.go
+++ b/internal/dispatch/slow_start.go
@@ -7,9 +7,6 @@
 	"gypsumtide/internal/placement"
 )
 
-// slowStartTime is how long the workers of a zone are not used fully after its evacuation.
-const slowStartTime = placement.SlowStartTime
-
 // limitedWait returns the expected wait in milliseconds for a task of the size on a worker
 // of which only a share is used. An idle worker always takes one task.
 func (w *worker) limitedWait(load, size gypsumtide.Size) float64 {
