platform: serve explanations of submissions on the metrics address

POST /explain takes the body of a submission and answers with what the ingress and the dispatcher would do with it now. gypsumctl explain-job prints the answer.

--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -53,7 +53,7 @@
 			{Name: "get", Usage: "print the current objects", Action: getSet},
 			{Name: "history", Usage: "list the most recent publishes", Action: listHistory},
 			{
-				Name: "explain", Usage: "show which objects apply to a service and a team, and why", Action: explain,
+				Name: "explain", Usage: "show which objects apply to a service and a team, and why", Action: explainService,
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "service", Required: true, Usage: "`NAME` of the service"},
 					&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
@@ -68,6 +68,7 @@
 			},
 			{Name: "evacuations", Usage: "list evacuated availability zones, and the nodes that have not taken note", Action: listEvacuations},
 			{Name: "nodes", Usage: "list entries and agents", Action: listNodes},
+			explainJobCommand(),
 			{Name: "drain", Usage: "make an entry or agent accept no new work and finish its work in progress", ArgsUsage: "NODE", Action: drainNode},
 			{Name: "retire", Usage: "record that the host of an agent is permanently removed", ArgsUsage: "AGENT", Action: retireAgent},
 			{Name: "trace", Usage: "print the decision lines of a job from the logs of several processes; ID is that of the job or of its request", ArgsUsage: "ID FILE...", Action: traceJob},
@@ -263,7 +264,7 @@
 	})
 }
 
-func explain(ctx context.Context, cmd *cli.Command) error {
+func explainService(ctx context.Context, cmd *cli.Command) error {
 	client, err := operatorClient(cmd)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,6 +52,8 @@
 	draining    atomic.Bool
 	saturation  Saturation
 	guard       *clientlimit.Guard
+	// handlers are the further handlers on the metrics address, by pattern.
+	handlers map[string]http.Handler
 }
 
 // gcPercent is the growth of the heap between two garbage collections in percent.
@@ -85,6 +87,15 @@
 	p.log.Decision("clients-turned-away", fields...)
 }
 
+// HandleOnMetricsAddress serves a handler on the metrics address, which is for operators. The
+// pattern is one of http.ServeMux. It must be called before Run.
+func (p *Process) HandleOnMetricsAddress(pattern string, h http.Handler) {
+	if p.handlers == nil {
+		p.handlers = make(map[string]http.Handler)
+	}
+	p.handlers[pattern] = h
+}
+
 // Incarnation returns the incarnation ID, which is new at each start of the process.
 func (p *Process) Incarnation() string { return p.incarnation }
 
@@ -262,6 +273,9 @@
 		p.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	for pattern, h := range p.handlers {
+		mux.Handle(pattern, h)
+	}
 	return mux
 }
 
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -95,7 +95,7 @@
 		return e
 	}
 	for i := range e.Steps {
-		e.Steps[i].Tasks, e.Steps[i].LeftOut.LimitPerWorker = s.explainTasks(now, j, e.Steps[i].Step)
+		s.explainTasks(now, j, &e.Steps[i])
 	}
 	return e
 }
@@ -168,34 +168,43 @@
 	return nil
 }
 
-// explainTasks places the tasks of a step like placeReady, and returns the choices. It also
-// returns the number of workers that then take no further task of the step.
-func (s *State) explainTasks(now gypsumtide.Millis, j *job, step int) ([]explain.Task, int) {
-	var tasks []explain.Task
+// maxExplainedTasks bounds the tasks of a step that are placed for an explanation, and so the
+// time for which real submissions wait for it. Ephemeral jobs have at most 32 tasks.
+const maxExplainedTasks = 128
+
+// explainTasks places the tasks of a step like placeReady, and adds the choices to the
+// explanation.
+func (s *State) explainTasks(now gypsumtide.Millis, j *job, e *explain.Step) {
 	for _, t := range j.tasks {
-		if t.step != step {
-			continue
-		}
-		compared := s.recordPlaces()
-		c := s.choosePlace(now, t)
-		e := explain.Task{Index: t.name.Index, Candidates: c.candidates, Ordered: c.startsSoon()}
-		if c.worker != nil {
-			e.Worker, e.Zone = c.worker.id.Agent, c.worker.report.Zone
-			e.Wait, e.End, e.Cost = round(c.estimate.wait), round(c.estimate.end), round(c.estimate.cost)
-		}
-		e.Rack = s.explainRack(j.steps[step].Rack, c, compared())
-		tasks = append(tasks, e)
-		if e.Ordered {
-			s.placeAt(now, t, c)
+		switch {
+		case t.step != e.Step:
+		case len(e.Tasks) == maxExplainedTasks:
+			e.OmittedTasks++
+		default:
+			e.Tasks = append(e.Tasks, s.explainTask(now, t))
 		}
 	}
-	full := 0
 	for _, w := range s.workerList {
-		if w.usable() && w.suits(j.route.Service, &j.steps[step]) && !s.withinMaxPerWorker(j, step, w) {
-			full++
+		if w.usable() && w.suits(j.route.Service, &j.steps[e.Step]) && !s.withinMaxPerWorker(j, e.Step, w) {
+			e.LeftOut.LimitPerWorker++
 		}
 	}
-	return tasks, full
+}
+
+// explainTask places a task like place, and returns the choice.
+func (s *State) explainTask(now gypsumtide.Millis, t *task) explain.Task {
+	compared := s.recordPlaces()
+	c := s.choosePlace(now, t)
+	e := explain.Task{Index: t.name.Index, Candidates: c.candidates, Ordered: c.startsSoon()}
+	if c.worker != nil {
+		e.Worker, e.Zone = c.worker.id.Agent, c.worker.report.Zone
+		e.Wait, e.End, e.Cost = round(c.estimate.wait), round(c.estimate.end), round(c.estimate.cost)
+	}
+	e.Rack = s.explainRack(t.job.steps[t.step].Rack, c, compared())
+	if e.Ordered {
+		s.placeAt(now, t, c)
+	}
+	return e
 }
 
 // recordPlaces records the next comparison of a rack with other places. The function that it
@@ -249,7 +258,7 @@
 // value that all readers of JSON represent.
 func round(ms float64) int64 { return int64(math.Round(max(0, min(ms, math.MaxInt32)))) }
 
-// Explain returns what would happen to a submission now, and the workers that the entry knows.
+// Explain returns what would happen to a submission now.
 func (d *Dispatcher) Explain(sub Submission, stored bool) explain.Job {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/explain/answer.go
+++ b/internal/explain/answer.go
@@ -94,6 +94,8 @@
 	LeftOut   LeftOut `json:"left-out"`
 	// Tasks is empty if the job would be refused.
 	Tasks []Task `json:"tasks,omitempty"`
+	// OmittedTasks is the number of further tasks, of which the choices were not computed.
+	OmittedTasks int `json:"omitted-tasks,omitempty"`
 }
 
 // LeftOut counts the workers that get no task of a step. A worker counts for the first
--- a/internal/explain/text.go
+++ b/internal/explain/text.go
@@ -83,6 +83,9 @@
 		s.Tasks[i].write(t)
 	}
 	_ = t.Flush() // Writes to a strings.Builder do not fail.
+	if s.OmittedTasks > 0 {
+		fmt.Fprintf(b, "  %d further tasks are not shown\n", s.OmittedTasks)
+	}
 }
 
 func waitText(wait *gypsumtide.Millis) string {
