--- a/internal/cli/explain_job.go
+++ b/internal/cli/explain_job.go
@@ -32,7 +32,6 @@
 			&cli.StringFlag{Name: "host", Required: true, Usage: "`HOST` of the request"},
 			&cli.StringFlag{Name: "path", Required: true, Usage: "`PATH` of the request, which ends with the id of the job"},
 			&cli.Int64Flag{Name: "deadline", Usage: "time in `MILLISECONDS` that the caller waits; default is the timeout of the route"},
-			&cli.BoolFlag{Name: "json", Usage: "print the answer of the entry as it is"},
 		},
 	}
 }
--- a/internal/cli/gypsumctl.go
+++ b/internal/cli/gypsumctl.go
@@ -36,7 +36,7 @@
 		Version: program.Version,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Value: "http://127.0.0.1:7001", Usage: "`URL` of an entry", Sources: cli.EnvVars("GYPSUMTIDE_ENTRY")},
-			&cli.BoolFlag{Name: "json", Usage: "print the response of the entry as JSON; applies to get, history, explain, nodes and evacuations"},
+			&cli.BoolFlag{Name: "json", Usage: "print the response of the entry as JSON; applies to get, history, explain, explain-job, nodes and evacuations"},
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the shared key of the entry; needed for changes if the entry has one", Sources: cli.EnvVars("GYPSUMTIDE_KEY_FILE")},
 		},
 		Commands: []*cli.Command{
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -111,3 +112,19 @@
 	time.Sleep(50 * time.Millisecond)
 	return conn
 }
+
+// Guards against a handler for operators that replaces the metrics, or that is not served.
+func TestHandleOnMetricsAddress(t *testing.T) {
+	Convey("The metrics address serves the metrics and the further handlers", t, func() {
+		p := New(Config{Name: "n"})
+		p.HandleOnMetricsAddress("POST /x", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+		status := func(method, path string) int {
+			w := httptest.NewRecorder()
+			p.metricsHandler().ServeHTTP(w, httptest.NewRequest(method, path, nil))
+			return w.Code
+		}
+		So(status("GET", "/metrics"), ShouldEqual, http.StatusOK)
+		So(status("POST", "/x"), ShouldEqual, http.StatusNoContent)
+		So(status("GET", "/x"), ShouldEqual, http.StatusMethodNotAllowed)
+	})
+}
