--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"gypsumtide"
 	"gypsumtide/internal/runner"
@@ -82,19 +84,66 @@
 	objective int64
 	value     float64
 	work      []float64
+	// size is the work of all tasks in core-milliseconds.
+	size float64
+	// earned is the part of value that was achieved. inTime is set if that is all of it.
+	earned float64
+	inTime bool
 }
 
 // simResult is the result of a simulation. Completed jobs count as inTime, late if the
 // answer came after the objective but was still useful, or tooLate. Jobs with any other
-// answer count as refused. value is the total value of all jobs, earned the part of it that
-// was achieved.
+// answer count as refused, and as held if that took longer than promptRefusal. value is the
+// total value of all jobs, earned the part of it that was achieved.
 type simResult struct {
-	jobs, inTime, late, tooLate, refused int
-	value, earned                        float64
+	jobs, inTime, late, tooLate, refused, held int
+	value, earned                              float64
+	// kinds holds the shares of jobs in time by the name of the kind. worstSecond is the
+	// lowest value share of the jobs that arrived in the same second.
+	kinds       map[string]simShares
+	worstSecond float64
 	// utilization is the mean share of the workers' processors in use during the load.
 	utilization float64
 }
 
+// promptRefusal is the time in microseconds within which a refusal counts as immediate.
+const promptRefusal = 10 * millisecond
+
+// simShares holds the shares of jobs in time of all jobs of a kind, of its largest tenth, and
+// of the fifth below that.
+type simShares struct{ all, largest, large float64 }
+
+// shares computes the results by kind and by second.
+func (sim *simulation) shares() {
+	byKind, value, earned := make(map[string][]*simJob), make(map[int64]float64), make(map[int64]float64)
+	for _, j := range sim.jobs {
+		byKind[j.kind.route.Name] = append(byKind[j.kind.route.Name], j)
+		second := (j.arrived - warmup) / 1e6
+		value[second] += j.value
+		earned[second] += j.earned
+	}
+	sim.result.worstSecond = 1
+	for second := range value {
+		sim.result.worstSecond = min(sim.result.worstSecond, earned[second]/value[second])
+	}
+	sim.result.kinds = make(map[string]simShares)
+	for name, jobs := range byKind {
+		slices.SortFunc(jobs, func(a, b *simJob) int { return cmp.Compare(b.size, a.size) })
+		n := len(jobs)
+		sim.result.kinds[name] = simShares{shareInTime(jobs), shareInTime(jobs[:n/10]), shareInTime(jobs[n/10 : 3*n/10])}
+	}
+}
+
+func shareInTime(jobs []*simJob) float64 {
+	n := 0
+	for _, j := range jobs {
+		if j.inTime {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(jobs)))
+}
+
 func (r simResult) valueShare() float64 { return r.earned / r.value }
 
 func (r simResult) String() string {
@@ -114,6 +163,36 @@
 	load func(second float64) float64
 	// slow returns the factor by which a worker is slowed down, over time. It may be nil.
 	slow func(worker int, second float64) float64
+	// burst returns the factor by which the arrivals of a kind are increased, over time. It
+	// may be nil.
+	burst func(kind string, second float64) float64
+	// cores is the mean size of a task, in thousandths of a core, and widthSpread the spread
+	// of the number of tasks of a job.
+	cores, widthSpread float64
+	// capacities and slowness are assigned to the workers in turn.
+	capacities []int64
+	slowness   func(worker int) float64
+	// arrivals are the relative shares of the jobs that arrive at the entries, or nil if
+	// they are equal.
+	arrivals []float64
+	// reportInterval is the shortest time between two load reports of an agent.
+	reportInterval gypsumtide.Millis
+}
+
+// withDefaults returns the configuration with the values of the smaller deployment that the
+// users have described, where none are set.
+func (cfg simConfig) withDefaults() simConfig {
+	if cfg.cores == 0 {
+		cfg.cores, cfg.widthSpread, cfg.capacities = 1600, 0.4, []int64{16000, 16000, 24000}
+		cfg.slowness = func(worker int) float64 { return []float64{1.25, 1, 0.8}[(worker/3)%3] }
+	}
+	if cfg.burst == nil {
+		cfg.burst = func(string, float64) float64 { return 1 }
+	}
+	if cfg.arrivals == nil {
+		cfg.arrivals = slices.Repeat([]float64{1}, cfg.entries)
+	}
+	return cfg
 }
 
 type simulation struct {
@@ -153,14 +232,13 @@
 type simRun struct{ startedAt, endsAt int64 }
 
 func newSimulation(cfg simConfig) *simulation {
+	cfg = cfg.withDefaults()
 	sim := &simulation{cfg: cfg, random: rand.New(rand.NewPCG(cfg.seed, 2)), kinds: simKinds(), jobs: make(map[string]*simJob)}
 	for range cfg.entries {
 		sim.entries = append(sim.entries, NewState(-10_000, "z", 1.5, testTiming, discardLogger{}))
 	}
 	for i := range cfg.workers {
-		size := []int64{16000, 16000, 24000}[i%3]
-		slowness := []float64{1.25, 1, 0.8}[(i/3)%3]
-		sim.addAgent(i, slowness, size)
+		sim.addAgent(i, cfg.slowness(i), cfg.capacities[i%len(cfg.capacities)])
 	}
 	for i, e := range sim.entries {
 		sim.every(10*millisecond, int64(i)*700, func() { sim.updateEntry(i, func(now gypsumtide.Millis) { e.Tick(now) }) })
@@ -227,6 +305,7 @@
 		processorTime += a.processorTime
 	}
 	sim.result.utilization = processorTime / capacity
+	sim.shares()
 	return sim.result
 }
 
@@ -239,12 +318,32 @@
 	for _, a := range sim.agents {
 		capacity += float64(a.capacity) / 1000
 	}
+	second := sim.second() - warmup/1e6
+	var shares []float64
+	total := 0.0
 	for _, k := range sim.kinds {
-		meanWork += k.share * k.width * k.work * meanTailFactor / 1000 * 1.6
+		meanWork += k.share * k.width * k.work * meanTailFactor / 1000 * sim.cfg.cores / 1000
+		shares = append(shares, k.share*sim.cfg.burst(k.route.Name, second))
+		total += shares[len(shares)-1]
 	}
-	rate := capacity * sim.cfg.load(sim.second()-warmup/1e6) / meanWork
+	rate := capacity * sim.cfg.load(second) / meanWork * total
 	sim.after(int64(sim.random.ExpFloat64()/rate*1e6), sim.generateLoad)
-	sim.submit()
+	sim.submit(&sim.kinds[sim.pick(shares)])
+}
+
+// pick returns a random index with probabilities proportional to the shares.
+func (sim *simulation) pick(shares []float64) int {
+	total := 0.0
+	for _, share := range shares {
+		total += share
+	}
+	x := sim.random.Float64() * total
+	for i, share := range shares {
+		if x -= share; x < 0 {
+			return i
+		}
+	}
+	return len(shares) - 1
 }
 
 // logNormal draws a log-normal value with the given mean. spread is the standard deviation
@@ -253,20 +352,16 @@
 	return mean * math.Exp(spread*sim.random.NormFloat64()-spread*spread/2)
 }
 
-func (sim *simulation) submit() {
-	kind, x := &sim.kinds[0], sim.random.Float64()
-	for i := range sim.kinds {
-		if kind = &sim.kinds[i]; x < kind.share {
-			break
-		}
-		x -= kind.share
-	}
+// maxWidth is the largest number of tasks of a job relative to the mean of its kind.
+const maxWidth = 4
+
+func (sim *simulation) submit(kind *simKind) {
 	base := sim.logNormal(kind.work, 0.4)
 	if sim.random.Float64() < tailShare {
 		base *= tailFactor
 	}
-	width := max(1, int(math.Round(sim.logNormal(kind.width, 0.4))))
-	cpu := int64(sim.logNormal(1600, 0.2))
+	width := max(1, int(math.Round(min(maxWidth*kind.width, sim.logNormal(kind.width, sim.cfg.widthSpread)))))
+	cpu := int64(sim.logNormal(sim.cfg.cores, 0.2))
 	j := &simJob{kind: kind, arrived: sim.now}
 	longest, total := 0.0, 0.0
 	for range width {
@@ -276,13 +371,14 @@
 		total += w
 	}
 	j.objective = int64((1.6*longest + 60) * millisecond)
-	j.value = kind.value * (0.3 + 0.7*total*float64(cpu)/(kind.width*kind.work*1600))
+	j.size = total * float64(cpu) / 1000
+	j.value = kind.value * (0.3 + 0.7*1000*j.size/(kind.width*kind.work*sim.cfg.cores))
 	estimate := base * (1 + 0.4*(2*sim.random.Float64()-1))
 	id := fmt.Sprintf("%016x", len(sim.jobs)+1)
 	sim.jobs[id] = j
 	sim.result.jobs++
 	sim.result.value += j.value
-	n := sim.random.IntN(len(sim.entries))
+	n := sim.pick(sim.cfg.arrivals)
 	sub := Submission{
 		Job: gypsumtide.JobRequest{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
 			Tasks: width, Size: gypsumtide.Size{Processors: cpu, Memory: 64}, Estimate: gypsumtide.Millis(max(1, estimate)),
@@ -331,15 +427,20 @@
 	switch {
 	case a.Outcome != gypsumtide.OutcomeComplete:
 		sim.result.refused++
+		if took > promptRefusal {
+			sim.result.held++
+		}
 	case took <= j.objective:
 		sim.result.inTime++
-		sim.result.earned += j.value
+		j.inTime = true
+		j.earned = j.value
 	case took <= lateFactor*j.objective:
 		sim.result.late++
-		sim.result.earned += 0.2 * j.value
+		j.earned = 0.2 * j.value
 	default:
 		sim.result.tooLate++
 	}
+	sim.result.earned += j.earned
 }
 
 // update applies a change to the state of the agent and carries out its effects.
@@ -389,7 +490,7 @@
 
 // broadcast sends the load to all entries if it has changed or the last report is old.
 func (a *simAgent) broadcast() {
-	if !a.loadChanged && a.sim.millis()-a.reportedAt < 200 {
+	if since := a.sim.millis() - a.reportedAt; since < a.sim.cfg.reportInterval || !a.loadChanged && since < 200 {
 		return
 	}
 	a.loadChanged, a.reportedAt = false, a.sim.millis()
@@ -420,7 +521,7 @@
 	}
 	delete(a.running, ref)
 	if a.sim.now < warmup+int64(a.sim.cfg.seconds*1e6) {
-		a.processorTime += float64(a.sim.now-run.startedAt) / 1e6 * 1600
+		a.processorTime += float64(a.sim.now-run.startedAt) / 1e6 * a.sim.cfg.cores
 	}
 	a.ended = append(a.ended, gypsumtide.RunEnd{Number: uint64(len(a.ended) + 1), Ref: ref, Kind: kind})
 	if c := a.renewal; c != nil {
