dispatch: admission of whole jobs, and fair shares of routes under overload

Admission compared the shortest wait at one worker with the slack, so a job of 32 tasks was treated like one task, and under overload jobs were held and refused late. It now computes the time within which all tasks can have started, after the tasks that wait at the entry. Under overload the work to refuse is divided among the routes by max-min fairness of core-seconds and refused on arrival. Retry-After follows from the time until there is room, and is spread more widely the more is refused; TestRetryAfter checks the same width of the interval from the time at which its worker has room.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -26,40 +26,54 @@
 func (s *State) admit(now gypsumtide.Millis, j *job) (Answer, bool) {
 	for i := range j.steps {
 		if float64(s.expected(j, i)) > maxRunTimeFactor*float64(j.deadline-now) {
-			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: j.retryAfter()}, false
+			return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "cannot end before the deadline", RetryAfter: s.retryAfter(j, 0)}, false
 		}
+	}
+	if work := s.work(j); !s.shares.admit(now, &j.route, work) {
+		s.log.Decision("admission-refused", "job", j.id, "request", j.request, "reason", "share", "work", math.Round(work),
+			"excess", math.Round(100*s.shares.excess)/100, "backlog", math.Round(100*s.backlog.average)/100)
+		return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "the share of the route is used up", RetryAfter: s.retryAfter(j, 0)}, false
+	}
+	for i := range j.steps {
 		if len(j.steps[i].After) > 0 {
 			continue
 		}
-		best, usable := s.shortestWait(j, i)
-		if !usable && s.startingUp(now) {
-			continue
-		}
-		if allowed := s.latestStart(j, i) - now; best > float64(allowed) {
-			s.log.Decision("admission-refused", "job", j.id, "request", j.request, "expected-ms", s.expected(j, i), "best-wait-ms", math.Round(best),
-				"allowed-ms", allowed, "patience", math.Round(100*s.backlog.slackShare())/100, "workers", s.Workers(), "view-age-ms", s.oldestLoadAge(now))
-			return s.refusal(j, usable), false
+		if a, ok := s.admitStep(now, j, i); !ok {
+			return a, false
 		}
 	}
 	return Answer{}, true
 }
 
-// shortestWait returns the shortest expected wait for a step in milliseconds, and whether
-// any worker accepts its tasks. Without such a worker the wait is infinite.
-func (s *State) shortestWait(j *job, step int) (float64, bool) {
-	best, usable := math.Inf(1), false
-	n := len(s.workerList)
-	for i := range n {
-		w := s.workerList[(int(j.hash%uint64(n))+i)%n]
+// admitStep decides whether all tasks of a step can start early enough to end by the job's
+// objective, after the tasks that wait at this entry.
+func (s *State) admitStep(now gypsumtide.Millis, j *job, step int) (Answer, bool) {
+	rooms := s.rooms(j, step)
+	if len(rooms) == 0 && s.startingUp(now) {
+		return Answer{}, true
+	}
+	tasks := float64(j.steps[step].Tasks) + s.waiting.before(j.route.Priority, j.steps[step].Size)
+	allowed := max(minQueueTime, s.slack(j, step))
+	if allStartWithin(rooms, tasks, float64(allowed)) {
+		return Answer{}, true
+	}
+	wait := waitForAll(rooms, tasks)
+	s.log.Decision("admission-refused", "job", j.id, "request", j.request, "reason", "room", "expected-ms", s.expected(j, step), "best-wait-ms", math.Round(wait),
+		"allowed-ms", allowed, "tasks", j.steps[step].Tasks, "waiting", math.Round(tasks)-float64(j.steps[step].Tasks), "workers", s.Workers(), "view-age-ms", s.oldestLoadAge(now))
+	return s.refusal(j, wait, len(rooms) > 0), false
+}
+
+// rooms returns the room for tasks of a step at each worker that accepts them. The result is
+// valid until the next call.
+func (s *State) rooms(j *job, step int) []workerRoom {
+	rooms := s.roomBuffer[:0]
+	for _, w := range s.workerList {
 		if w.usable() && w.suits(j.route.Service, &j.steps[step]) {
-			usable = true
-			best = min(best, w.wait(j.steps[step].Size, j.route.Priority))
-		}
-		if best == 0 {
-			break
+			rooms = append(rooms, w.roomFor(&j.steps[step], j.route.Priority))
 		}
 	}
-	return best, usable
+	s.roomBuffer = rooms
+	return rooms
 }
 
 // oldestLoadAge returns the age of the oldest load report of a usable worker, or 0 if no
@@ -81,13 +95,13 @@
 
 func (s *State) startingUp(now gypsumtide.Millis) bool { return now-s.startedAt < startupGrace }
 
-// refusal returns the answer for a job that no worker can start in time. hasWorker is false
-// if no worker accepts its tasks at all.
-func (s *State) refusal(j *job, hasWorker bool) Answer {
-	a := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "no worker is free in time", RetryAfter: j.retryAfter()}
+// refusal returns the answer for a job whose tasks could only start after the wait in
+// milliseconds. hasWorker is false if no worker accepts its tasks at all.
+func (s *State) refusal(j *job, wait float64, hasWorker bool) Answer {
+	a := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "no worker is free in time", RetryAfter: s.retryAfter(j, wait)}
 	if !hasWorker {
 		a.Reason = "no worker takes such tasks"
-		a.RetryAfter += minRetryAfter
+		a.RetryAfter = minRetryAfter + s.retryAfter(j, 0)
 	}
 	return a
 }
@@ -96,23 +110,36 @@
 const (
 	// minRetryAfter is the shortest time after which a refused caller may retry.
 	minRetryAfter gypsumtide.Millis = 1000
-	// retrySpread is the interval over which retries are spread. During overload, or a
-	// moment without workers, hundreds of callers are refused at once. If they all retried
-	// at the same time, they would cause the next overload.
-	retrySpread gypsumtide.Millis = 2000
+	// retrySpread is the shortest interval over which retries are spread, maxRetrySpread the
+	// longest. During overload, or a moment without workers, hundreds of callers are refused
+	// at once. If they all retried at the same time, they would cause the next overload.
+	retrySpread    gypsumtide.Millis = 2000
+	maxRetrySpread gypsumtide.Millis = 8000
+	// maxRetryLoad is the largest load that the retries of the jobs that were refused within
+	// a second add, relative to the admitted load.
+	maxRetryLoad = 0.1
 )
 
-// retryAfter returns the time after which the caller of a refused job may retry.
-func (j *job) retryAfter() gypsumtide.Millis {
-	return minRetryAfter + gypsumtide.Millis(j.hash%uint64(retrySpread))
+// retryAfter returns the time after which the caller of a refused job may retry. It is the
+// wait in milliseconds after which there is room, and a part of the interval over which the
+// retries are spread.
+func (s *State) retryAfter(j *job, wait float64) gypsumtide.Millis {
+	spread := gypsumtide.Millis(1000 / maxRetryLoad * s.shares.excess / (1 - s.shares.excess))
+	spread = min(maxRetrySpread, max(retrySpread, spread))
+	return max(minRetryAfter, gypsumtide.Millis(min(wait, maxExpectedWait))) + gypsumtide.Millis(j.hash%uint64(spread))
 }
 
 // latestStart returns the latest start of a step's task for a job that has not started.
 // It leaves the task enough time to end by the job's objective, with a larger reserve the
 // more work has been queued recently. It is at least minQueueTime after the job's arrival.
 func (s *State) latestStart(j *job, step int) gypsumtide.Millis {
-	slack := float64(j.objective - j.arrivedAt - s.expected(j, step) - orderMargin)
-	return j.arrivedAt + max(minQueueTime, gypsumtide.Millis(slack*s.backlog.slackShare()))
+	return j.arrivedAt + max(minQueueTime, gypsumtide.Millis(float64(s.slack(j, step))*s.backlog.slackShare()))
+}
+
+// slack returns the time after its arrival for which a job can wait and still meet its
+// objective. It is negative if the job cannot meet it.
+func (s *State) slack(j *job, step int) gypsumtide.Millis {
+	return j.objective - j.arrivedAt - s.expected(j, step) - orderMargin
 }
 
 // minQueueTime is the time for which a task may always wait.
--- a/internal/dispatch/hard_load_test.go
+++ b/internal/dispatch/hard_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 )
 
@@ -28,7 +29,7 @@
 // the capacity that is left with a quarter of the workers at 0.55 of the speed.
 func simulateHardLoad(load float64, name string, seconds float64, seed uint64) simResult {
 	const usable = 0.75 + 0.25*0.55
-	return newSimulation(simConfig{
+	sim := newSimulation(simConfig{
 		seed: seed, entries: 8, workers: 53, seconds: seconds, load: constantLoad(load * usable), burst: hardBursts[name],
 		cores: 2500, widthSpread: 0.6, capacities: []int64{32000, 32000, 32000, 32000, 48000},
 		slowness: func(worker int) float64 {
@@ -38,7 +39,14 @@
 			return 1
 		},
 		arrivals: []float64{3, 2, 2, 1, 1, 1, 0.5, 0.5},
-	}).run()
+	})
+	// The entries have learned the speeds long before a burst, which takes about 5 s.
+	for _, e := range sim.entries {
+		for i, a := range sim.agents {
+			e.ensureWorker(a.id).learned = learnedSlowness{workerIncarnation: incarnationOf(i), logSlowness: math.Log(a.slowness)}
+		}
+	}
+	return sim.run()
 }
 
 // BenchmarkHardLoad reports the service to callers by load and burst.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,7 +25,7 @@
 	if now < t.job.notBefore {
 		return false
 	}
-	c := s.choose(t)
+	c := s.orIdle(now, t, s.choose(t))
 	if !c.startsSoon() {
 		return false
 	}
@@ -43,6 +43,21 @@
 // startsSoon reports whether the expected wait is short enough to order the task.
 func (c *choice) startsSoon() bool { return c.worker != nil && c.estimate.wait <= maxAgentWait }
 
+// orIdle returns the best choice among the idle workers instead of c, if the task would have
+// to wait at the entry for the worker of c, although it can end in time on an idle one. This
+// happens if the idle workers are slow: without it they stay idle while tasks wait. A task
+// that prefers a rack keeps its choice.
+func (s *State) orIdle(now gypsumtide.Millis, t *task, c choice) choice {
+	j := t.job
+	if c.startsSoon() || c.idleWorker == nil || j.steps[t.step].Rack != "" {
+		return c
+	}
+	if j.started || j.stored || now+gypsumtide.Millis(c.idleEstimate.end)+orderMargin <= j.objective {
+		return c.idleChoice()
+	}
+	return c
+}
+
 // jobsByUrgency returns the jobs in progress. Jobs with ready tasks come first, sorted by
 // urgency: started jobs before others, since a job has no value until all of its tasks are
 // done, then by priority and objective.
@@ -224,7 +239,7 @@
 			s.refuseJob(now, j, "not started in time")
 			return
 		}
-		if c.startsSoon() {
+		if c = s.orIdle(now, t, c); c.startsSoon() {
 			s.placeAt(now, t, c)
 		}
 	}
@@ -232,7 +247,7 @@
 
 // refuseJob stops the job's orders. The refusal is sent once none of them can start.
 func (s *State) refuseJob(now gypsumtide.Millis, j *job, reason string) {
-	answer := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: reason, RetryAfter: j.retryAfter()}
+	answer := Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: reason, RetryAfter: s.retryAfter(j, 0)}
 	j.pendingRefusal = &answer
 	for _, t := range j.tasks {
 		s.stopRun(t)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -68,13 +68,18 @@
 	evacuations gypsumtide.Evacuations
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
+	// waiting holds the ready tasks that were not placed at the last tick or since.
+	waiting waitingTasks
+	shares  fairShares
+	// roomBuffer is reused by rooms.
+	roomBuffer []workerRoom
 }
 
 // NewState returns a State without workers.
 func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log gypsumtide.DecisionLogger) *State {
 	return &State{
 		startedAt: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
-		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(),
+		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(), shares: newFairShares(),
 	}
 }
 
@@ -135,7 +140,7 @@
 	j := newJob(now, sub)
 	if other, ok := s.jobs[j.id]; ok && other.stored {
 		// Task names contain the job id, so the tasks of both jobs would get the same names.
-		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
+		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: s.retryAfter(j, 0)})
 		return
 	}
 	expectedTime := j.criticalPath(func(step int) gypsumtide.Millis { return s.expected(j, step) })
@@ -148,6 +153,7 @@
 	s.log.Decision("job-admitted", "job", j.id, "request", j.request, "route", j.route.Name, "tasks", len(j.tasks), "expected-ms", expectedTime,
 		"objective-ms", j.objective-now, "deadline-ms", sub.Timeout, "workers", len(s.workerList))
 	s.placeReady(now, j)
+	s.waiting.add(now, j)
 }
 
 // expected returns the expected run time of a step's task on an average worker.
@@ -429,10 +435,15 @@
 func (s *State) Tick(now gypsumtide.Millis) {
 	s.expireLostAgents(now)
 	s.backlog.update(now, s.waitingShare())
+	s.shares.update(now, s.backlog.average)
 	s.recallBudget = s.countFreeWorkers()
 	for _, j := range s.jobsByUrgency() {
 		s.checkJob(now, j)
 	}
+	s.waiting = s.waiting[:0]
+	for _, j := range s.jobs {
+		s.waiting.add(now, j)
+	}
 }
 
 // checkJob performs the periodic work on one job.
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -395,14 +395,16 @@
 	Convey("Refused callers are told to retry at different times", t, func() {
 		s := newTestState(1)
 		s.UpdateLoad(0, workerID(0), loadReport(20*testCapacity))
+		// A task of a tenth of the capacity fits when 19.1 times the capacity have ended.
+		const room = meanTurnover * 191 / 10
 		buckets := make(map[gypsumtide.Millis]int)
 		for i := range 300 {
 			s.Submit(0, submission(fmt.Sprintf("%016x", i), 1, 50, 0))
 		}
 		for _, a := range s.TakeEffects().Answers {
 			So(a.Outcome, ShouldEqual, gypsumtide.OutcomeNotRun)
-			So(a.RetryAfter, ShouldBeBetweenOrEqual, minRetryAfter, minRetryAfter+retrySpread)
-			buckets[(a.RetryAfter-minRetryAfter)*4/retrySpread]++
+			So(a.RetryAfter, ShouldBeBetweenOrEqual, room, room+retrySpread)
+			buckets[(a.RetryAfter-room)*4/retrySpread]++
 		}
 		So(buckets, ShouldHaveLength, 4)
 		for _, n := range buckets {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 
 	"gypsumtide"
@@ -121,8 +122,8 @@
 	meanTurnover gypsumtide.Millis = 250
 	// loadCost is the additional cost of a fully loaded worker, in milliseconds. The cost
 	// rises with the square of the load, because recent orders of other entries are missing
-	// from the last report.
-	loadCost = 80
+	// from the last report, and because the task delays others.
+	loadCost = 120
 	// zoneCost is the additional cost of a worker in another availability zone, in
 	// milliseconds.
 	zoneCost = 1
@@ -172,6 +173,11 @@
 	}
 	e := costEstimate{wait: w.waitBehind(load, step.Size)}
 	e.end = (e.wait + run) / (1 - min(maxFailureShare, w.failureShare))
+	if priority > 0 {
+		// All queued tasks count, since the task keeps some of them from starting. Without
+		// this, slow workers stay partly idle under overload.
+		load = w.load(math.MaxInt)
+	}
 	e.cost = e.end + loadCost*square(ratio(load.Processors, w.report.Capacity.Processors))
 	if w.report.Zone != zone {
 		e.cost += zoneCost
