--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -30,9 +30,10 @@
 		}
 	}
 	if work := s.work(j); !s.shares.admit(now, &j.route, work) {
-		s.log.Decision("admission-refused", "job", j.id, "request", j.request, "reason", "share", "work", math.Round(work),
+		wait := waitForAll(s.rooms(j, 0), s.tasksUntilStarted(j, 0))
+		s.log.Decision("admission-refused", "job", j.id, "request", j.request, "reason", "share", "work", math.Round(work), "best-wait-ms", math.Round(wait),
 			"excess", math.Round(100*s.shares.excess)/100, "backlog", math.Round(100*s.backlog.average)/100)
-		return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "the share of the route is used up", RetryAfter: s.retryAfter(j, 0)}, false
+		return Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "the share of the route is used up", RetryAfter: s.retryAfter(j, wait)}, false
 	}
 	for i := range j.steps {
 		if len(j.steps[i].After) > 0 {
@@ -52,7 +53,7 @@
 	if len(rooms) == 0 && s.startingUp(now) {
 		return Answer{}, true
 	}
-	tasks := float64(j.steps[step].Tasks) + s.waiting.before(j.route.Priority, j.steps[step].Size)
+	tasks := s.tasksUntilStarted(j, step)
 	allowed := max(minQueueTime, s.slack(j, step))
 	if allStartWithin(rooms, tasks, float64(allowed)) {
 		return Answer{}, true
@@ -63,6 +64,12 @@
 	return s.refusal(j, wait, len(rooms) > 0), false
 }
 
+// tasksUntilStarted returns the number of tasks of the size of the step's that have to start
+// until all of the step have, including those that wait at this entry and go first.
+func (s *State) tasksUntilStarted(j *job, step int) float64 {
+	return float64(j.steps[step].Tasks) + s.waiting.before(j.route.Priority, j.steps[step].Size)
+}
+
 // rooms returns the room for tasks of a step at each worker that accepts them. The result is
 // valid until the next call.
 func (s *State) rooms(j *job, step int) []workerRoom {
