--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -166,12 +166,17 @@
 	defer d.mu.Unlock()
 	change(d.clock.Now())
 	eff := d.state.TakeEffects()
+	var packer wire.SpecPacker
 	for id, m := range eff.Messages {
 		d.metrics.countOrders(m.Orders)
 		if s, ok := d.sessions[id]; ok {
 			s.SetIdle(!d.state.HasTasks(id))
+			orders := m.Orders
+			if s.unpacksSpecs {
+				orders = packer.Pack(orders)
+			}
 			s.Update(func(f *wire.Frame) {
-				f.Orders = append(f.Orders, m.Orders...)
+				f.Orders = append(f.Orders, orders...)
 				f.StopRuns = append(f.StopRuns, m.Stops...)
 				f.RecallRuns = append(f.RecallRuns, m.Recalls...)
 				f.Recorded = append(f.Recorded, m.Recorded...)
@@ -179,6 +184,7 @@
 			})
 		}
 	}
+	d.metrics.countPlaces(eff.Places)
 	for id, a := range eff.Answers {
 		for _, c := range d.waiters[id] {
 			c <- a
@@ -232,9 +238,14 @@
 	d.update(func(gypsumtide.Millis) { d.state.UpdateRoutes(t) })
 }
 
-// SetEvacuations replaces the set of evacuated availability zones if e is newer.
+// SetEvacuations replaces the set of evacuated availability zones, unless e has a lower version.
 func (d *Dispatcher) SetEvacuations(e gypsumtide.Evacuations) {
-	d.update(func(now gypsumtide.Millis) { d.state.SetEvacuations(now, e) })
+	d.update(func(now gypsumtide.Millis) {
+		d.state.SetEvacuations(now, e)
+		for _, s := range d.sessions {
+			s.sendEvacuations(d.state.Evacuations())
+		}
+	})
 }
 
 // Run performs the periodic work of the state, and keeps the agents informed about the
@@ -281,8 +292,11 @@
 	id := WorkerID{Agent: hello.Name, Incarnation: hello.Incarnation}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	as := &agentSession{Session: s}
-	as.notify(d.clock.Now(), agentNotice{entries: d.addresses.Shareable()})
+	as := &agentSession{Session: s, unpacksSpecs: hello.UnpacksSpecs}
+	d.update(func(now gypsumtide.Millis) {
+		as.sendEvacuations(d.state.Evacuations())
+		as.notify(now, agentNotice{entries: d.addresses.Shareable()})
+	})
 	err = s.Run(ctx, func(f *wire.Frame) error { return d.receive(id, as, f) })
 	d.disconnect(id, as, err)
 }
@@ -316,6 +330,9 @@
 				old.Close()
 			}
 			d.sessions[id] = s
+			// The set may have changed since the session was accepted. From now on
+			// SetEvacuations sends changes.
+			s.sendEvacuations(d.state.Evacuations())
 		}
 		if d.sessions[id] != s {
 			return
@@ -331,6 +348,8 @@
 		}
 		if f.Worker != nil {
 			d.state.UpdateWorker(now, id, *f.Worker)
+			s.reportedEvacuations = f.Worker.EvacuationsVersion
+			s.sendEvacuations(d.state.Evacuations())
 		}
 		if f.WorkerLoad != nil {
 			d.state.UpdateLoad(now, id, f.WorkerLoad)
@@ -358,9 +377,10 @@
 	}
 }
 
-// maxReportsPerCore limits the load broadcasts of all agents per second and core.
-// Processing one takes about 30 us, so they use up to 15% of a core.
-const maxReportsPerCore = 5000
+// maxReportsPerCore limits the load broadcasts of all agents per second and core. Each costs
+// a read, a wake-up and about 30 us of processing. With 5000 they took so much of a fifth of a
+// core that requests waited for it under overload. Reports on runs carry the load as well.
+const maxReportsPerCore = 1500
 
 // reportInterval returns the minimum time between two load broadcasts of an agent. The
 // caller holds d.mu.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -26,6 +26,11 @@
 		defer d.mu.Unlock()
 		return float64(len(d.sessions))
 	})
+	set.NewGauge("gypsumtide_entry_evacuated_workers", func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(d.state.evacuatedWorkers)
+	})
 	// The metric shows the share of its slack for which a job may currently wait.
 	set.NewGauge("gypsumtide_entry_patience", func() float64 {
 		d.mu.Lock()
@@ -52,6 +57,14 @@
 	}
 }
 
+func (m *dispatcherMetrics) countPlaces(counts PlaceCounts) {
+	for place, n := range counts {
+		if n > 0 {
+			m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_rack_tasks_total{place=%q}", placeNames[place])).Add(n)
+		}
+	}
+}
+
 func (m *dispatcherMetrics) recordAnswer(route string, a Answer, start time.Time) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumtide_entry_answers_total{route=%q,outcome=%q}", route, a.Outcome)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumtide_entry_answer_seconds{route=%q,outcome=%q}", route, a.Outcome)).UpdateDuration(start)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,7 +25,7 @@
 	if now < t.job.notBefore {
 		return false
 	}
-	c := s.orIdle(now, t, s.choose(t))
+	c := s.orIdle(now, t, s.choosePlace(now, t))
 	if !c.startsSoon() {
 		return false
 	}
@@ -90,16 +90,20 @@
 	// at once.
 	idleWorker   *worker
 	idleEstimate costEstimate
+	// elsewhere is the candidate with the lowest cost that is not on the rack of the step. It
+	// is set only if the step names a rack.
+	elsewhere candidate
 	// candidates is the number of workers that were compared.
 	candidates int
 }
 
 // choose compares the candidate workers for the task. The choice has no worker if none of
 // them accepts the task.
-func (s *State) choose(t *task) choice {
+func (s *State) choose(now gypsumtide.Millis, t *task) choice {
 	j := t.job
 	step := &j.steps[t.step]
 	expected := float64(s.expected(j, t.step))
+	limited := s.limitsShares(now, t)
 	var c choice
 	for w := range s.candidateWorkers(t) {
 		if !w.usable() || !w.suits(j.route.Service, step) || !s.withinMaxPerWorker(j, t.step, w) {
@@ -107,10 +111,16 @@
 		}
 		c.candidates++
 		e := w.estimateCost(s.zone, step, j.route.Priority, expected, s.remoteFactor)
+		if limited {
+			e = w.limitShare(e, j.route.Priority, step.Size)
+		}
 		e.cost += tieBreak(t, w)
 		if t.avoidWorker == w.id {
 			e.cost += avoidCost
 		}
+		if step.Rack != "" && !w.hasRack(step.Rack) {
+			c.elsewhere = c.elsewhere.cheaper(candidate{w, e})
+		}
 		if c.worker == nil || e.cost < c.estimate.cost {
 			c.worker, c.estimate = w, e
 		}
@@ -180,6 +190,7 @@
 	t.worker = w.id
 	t.workerIncarnation = w.report.Incarnation
 	t.orderedAt = now
+	s.expectWait(now, t, w)
 	w.tasks[t.ref()] = t
 	w.ownRunning = w.ownRunning.Add(t.size())
 	m := s.messages(w.id)
@@ -214,7 +225,7 @@
 	return wire.Order{
 		Ref: t.ref(), Spec: j.spec, Size: j.steps[t.step].Size, Priority: j.route.Priority,
 		JobStarted: j.started, StartWithin: max(1, s.startBy(j, t.step)-now),
-		Expected: s.expected(j, t.step), Incarnation: t.workerIncarnation, Stored: j.stored,
+		Expected: s.expectedAtWorker(t), Incarnation: t.workerIncarnation, Stored: j.stored,
 	}
 }
 
@@ -222,11 +233,14 @@
 // order was returned unstarted, and on each tick while a task is ready. If one of the tasks
 // can no longer start in time, the job is refused.
 func (s *State) replanJob(now gypsumtide.Millis, j *job) {
+	if s.endUnservable(now, j) {
+		return
+	}
 	for _, t := range j.tasks {
 		if t.phase != taskReady {
 			continue
 		}
-		c := s.choose(t)
+		c := s.choosePlace(now, t)
 		late := now >= s.latestStart(j, t.step)
 		if c.worker == nil && (!late || s.startingUp(now) && now < s.latestUsefulStart(j, t.step)) {
 			continue
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -15,6 +15,12 @@
 // longer has all of its reports, they may have run and have ended.
 func (s *State) Connected(now gypsumtide.Millis, id WorkerID, r wire.Resume) {
 	w := s.ensureWorker(id)
+	if !s.hasAgents() {
+		s.agentsSince = now
+	}
+	if w.awaitedUntil == 0 {
+		w.awaitedUntil = now + agentsSettleTime
+	}
 	w.connected = true
 	missing := wire.RunReport{End: gypsumtide.EndNotStarted, Reason: "order-lost"}
 	if !r.Complete {
@@ -82,7 +88,7 @@
 func (s *State) ensureWorker(id WorkerID) *worker {
 	w, ok := s.workers[id]
 	if !ok {
-		w = &worker{id: id, hash: xxhash.Sum64String(id.Agent), slowness: 1, tasks: make(map[gypsumtide.RunRef]*task)}
+		w = &worker{id: id, hash: xxhash.Sum64String(id.Agent), slowness: 1, share: 1, tasks: make(map[gypsumtide.RunRef]*task)}
 		s.workers[id] = w
 		s.workerList = append(s.workerList, w)
 	}
@@ -105,6 +111,7 @@
 			"capacity", r.Capacity.Processors)
 	}
 	w.report = r
+	s.updateEvacuation(now, w)
 	w.updateSlowness()
 	if r.EarlierRunsEnded {
 		s.dropEarlierIncarnations(now, id)
@@ -148,6 +155,8 @@
 func (s *State) removeWorker(now gypsumtide.Millis, w *worker, reason string) {
 	s.endLostRuns(now, w, reason, func(*task) bool { return true })
 	delete(s.workers, w.id)
+	s.setEvacuated(w, false)
+	s.endSlowStart(w)
 	s.workerList = slices.DeleteFunc(s.workerList, func(x *worker) bool { return x == w })
 	s.log.Decision("agent-gone", "worker", w.id, "reason", reason)
 }
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -89,6 +89,7 @@
 	// earned is the part of value that was achieved. inTime is set if that is all of it.
 	earned float64
 	inTime bool
+	rack   string
 }
 
 // simResult is the result of a simulation. Completed jobs count as inTime, late if the
@@ -177,6 +178,8 @@
 	arrivals []float64
 	// reportInterval is the shortest time between two load reports of an agent.
 	reportInterval gypsumtide.Millis
+	// racks describes the racks and the jobs that name one. It may be nil.
+	racks *simRacks
 }
 
 // withDefaults returns the configuration with the values of the smaller deployment that the
@@ -268,7 +271,7 @@
 	}
 	a.update(func(now gypsumtide.Millis) {
 		a.state.Heartbeat(now, gypsumtide.WorkerInfo{
-			Incarnation: incarnationOf(i), Service: "stock", Address: "w", Zone: "z", Capacity: gypsumtide.Size{Processors: capacity, Memory: 65536},
+			Incarnation: incarnationOf(i), Service: "stock", Address: "w", Zone: "z", Capacity: gypsumtide.Size{Processors: capacity, Memory: 65536}, Labels: sim.cfg.racks.labels(i),
 		})
 	})
 	a.loadChanged = true
@@ -375,13 +378,14 @@
 	j.value = kind.value * (0.3 + 0.7*1000*j.size/(kind.width*kind.work*sim.cfg.cores))
 	estimate := base * (1 + 0.4*(2*sim.random.Float64()-1))
 	id := fmt.Sprintf("%016x", len(sim.jobs)+1)
+	j.rack = sim.cfg.racks.choose(kind, sim.second()-warmup/1e6)
 	sim.jobs[id] = j
 	sim.result.jobs++
 	sim.result.value += j.value
 	n := sim.pick(sim.cfg.arrivals)
 	sub := Submission{
 		Job: gypsumtide.JobRequest{ID: id, Spec: "s", Steps: []gypsumtide.JobStep{{
-			Tasks: width, Size: gypsumtide.Size{Processors: cpu, Memory: 64}, Estimate: gypsumtide.Millis(max(1, estimate)),
+			Tasks: width, Size: gypsumtide.Size{Processors: cpu, Memory: 64}, Estimate: gypsumtide.Millis(max(1, estimate)), Rack: j.rack,
 		}}},
 		Route: kind.route, Timeout: 1500 + gypsumtide.Millis(3*1.6*base),
 	}
@@ -424,6 +428,7 @@
 
 func (sim *simulation) answered(j *simJob, a Answer) {
 	took := sim.now + callerDelay - j.arrived
+	sim.cfg.racks.record(j, a, took)
 	switch {
 	case a.Outcome != gypsumtide.OutcomeComplete:
 		sim.result.refused++
@@ -506,6 +511,7 @@
 	if a.sim.cfg.slow != nil {
 		factor *= a.sim.cfg.slow(agentNumber(a.id), a.sim.second())
 	}
+	factor *= a.sim.cfg.racks.factor(agentNumber(a.id), j)
 	took := int64(j.work[ref.Task.Index] * factor * millisecond)
 	a.running[ref] = &simRun{startedAt: a.sim.now, endsAt: a.sim.now + took}
 	a.sim.after(took, func() { a.endRun(ref, gypsumtide.EndDone) })
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,6 +33,9 @@
 	Answers  map[string]Answer
 	// Stored is the progress of stored jobs that has to be recorded.
 	Stored Progress
+	// Places counts the tasks that are done by the place of their run, if their step names a
+	// rack.
+	Places PlaceCounts
 }
 
 // Timing holds the timeouts of a State.
@@ -66,6 +69,12 @@
 	backlog    backlog
 	// evacuations is the newest set of evacuated availability zones.
 	evacuations gypsumtide.Evacuations
+	// evacuatedWorkers is the number of workers in evacuated zones.
+	evacuatedWorkers int
+	// slowStarts is the number of workers in a slow start.
+	slowStarts int
+	// agentsSince is the time at which the entry last went from no connected agent to some.
+	agentsSince gypsumtide.Millis
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
 	// waiting holds the ready tasks that were not placed at the last tick or since.
@@ -73,6 +82,8 @@
 	shares  fairShares
 	// roomBuffer is reused by rooms.
 	roomBuffer []workerRoom
+	// locality is the state of the placement of tasks whose steps name a rack.
+	locality locality
 }
 
 // NewState returns a State without workers.
@@ -80,6 +91,7 @@
 	return &State{
 		startedAt: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
 		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(), shares: newFairShares(),
+		locality: newLocality(),
 	}
 }
 
@@ -146,6 +158,9 @@
 	expectedTime := j.criticalPath(func(step int) gypsumtide.Millis { return s.expected(j, step) })
 	j.objective = now + j.route.Objective(expectedTime)
 	s.jobs[j.id] = j
+	if s.endUnservable(now, j) {
+		return
+	}
 	if refusal, ok := s.admit(now, j); !ok {
 		s.answer(now, j, refusal)
 		return
@@ -191,10 +206,11 @@
 }
 
 // abort answers the job at once and stops its runs. The outcome is unknown if any task
-// has started or may have started.
+// has started or may have started. A start that was only presumed does not count once all
+// orders have come back unstarted.
 func (s *State) abort(now gypsumtide.Millis, j *job, reason string) {
 	outcome := gypsumtide.OutcomeUnknown
-	if !j.started && !j.hasPlacedTask() {
+	if !j.mayHaveRun && !j.hasPlacedTask() {
 		outcome = gypsumtide.OutcomeNotRun
 	}
 	for _, t := range j.tasks {
@@ -252,6 +268,10 @@
 	}
 	s.logInconclusiveEnd(now, t, r)
 	s.removeRun(w, t)
+	if r.Reason == runner.ReasonZoneEvacuated {
+		// The agent's description of its worker may be in the same frame, after this report.
+		w.report.Accepting = false
+	}
 	if t.job.stored && r.End.Conclusive() {
 		s.recordEnd(t, r)
 		return
@@ -295,7 +315,9 @@
 	}
 	t.phase = taskRunning
 	t.startedAt = now
+	s.observeWait(now, t, true)
 	j := t.job
+	j.mayHaveRun = true
 	if w, ok := s.workers[t.worker]; ok {
 		w.ownQueue(j.route.Priority).remove(t.size())
 		w.ownRunning = w.ownRunning.Add(t.size())
@@ -362,7 +384,8 @@
 		t.phase = taskDone
 		t.runTime = r.RunTime
 		if w, ok := s.workers[t.worker]; ok {
-			s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness)
+			s.estimator.observe(j.route.Name, j.steps[t.step].Estimate, r.RunTime, w.slowness*s.placeFactor(t, w))
+			s.recordPlace(t, w, r.RunTime)
 		}
 		if j.unfinished[t.step]--; j.unfinished[t.step] == 0 {
 			s.learnSlowness(j, t.step)
@@ -371,6 +394,7 @@
 		t.failures++
 		t.avoidWorker = t.worker
 	case gypsumtide.EndNotStarted:
+		s.observeWait(now, t, false)
 		if r.Reason == runner.ReasonStaleRun {
 			t.number += runNumberGap
 		}
@@ -379,7 +403,7 @@
 	}
 	if r.End != gypsumtide.EndNotStarted {
 		// Something may have run, so a pending refusal is withdrawn.
-		j.started = true
+		j.started, j.mayHaveRun = true, true
 		j.pendingRefusal = nil
 	}
 	if inProgress {
@@ -434,9 +458,11 @@
 // worker could start at once, and stops stalled runs so that their tasks are retried.
 func (s *State) Tick(now gypsumtide.Millis) {
 	s.expireLostAgents(now)
+	s.updateSlowStarts(now)
 	s.backlog.update(now, s.waitingShare())
 	s.shares.update(now, s.backlog.average)
 	s.recallBudget = s.countFreeWorkers()
+	s.refreshLocality()
 	for _, j := range s.jobsByUrgency() {
 		s.checkJob(now, j)
 	}
@@ -459,6 +485,7 @@
 		switch {
 		case t.phase == taskReady && !j.started && !j.stored:
 			s.replanJob(now, j)
+		case t.phase == taskReady && s.endUnservable(now, j):
 		case t.phase == taskReady:
 			s.place(now, t)
 		case t.phase == taskOrdered && !j.started && now-t.orderedAt >= presumedStartDelay:
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -31,6 +31,16 @@
 	// priority.
 	ownRunning gypsumtide.Size
 	ownWaiting []queuedLoad
+	// awaitedUntil is the time until which the agent may still have to hear from its worker.
+	awaitedUntil gypsumtide.Millis
+	// evacuated is set while the worker's availability zone is evacuated. startsBlocked is
+	// set until its agent has unblocked starts as well.
+	evacuated     bool
+	startsBlocked bool
+	// share is the part of the capacity that is used. It is below 1 during the slow start,
+	// which began at slowStartAt.
+	share       float64
+	slowStartAt gypsumtide.Millis
 	// learned is the slowness learned from completed steps.
 	learned learnedSlowness
 	// slowness is the expected run time relative to an average worker. 1 is average.
@@ -46,7 +56,7 @@
 }
 
 // usable reports whether the worker accepts orders.
-func (w *worker) usable() bool { return w.connected && w.report.Accepting }
+func (w *worker) usable() bool { return w.connected && w.report.Accepting && !w.evacuated }
 
 // queuedLoad is the size of the queued orders of one priority.
 type queuedLoad struct {
@@ -132,14 +142,30 @@
 // waitBehind returns the expected time in milliseconds until a task of the size fits on the
 // worker if the load goes before it.
 func (w *worker) waitBehind(load, size gypsumtide.Size) float64 {
-	capacity := w.report.Capacity
-	deficit := load.Add(size).Sub(capacity)
-	share := max(
-		ratio(deficit.Processors, capacity.Processors),
-		ratio(deficit.Memory, capacity.Memory),
-		ratio(deficit.Accelerators, capacity.Accelerators),
+	return expectedWait(w.report.Capacity, load, size)
+}
+
+// expectedWait returns the expected time in milliseconds until a task of the size fits into
+// the capacity if the load goes before it.
+func expectedWait(capacity, load, size gypsumtide.Size) float64 {
+	return deficit(capacity, load, size) * float64(meanTurnover)
+}
+
+// deficit returns the share of the worker's capacity that has to become free before a task
+// of the size fits behind the load.
+func (w *worker) deficit(load, size gypsumtide.Size) float64 {
+	return deficit(w.report.Capacity, load, size)
+}
+
+// deficit returns the share of the capacity that has to become free before a task of the
+// size fits behind the load.
+func deficit(capacity, load, size gypsumtide.Size) float64 {
+	missing := load.Add(size).Sub(capacity)
+	return max(
+		ratio(missing.Processors, capacity.Processors),
+		ratio(missing.Memory, capacity.Memory),
+		ratio(missing.Accelerators, capacity.Accelerators),
 	)
-	return share * float64(meanTurnover)
 }
 
 // ratio returns n/of, or 0 if either is not positive.
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -26,8 +26,12 @@
 	exchangeTimeout  gypsumtide.Millis = 400
 	// fetchTimeout limits the transfer of a compressed table.
 	fetchTimeout gypsumtide.Millis = 1500
-	// peerTableDelay is how long a starting entry without a table waits for the store before
-	// it accepts a table from a peer, since the peer may have lost the store as well.
+	// startExchangeInterval replaces exchangeInterval while an entry without a table cannot
+	// reach the store, since it refuses all requests until a peer has provided a table.
+	startExchangeInterval gypsumtide.Millis = 100
+	// peerTableDelay is how long a starting entry without a table waits for an answer of the
+	// store before it accepts a table from a peer, since the peer may have lost the store as
+	// well. It waits no longer once the store has rejected a read.
 	peerTableDelay gypsumtide.Millis = 1000
 	// announceInterval is the time after which an entry reads the directory again and renews
 	// its record.
@@ -55,10 +59,15 @@
 	// Queued holds, by route, the number of the sender's stored jobs of which no task has
 	// started.
 	Queued map[string]int `cbor:"5,keyasint,omitempty"`
+	// Evacuations is the newest set of evacuated zones of the sender.
+	Evacuations gypsumtide.Evacuations `cbor:"6,keyasint,omitempty"`
+	// Saturated is set while the sender has too little processor time for its requests.
+	Saturated bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Peers exchanges messages with the other entries, and fetches their route tables if these
-// are newer, so that an entry receives new tables even if it cannot reach the store.
+// are newer, so that an entry receives new tables and evacuations even if it cannot reach the
+// store.
 type Peers struct {
 	ownAddress string
 	name       string
@@ -74,8 +83,10 @@
 	// queued returns, by route, the number of this entry's stored jobs of which no task
 	// has started. It is set before Run.
 	queued func() map[string]int
-	usage  *storedUsage
-	check  usageCheck
+	// saturated reports whether this entry is saturated. It is set before Run.
+	saturated func() bool
+	usage     *storedUsage
+	check     usageCheck
 
 	// unreadable is the last logged text about directory records that cannot be decoded.
 	// Only the goroutine of syncDirectory accesses it.
@@ -90,23 +101,33 @@
 	// ahead receives the address of an entry whose message named a newer table.
 	ahead chan string
 
+	// zonesChanged receives a value when the evacuated zones have changed. evacuatedZones are
+	// the zones at the last change. Only noteEvacuations accesses them.
+	zonesChanged   chan struct{}
+	evacuatedZones []string
+
 	mu sync.Mutex
-	// inProgress holds the addresses with which an exchange is in progress.
+	// inProgress holds the addresses with which an exchange of messages is in progress.
 	inProgress map[string]bool
 	// queueCounts holds the numbers of queued jobs that the other entries last sent, by the
 	// address of the entry.
 	queueCounts map[string]peerCounts
+	// peerStates holds the states that the other entries last sent, by address.
+	peerStates map[string]peerState
 }
 
 // NewPeers returns the Peers of the entry with the given name and ownAddress. The entry
 // exchanges messages with the addresses in entries, and adds those that it learns of.
 func NewPeers(name, ownAddress string, entries *link.Addresses, holder *TableHolder, source gypsumtide.TableSource, directory gypsumtide.Directory, clock gypsumtide.Clock, log gypsumtide.DecisionLogger) *Peers {
-	return &Peers{
+	p := &Peers{
 		ownAddress: ownAddress, name: name, entries: entries, holder: holder, decode: source.Decode, directory: directory,
-		clock: clock, log: log, startedAt: clock.Now(), ahead: make(chan string, 1), inProgress: make(map[string]bool),
+		clock: clock, log: log, startedAt: clock.Now(), ahead: make(chan string, 1), zonesChanged: make(chan struct{}, 1), inProgress: make(map[string]bool),
 		queued: func() map[string]int { return nil }, usage: newStoredUsage(), queueCounts: make(map[string]peerCounts),
+		saturated: func() bool { return false }, peerStates: make(map[string]peerState),
 		client: link.NewClient(exchangeTimeout, maxPeerConnections, maxTableBytes),
 	}
+	holder.OnEvacuations(p.noteEvacuations)
+	return p
 }
 
 // Run exchanges messages with the other entries, reads the directory and renews this entry's
@@ -120,12 +141,17 @@
 		for _, address := range p.choosePeers() {
 			p.startExchange(g, address)
 		}
+		ticker.Reset(p.untilNextExchange().Duration())
 		for waiting := true; waiting; {
 			select {
 			case <-g.Context().Done():
 				return g.Wait()
 			case address := <-p.ahead:
 				p.startExchange(g, address)
+			case <-p.zonesChanged:
+				// An evacuation must reach all entries within its bound, also those that
+				// cannot reach the store.
+				waiting = false
 			case <-ticker.C:
 				waiting = false
 			}
@@ -133,13 +159,20 @@
 	}
 }
 
+// untilNextExchange returns the time until the next exchanges with other entries.
+func (p *Peers) untilNextExchange() gypsumtide.Millis {
+	if p.holder.awaitsPeerTable() {
+		return startExchangeInterval
+	}
+	return exchangeInterval
+}
+
 // startExchange starts an exchange with the entry at the address, unless one is in progress.
 func (p *Peers) startExchange(g *group.Group, address string) {
 	if !p.beginExchange(address) {
 		return
 	}
 	g.Add("exchange with "+address, func(ctx context.Context) error {
-		defer p.endExchange(address)
 		p.exchangeWith(ctx, address)
 		return nil
 	})
@@ -157,7 +190,8 @@
 }
 
 // beginExchange reports whether an exchange with the address may start. There is at most
-// one at a time with each address.
+// one at a time with each address. The transfer of a table is not part of it, since news of
+// an evacuation must not wait for the table on a thin link.
 func (p *Peers) beginExchange(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -225,15 +259,17 @@
 
 func (p *Peers) message() peerMessage {
 	active, _ := p.usage.Active()
-	return peerMessage{Address: p.ownAddress, Version: p.holder.Version(), Entries: p.entries.Shareable(), Stored: active, Queued: p.queued()}
+	return peerMessage{Address: p.ownAddress, Version: p.holder.Version(), Entries: p.entries.Shareable(), Stored: active, Queued: p.queued(), Evacuations: p.holder.Evacuations(), Saturated: p.saturated()}
 }
 
 // exchangeWith exchanges messages with another entry, and fetches the route table of that
-// entry if it is newer than the table of this entry.
+// entry if it is newer than the table of this entry. The evacuations of that entry are
+// adopted before.
 func (p *Peers) exchangeWith(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
 	defer cancel()
 	m, err := p.sendMessage(callCtx, address)
+	p.endExchange(address)
 	if err != nil {
 		// The error is not logged: the other entry may have stopped, which its agents and
 		// callers notice first.
@@ -252,8 +288,12 @@
 }
 
 // applyMessage processes a message of the entry at the address: it updates the known
-// addresses, whether stored jobs are in use, and the queue counts of that entry.
+// addresses, the evacuations, whether stored jobs are in use, and the queue counts of that
+// entry.
 func (p *Peers) applyMessage(address string, m *peerMessage) {
+	// Unlike a table, a set is adopted before the store has been read: the entry would
+	// otherwise know of no evacuation at all.
+	p.holder.OfferEvacuations(m.Evacuations, address)
 	p.entries.Confirm(address)
 	for _, a := range m.Entries {
 		p.entries.Add(a)
@@ -263,6 +303,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.peerStates[address] = peerState{receivedAt: p.clock.Now(), saturated: m.Saturated}
 	if len(m.Queued) == 0 {
 		delete(p.queueCounts, address)
 		return
@@ -271,9 +312,28 @@
 }
 
 // acceptsPeerTables reports whether a table may be fetched from a peer. A starting entry
-// without a table tries the store first, since a peer may have lost the store.
+// without a table tries the store first, since a peer may have lost the store, and takes no
+// table before it knows the evacuations.
 func (p *Peers) acceptsPeerTables() bool {
-	return p.holder.Table() != nil || p.clock.Now()-p.startedAt > peerTableDelay
+	if p.holder.Table() != nil {
+		return true
+	}
+	storeTried := p.holder.awaitsPeerTable() || p.clock.Now()-p.startedAt > peerTableDelay
+	return storeTried && p.holder.Evacuations().Version > 0
+}
+
+// noteEvacuations requests exchanges with other entries if the set of evacuated zones has
+// changed. A version that rises without a change waits for the next interval.
+func (p *Peers) noteEvacuations(e gypsumtide.Evacuations) {
+	if slices.Equal(e.Zones, p.evacuatedZones) {
+		return
+	}
+	p.evacuatedZones = e.Zones
+	select {
+	case p.zonesChanged <- struct{}{}:
+	default:
+		// A request is pending already.
+	}
 }
 
 func (p *Peers) sendMessage(ctx context.Context, address string) (peerMessage, error) {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	defer s.Close()
-	hello := wire.Hello{Kind: "agent", Name: a.cfg.Name, Incarnation: a.cfg.Incarnation, Zone: a.cfg.Zone}
+	hello := wire.Hello{Kind: "agent", Name: a.cfg.Name, Incarnation: a.cfg.Incarnation, Zone: a.cfg.Zone, UnpacksSpecs: true}
 	welcome, err := link.ClientHandshake(ctx, s, hello)
 	if err != nil {
 		return err
@@ -172,25 +172,56 @@
 	a.log.Decision("entry-lost", "entry", owner, "error", gypsumtide.ErrorText(err), "runs", len(a.state.RunsOf(owner)))
 }
 
+// setEvacuations passes a set of evacuated zones to the state, and tells all entries at once
+// if the worker accepts orders no longer, or again. The set counts whichever session it comes
+// from.
+func (a *Agent) setEvacuations(e gypsumtide.Evacuations) {
+	a.update(func(now gypsumtide.Millis) {
+		blocked := a.state.StartsBlocked()
+		a.state.SetEvacuations(e)
+		a.loadChanged = true // Entries use the version, see WorkerReport.EvacuationsVersion.
+		if a.state.StartsBlocked() == blocked {
+			return
+		}
+		for owner, s := range a.sessions {
+			a.sendFrame(now, owner, s, func(*wire.Frame) {})
+		}
+	})
+}
+
+// frameReceived processes the parts of a frame that every frame may have.
+func (a *Agent) frameReceived(owner Owner, s *wire.Session, f *wire.Frame) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sessions[owner] == s {
+		a.state.EchoReceived(owner, f.Echo)
+	}
+	o, ok := a.outboxes[owner]
+	if !ok {
+		return
+	}
+	o.acknowledge(f.AcknowledgedReport)
+	if f.ReportInterval > 0 {
+		o.minInterval = f.ReportInterval
+	}
+	if f.Workers > 0 {
+		o.workers = f.Workers
+	}
+}
+
 // handleFrame processes a frame from an entry.
 func (a *Agent) handleFrame(owner Owner, s *wire.Session, f *wire.Frame) error {
+	if err := wire.UnpackSpecs(f.Orders); err != nil {
+		return err
+	}
 	for _, address := range f.Entries {
 		a.entries.Add(address)
 	}
-	a.mu.Lock()
-	if a.sessions[owner] == s {
-		a.state.EchoReceived(owner, f.Echo)
-	}
-	if o, ok := a.outboxes[owner]; ok {
-		o.acknowledge(f.AcknowledgedReport)
-		if f.ReportInterval > 0 {
-			o.minInterval = f.ReportInterval
-		}
-		if f.Workers > 0 {
-			o.workers = f.Workers
-		}
+	if f.Evacuations != nil {
+		// An echo permits starts, so the set that comes with it or before it goes first.
+		a.setEvacuations(*f.Evacuations)
 	}
-	a.mu.Unlock()
+	a.frameReceived(owner, s, f)
 	if len(f.Orders) == 0 && len(f.StopRuns) == 0 && len(f.RecallRuns) == 0 && len(f.Recorded) == 0 && len(f.RecordDeclined) == 0 && !f.Resumed {
 		return nil
 	}
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -74,6 +74,7 @@
 	s.info = info
 	s.known = true
 	s.reservations.SetCapacity(info.Capacity)
+	s.updateStartsBlocked()
 	if info.Draining {
 		s.returnQueue("worker-drains")
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -113,6 +113,10 @@
 	return s
 }
 
+// SetReadLimit sets the size of the largest frame that is accepted from now on. It is
+// MaxFrameBytes at first.
+func (s *Session) SetReadLimit(bytes int64) { s.conn.SetReadLimit(bytes) }
+
 // Peer returns the URL that was dialled, or the address of the peer if the session was
 // accepted.
 func (s *Session) Peer() string { return s.peer }
@@ -161,17 +165,23 @@
 // The frame's Echo is read before the first message is added. If the process is
 // paused after that, it sends an outdated Echo, which the agent rejects.
 func (s *Session) Update(add func(f *Frame)) bool {
+	if !s.addPending(add) {
+		return false
+	}
+	s.wakeWriter(s.wake)
+	return true
+}
+
+func (s *Session) addPending(add func(f *Frame)) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.closed {
-		s.mu.Unlock()
 		return false
 	}
 	if s.pending == nil {
 		s.pending = &Frame{Echo: s.PeerClock()}
 	}
 	add(s.pending)
-	s.mu.Unlock()
-	s.wakeWriter(s.wake)
 	return true
 }
 
