--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -81,10 +81,22 @@
 	runTime gypsumtide.Millis
 	// projectedEnd is when a run that takes longer than expected should end, or 0.
 	projectedEnd gypsumtide.Millis
-	// moves counts the runs that were stopped to be retried on another worker.
+	// stalled is set if the last projection was that of a run without progress.
+	stalled bool
+	// moves counts the runs that were stopped to be retried on another worker, other than
+	// those on workers that leave.
 	moves int
 	// wait is the task's wait for the rack of its step.
 	wait rackWait
+	// leaveVerdict is the last decision on the run while its worker leaves, and leaveCheckedAt
+	// the time at which other workers were last compared for it. moveTarget is the worker on
+	// which room is reserved until the run has ended, if any.
+	leaveVerdict   leaveVerdict
+	leaveCheckedAt gypsumtide.Millis
+	moveTarget     *worker
+	// checkpoint is the newest checkpoint of the task, resumedFrom the one from which its
+	// present run was resumed.
+	checkpoint, resumedFrom checkpoint
 	// failures counts the failed runs.
 	failures int
 	// avoidWorker is the worker of the last run that failed, was lost or was stopped.
@@ -125,10 +137,12 @@
 	id string
 	// request identifies the submission in the caller's own logs.
 	request string
-	spec    string
-	route   gypsumtide.QueueRoute
-	steps   []gypsumtide.JobStep
-	tasks   []*task
+	// submission numbers the submissions at this entry.
+	submission uint64
+	spec       string
+	route      gypsumtide.QueueRoute
+	steps      []gypsumtide.JobStep
+	tasks      []*task
 	// unfinished is the number of tasks of each step that are not done.
 	unfinished []int
 	// hash is a hash of the id. It spreads jobs over workers and retries over time.
--- a/internal/dispatch/slow_start_test.go
+++ b/internal/dispatch/slow_start_test.go
@@ -7,18 +7,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumtide"
+	"gypsumtide/internal/placement"
 	"gypsumtide/internal/wire"
 )
 
-// Guards against a slow start that never ends, or uses the workers fully at once.
-func TestSlowStartShare(t *testing.T) {
-	Convey("The share grows from a quarter to all within a second", t, func() {
-		for elapsed, share := range map[gypsumtide.Millis]float64{-5: 0.25, 0: 0.25, 400: 0.55, 800: 0.85, 1000: 1, 5000: 1} {
-			So(slowStartShare(elapsed), ShouldAlmostEqual, share)
-		}
-	})
-}
-
 // Guards against waiting work that all goes to the workers of a returned zone, and against work
 // that is delayed although it has nowhere else to go.
 func TestSlowStart(t *testing.T) {
@@ -157,7 +149,7 @@
 			s.SetEvacuations(1000, evacuated(6))
 			s.UpdateWorker(1001, workerID(0), zoneReport(0, "a"))
 			So(w.usable(), ShouldBeTrue)
-			So(w.share, ShouldEqual, initialShare)
+			So(w.share, ShouldEqual, placement.SlowStartShare(0))
 		})
 		Convey("A worker whose agent unblocks late has its own slow start", func() {
 			s.SetEvacuations(0, evacuated(4, "a"))
@@ -166,7 +158,7 @@
 			s.Tick(2500)
 			So(w.usable(), ShouldBeFalse)
 			s.UpdateWorker(2501, workerID(0), zoneReport(0, "a"))
-			So(w.share, ShouldEqual, initialShare)
+			So(w.share, ShouldEqual, placement.SlowStartShare(0))
 			s.Tick(3501)
 			So(w.share, ShouldEqual, 1)
 			So(s.slowStarts, ShouldEqual, 0)
@@ -176,7 +168,7 @@
 			s.SetEvacuations(1000, evacuated(6))
 			s.Tick(1500)
 			s.UpdateWorker(1500, workerID(0), zoneReport(0, "a"))
-			So(w.share, ShouldEqual, slowStartShare(500))
+			So(w.share, ShouldEqual, placement.SlowStartShare(500))
 		})
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,9 @@
 	publisher             *object.Publisher
 	router                *router
 	// revision is the configuration revision in use at this entry.
-	revision      atomic.Uint64
+	revision atomic.Uint64
+	// configured is set once the revision that was current at the start is in use.
+	configured    atomic.Bool
 	currentConfig atomic.Pointer[configMessages]
 	home          *home
 	peers         *peers
@@ -140,6 +142,7 @@
 		return nil, err
 	}
 	e.home = h
+	e.metrics.addEvacuationGauges(h)
 	e.peers = newPeers(e)
 	return e, nil
 }
--- a/internal/runner/sync.go
+++ b/internal/runner/sync.go
@@ -48,6 +48,7 @@
 // agent has saved, until the next heartbeat replaces it.
 func (s *State) RestoreWorker(now gypsumtide.Millis, info gypsumtide.WorkerInfo) {
 	info.Seq = 0
+	info.Remaining = nil // Counts from the heartbeat, whose time is not known.
 	s.Heartbeat(now, info)
 }
 
@@ -57,6 +58,7 @@
 	s.incarnation = incarnation
 	s.known = false
 	s.leaving = false
+	s.leavesAt = 0
 	s.earlierRunsEnded = false
 	s.info.Seq = 0
 	s.processed, s.acknowledged = 0, 0
@@ -75,6 +77,7 @@
 	s.known = true
 	s.reservations.SetCapacity(info.Capacity)
 	s.updateStartsBlocked()
+	s.updateNotice(now)
 	if info.Draining {
 		s.returnQueue("worker-drains")
 	}
@@ -221,6 +224,7 @@
 			s.runStarted(now, r)
 		default:
 			r.incarnation = s.incarnation
+			s.reportCheckpoint(r, p)
 		}
 	}
 	for ref, r := range s.runs {
@@ -312,6 +316,7 @@
 			continue
 		}
 		s.retainEnd(e, r)
+		r.noteCheckpoint(e.Checkpoint, r.percent)
 		s.health.sampleEnd(now, r, e.Kind)
 		s.finish(r, e.Kind, now-r.startedAt, "")
 	}
@@ -331,9 +336,8 @@
 			s.beginSync(now)
 			return
 		}
-		if p.Percent > r.percent {
-			r.percent, r.advancedAt = p.Percent, now
-		}
+		r.noteProgress(now, p.Percent)
+		s.reportCheckpoint(r, p)
 		s.health.sampleProgress(now, r)
 		s.reportProjection(now, r)
 	}
@@ -371,11 +375,11 @@
 func (s *State) reportProjection(now gypsumtide.Millis, r *run) {
 	elapsed := now - r.startedAt
 	stalled := r.stalled(now)
-	if elapsed < projectAfter || r.stopping || r.percent >= 100 || r.percent == 0 && !stalled {
+	if elapsed < projectAfter || r.stopping || r.percent >= 100 || r.progress() == 0 && !stalled {
 		return
 	}
-	total := elapsed * 100 / gypsumtide.Millis(max(1, r.percent))
-	if float64(total) < projectFactor*float64(max(r.order.Expected, r.projected)) {
+	total := r.projectedTotal(now)
+	if !s.projectionDue(r, total) {
 		return
 	}
 	r.projected = total
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -28,11 +28,21 @@
 	// Stored marks a task of a stored job. The worker retains the end of the run until
 	// the entry has recorded it.
 	Stored bool `cbor:"10,keyasint,omitempty"`
+	// Checkpointable means that the entry keeps checkpoints of the run. The fields below are
+	// set only with it.
+	Checkpointable bool `cbor:"11,keyasint,omitempty"`
+	// Checkpoint is the checkpoint from which the run resumes, or "". Restore is the time
+	// that this is expected to take; Expected includes it.
+	Checkpoint string            `cbor:"12,keyasint,omitempty"`
+	Restore    gypsumtide.Millis `cbor:"14,keyasint,omitempty"`
+	// Submission numbers the submissions at the entry. A job that is submitted again may get
+	// the same run numbers, but none of the earlier checkpoints.
+	Submission uint64 `cbor:"13,keyasint,omitempty"`
 	// CompressedSpec replaces Spec: it is the spec compressed with Zstandard. RepeatsSpec
 	// means that the spec is that of the previous order of the job in the frame. See
 	// SpecPacker.
-	CompressedSpec []byte `cbor:"12,keyasint,omitempty"`
-	RepeatsSpec    bool   `cbor:"13,keyasint,omitempty"`
+	CompressedSpec []byte `cbor:"15,keyasint,omitempty"`
+	RepeatsSpec    bool   `cbor:"16,keyasint,omitempty"`
 }
 
 // RunReport reports the state of an order to an entry.
@@ -59,6 +69,12 @@
 	Number uint64 `cbor:"7,keyasint,omitempty"`
 	// Unrecorded is set for an end that the entry still has to record.
 	Unrecorded bool `cbor:"10,keyasint,omitempty"`
+	// Checkpoint is the newest checkpoint of the run, or "", and CheckpointPercent the
+	// progress of the run when the checkpoint was first seen. Without an End, the report says
+	// nothing else. Submission is that of the order.
+	Checkpoint        string `cbor:"11,keyasint,omitempty"`
+	CheckpointPercent int    `cbor:"12,keyasint,omitempty"`
+	Submission        uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // WorkerReport describes an agent's worker. Each report replaces the previous one.
@@ -80,13 +96,20 @@
 	// ZoneEvacuated is set while the agent starts nothing because the worker's zone is
 	// evacuated.
 	ZoneEvacuated bool `cbor:"9,keyasint,omitempty"`
+	// Leaving is set while the worker has announced when it ends. LeavesIn is the minimum
+	// time until then.
+	Leaving  bool              `cbor:"10,keyasint,omitempty"`
+	LeavesIn gypsumtide.Millis `cbor:"11,keyasint,omitempty"`
+	// LeavesAt is the same time on the agent's clock. It is not encoded; Equal compares it
+	// instead of LeavesIn, which decreases all the time.
+	LeavesAt gypsumtide.Millis `cbor:"-"`
 }
 
 // Equal reports whether r and o have the same content.
 func (r *WorkerReport) Equal(o *WorkerReport) bool {
 	return r.Incarnation == o.Incarnation && r.Service == o.Service && r.Zone == o.Zone && r.Capacity == o.Capacity &&
 		r.Accepting == o.Accepting && r.EarlierRunsEnded == o.EarlierRunsEnded && r.EvacuationsVersion == o.EvacuationsVersion &&
-		r.ZoneEvacuated == o.ZoneEvacuated && slices.Equal(r.Labels, o.Labels)
+		r.ZoneEvacuated == o.ZoneEvacuated && r.Leaving == o.Leaving && r.LeavesAt == o.LeavesAt && slices.Equal(r.Labels, o.Labels)
 }
 
 // LoadReport is the load of an agent's worker. It is sent far more often than a
--- a/valid.go
+++ b/valid.go
@@ -22,6 +22,8 @@
 	MaxTime Millis = 253_402_300_799_999
 	// MaxCounter is the largest accepted value of a counter of another process.
 	MaxCounter = 1 << 53
+	// MaxCheckpointBytes is the size of the longest checkpoint that is kept.
+	MaxCheckpointBytes = 4096
 	// maxPort is the largest TCP port.
 	maxPort = 1<<16 - 1
 	// invalidHostCharacters would make the host of an address another part of a URL.
@@ -45,6 +47,9 @@
 	return nil
 }
 
+// ValidateDuration returns an *InvalidValueError unless d is from 0 to MaxDuration.
+func ValidateDuration(field string, d Millis) error { return validateRange(field, d, MaxDuration) }
+
 // ValidateTime returns an *InvalidValueError unless t is from 0 to MaxTime.
 func ValidateTime(field string, t Millis) error { return validateRange(field, t, MaxTime) }
 
@@ -118,6 +123,9 @@
 			return err
 		}
 	}
+	if i.Remaining != nil {
+		return ValidateDuration("remaining time", *i.Remaining)
+	}
 	return nil
 }
 
