--- a/internal/dispatch/slow_start_test.go
+++ b/internal/dispatch/slow_start_test.go
@@ -101,8 +101,8 @@
 			s.SetEvacuations(1000, evacuated(8))
 			size := gypsumtide.Size{Processors: 1600, Memory: 64, Accelerators: 1}
 			w := s.workers[workerID(0)]
-			So(w.limitedWait(w.load(0), size), ShouldBeGreaterThanOrEqualTo, w.wait(size, 0))
-			So(w.wait(size, 0), ShouldBeGreaterThan, 0)
+			So(w.limitedWait(w.load(0), size), ShouldBeGreaterThanOrEqualTo, w.waitBehind(w.load(0), size))
+			So(w.waitBehind(w.load(0), size), ShouldBeGreaterThan, 0)
 		}
 	})
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -83,6 +83,11 @@
 	submissions uint64
 	// recallBudget is how many queued orders may still be recalled before the next tick.
 	recallBudget int
+	// waiting holds the ready tasks that were not placed at the last tick or since.
+	waiting waitingTasks
+	shares  fairShares
+	// roomBuffer is reused by rooms.
+	roomBuffer []workerRoom
 	// locality is the state of the placement of tasks whose steps name a rack.
 	locality locality
 }
@@ -91,7 +96,7 @@
 func NewState(now gypsumtide.Millis, zone string, remoteFactor float64, timing Timing, log gypsumtide.DecisionLogger) *State {
 	return &State{
 		startedAt: now, zone: zone, remoteFactor: remoteFactor, timing: timing, log: log,
-		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(),
+		workers: make(map[WorkerID]*worker), jobs: make(map[string]*job), estimator: newEstimator(), shares: newFairShares(),
 		locality: newLocality(),
 	}
 }
@@ -154,7 +159,7 @@
 	s.numberSubmission(j)
 	if other, ok := s.jobs[j.id]; ok && other.stored {
 		// Task names contain the job id, so the tasks of both jobs would get the same names.
-		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
+		s.answer(now, j, Answer{Outcome: gypsumtide.OutcomeNotRun, Reason: "a stored job has this id", RetryAfter: s.retryAfter(j, 0)})
 		return
 	}
 	expectedTime := j.criticalPath(func(step int) gypsumtide.Millis { return s.expected(j, step) })
@@ -170,6 +175,7 @@
 	s.log.Decision("job-admitted", "job", j.id, "request", j.request, "route", j.route.Name, "tasks", len(j.tasks), "expected-ms", expectedTime,
 		"objective-ms", j.objective-now, "deadline-ms", sub.Timeout, "workers", len(s.workerList))
 	s.placeReady(now, j)
+	s.waiting.add(now, j)
 }
 
 // expected returns the expected run time of a step's task on an average worker.
@@ -471,12 +477,17 @@
 	s.expireLostAgents(now)
 	s.updateSlowStarts(now)
 	s.backlog.update(now, s.waitingShare())
+	s.shares.update(now, s.backlog.average)
 	s.recallBudget = s.countFreeWorkers()
 	s.refreshLocality()
 	s.moveLeavingRuns(now)
 	for _, j := range s.jobsByUrgency() {
 		s.checkJob(now, j)
 	}
+	s.waiting = s.waiting[:0]
+	for _, j := range s.jobs {
+		s.waiting.add(now, j)
+	}
 }
 
 // checkJob performs the periodic work on one job.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 
 	"gypsumtide"
@@ -136,19 +137,13 @@
 	meanTurnover gypsumtide.Millis = 250
 	// loadCost is the additional cost of a fully loaded worker, in milliseconds. The cost
 	// rises with the square of the load, because recent orders of other entries are missing
-	// from the last report.
-	loadCost = 80
+	// from the last report, and because the task delays others.
+	loadCost = 100
 	// zoneCost is the additional cost of a worker in another availability zone, in
 	// milliseconds.
 	zoneCost = 1
 )
 
-// wait returns the expected time in milliseconds until a task of the size fits on the
-// worker.
-func (w *worker) wait(size gypsumtide.Size, priority int) float64 {
-	return w.waitBehind(w.load(priority), size)
-}
-
 // waitBehind returns the expected time in milliseconds until a task of the size fits on the
 // worker if the load goes before it.
 func (w *worker) waitBehind(load, size gypsumtide.Size) float64 {
@@ -203,6 +198,11 @@
 	}
 	e := costEstimate{wait: w.waitBehind(load, step.Size)}
 	e.end = (e.wait + run) / (1 - min(maxFailureShare, w.failureShare))
+	if priority > 0 {
+		// All queued tasks count, since the task keeps some of them from starting. Without
+		// this, slow workers stay partly idle under overload.
+		load = w.load(math.MaxInt)
+	}
 	e.cost = e.end + loadCost*square(ratio(load.Processors, w.report.Capacity.Processors))
 	if w.report.Zone != zone {
 		e.cost += zoneCost
