--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -76,7 +76,7 @@
 	rooms := s.roomBuffer[:0]
 	for _, w := range s.workerList {
 		if w.usable() && w.suits(j.route.Service, &j.steps[step]) {
-			rooms = append(rooms, w.roomFor(&j.steps[step], j.route.Priority))
+			rooms = append(rooms, w.roomFor(&j.steps[step], j.route.Priority, float64(s.expected(j, step))))
 		}
 	}
 	s.roomBuffer = rooms
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -11,19 +11,20 @@
 	// tasks is how many tasks fit now. It is negative if others are queued before them.
 	// perMilli is by how many it grows each millisecond, as running tasks end.
 	tasks, perMilli float64
-	// limit is the largest number of tasks that the worker may be given.
-	limit float64
 }
 
-// roomFor returns the room of the worker for tasks of the step and priority.
-func (w *worker) roomFor(step *gypsumtide.JobStep, priority int) workerRoom {
+// roomFor returns the room of the worker for tasks of the step and priority, which are
+// expected to run for run milliseconds.
+func (w *worker) roomFor(step *gypsumtide.JobStep, priority int, run float64) workerRoom {
 	load, capacity := w.load(priority), w.report.Capacity
-	r := workerRoom{tasks: math.Inf(1), perMilli: math.MaxFloat64, limit: math.Inf(1)}
+	r := workerRoom{tasks: math.Inf(1), perMilli: math.MaxFloat64}
 	r.bound(step.Size.Processors, load.Processors, capacity.Processors)
 	r.bound(step.Size.Memory, load.Memory, capacity.Memory)
 	r.bound(step.Size.Accelerators, load.Accelerators, capacity.Accelerators)
-	if step.MaxPerWorker > 0 {
-		r.limit = float64(step.MaxPerWorker)
+	if limit := float64(step.MaxPerWorker); limit > 0 {
+		// The limit applies to tasks at the same time: the next one follows the end of another.
+		r.tasks = min(r.tasks, limit)
+		r.perMilli = min(r.perMilli, limit/max(1, run))
 	}
 	return r
 }
@@ -45,7 +46,7 @@
 	if fit > 0 {
 		fit = math.Floor(fit)
 	}
-	return min(r.limit, max(0, fit+wait*r.perMilli))
+	return max(0, fit+wait*r.perMilli)
 }
 
 // allStartWithin reports whether the workers are expected to start the tasks within the time
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -38,7 +38,12 @@
 func (s *State) scratch() *State {
 	c := *s
 	c.log, c.effects = silentLogger{}, Effects{}
-	c.jobs = maps.Clone(s.jobs)
+	c.jobs, c.waiting, c.roomBuffer = maps.Clone(s.jobs), slices.Clone(s.waiting), nil
+	c.shares.routes = make(map[string]*routeShare, len(s.shares.routes))
+	for name, r := range s.shares.routes {
+		share := *r
+		c.shares.routes[name] = &share
+	}
 	copies := make(map[*worker]*worker, len(s.workerList))
 	copyOf := func(w *worker) *worker {
 		if copies[w] == nil {
@@ -109,10 +114,10 @@
 		return e
 	}
 	if other, ok := s.jobs[j.id]; ok && other.stored {
-		return refuse(Answer{Reason: "a stored job has this id", RetryAfter: j.retryAfter()})
+		return refuse(Answer{Reason: "a stored job has this id", RetryAfter: s.retryAfter(j, 0)})
 	}
 	if s.unservable(now, j) {
-		return refuse(Answer{Reason: reasonZoneEvacuated, RetryAfter: j.retryAfter()})
+		return refuse(Answer{Reason: reasonZoneEvacuated, RetryAfter: s.retryAfter(j, 0)})
 	}
 	refusal, ok := s.admit(now, j)
 	if !ok {
@@ -125,10 +130,11 @@
 // explainWait returns the expected wait that admission compares for a step, or nil if no
 // worker accepts its tasks.
 func (s *State) explainWait(j *job, step int) *gypsumtide.Millis {
-	wait, usable := s.shortestWait(j, step)
-	if !usable {
+	rooms := s.rooms(j, step)
+	if len(rooms) == 0 {
 		return nil
 	}
+	wait := min(waitForAll(rooms, s.tasksUntilStarted(j, step)), maxExpectedWait)
 	ms := gypsumtide.Millis(math.Round(wait))
 	return &ms
 }
