clientlimit: clients that are turned away return at different times

Cause: found by reading the whole change: the refusal had a fixed Retry-After of 1 s, so that a crowd would return at once. A log line in kebab case, and comments wrapped.

--- a/internal/clientlimit/pool.go
+++ b/internal/clientlimit/pool.go
@@ -221,6 +221,6 @@
 // LogTurnedAway returns a ReportFunc that writes to log.
 func LogTurnedAway(log logr.Logger) ReportFunc {
 	return func(listener string, turnedAway map[string]int) {
-		log.Info("clients turned away", "listener", listener, "reasons", turnedAway)
+		log.Info("clients-turned-away", "listener", listener, "reasons", turnedAway)
 	}
 }
--- a/internal/clientlimit/server.go
+++ b/internal/clientlimit/server.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -51,7 +53,9 @@
 // Parts of the response to refused requests. The body has the fields of the platform's and of the
 // own interface's refusals.
 const (
-	retryAfterSeconds  = "1"
+	// retrySpreadSeconds is the longest time to retry. The shortest is 1 s, and each client gets
+	// a random one, so that a crowd does not return at once.
+	retrySpreadSeconds = 3
 	refusalContentType = "application/problem+json"
 	refusalBody        = `{"type":"too-many-clients","status":503,"outcome":"not-run","reason":"too many clients"}`
 )
@@ -61,7 +65,7 @@
 	lines := reduceHeader(r)
 	if p.beginServing(c, lines, keptCost(r)) {
 		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", retryAfterSeconds)
+		w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(retrySpreadSeconds)))
 		w.Header().Set("Content-Type", refusalContentType)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, refusalBody) // The client may have disconnected.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,9 +164,9 @@
 	listenerSessions = "sessions"
 )
 
-// Serve runs an HTTP server for callers or workers until ctx is done. It then stops accepting connections,
-// waits for the first requests on new ones, closes idle ones and waits for the requests
-// in progress. If some are left shortly before the end of the grace period, it calls
+// Serve runs an HTTP server for callers or workers until ctx is done. It then stops accepting
+// connections, waits for the first requests on new ones, closes idle ones and waits for the
+// requests in progress. If some are left shortly before the end of the grace period, it calls
 // abort, which should make them respond, and cuts off those that still have no response
 // after lastResponseTimeout. abort may be nil.
 func (p *Process) Serve(ctx context.Context, address string, h http.Handler, abort func()) error {
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -115,9 +115,9 @@
 var errSessionReplaced = errors.New("a newer session of the agent exists")
 
 // agentConnected registers the session of an agent, whose first frame has the clock
-// reading firstFrameAt and reports the configuration revision. It asks for the state of the tasks that are still open from an
-// earlier session, and for the recoveries that wait for the agent. It sends the
-// configuration first, so that the agent knows it before it receives a dispatch. It returns
+// reading firstFrameAt and reports the configuration revision. It asks for the state of the
+// tasks that are still open from an earlier session, and for the recoveries that wait for the
+// agent. It sends the configuration first, so that the agent knows it before it receives a dispatch. It returns
 // nil if a newer session of the agent is registered: the sessions of an agent follow one
 // another, but their first frames can be handled in another order.
 func (h *home) agentConnected(rec wire.AgentRecord, s *wire.Session, firstFrameAt gypsumtide.Millis, revision uint64) *agentConn {
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -10,8 +10,8 @@
 )
 
 // tick does the periodic work of the home: it handles deadlines, due requeues,
-// disconnected agents, expired state and jobs that no zone can serve, and then dispatches and recalls tasks of each
-// pool.
+// disconnected agents, expired state and jobs that no zone can serve, and then dispatches and
+// recalls tasks of each pool.
 func (h *home) tick() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
